--- /dev/null
+++ b/src/adapters/caller_server.cpp
@@ -0,0 +1,230 @@
+#include "adapters/caller_server.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <evhtp/evhtp.h>
+
+namespace dandelionstep {
+namespace {
+
+constexpr int listen_backlog = 1024;
+// Bodies between the limit and this multiple of it still get a clear answer; longer ones are cut off.
+constexpr std::size_t hard_limit_factor = 8;
+
+timeval to_timeval(milliseconds time)
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    return {.tv_sec = time.count / ms_per_second, .tv_usec = (time.count % ms_per_second) * 1000};
+}
+
+std::string method_name(htp_method method)
+{
+    switch (method) {
+    case htp_method_GET:
+        return "GET";
+    case htp_method_HEAD:
+        return "HEAD";
+    case htp_method_POST:
+        return "POST";
+    case htp_method_PUT:
+        return "PUT";
+    case htp_method_DELETE:
+        return "DELETE";
+    default:
+        return "OTHER";
+    }
+}
+
+http_headers copy_pairs(const evhtp_kvs* pairs)
+{
+    http_headers copied;
+    if (pairs == nullptr) {
+        return copied;
+    }
+    for (const evhtp_kv* pair = pairs->tqh_first; pair != nullptr; pair = pair->next.tqe_next) {
+        copied.emplace_back(std::string(pair->key, pair->klen), std::string(pair->val, pair->vlen));
+    }
+    return copied;
+}
+
+received_request receive(evhtp_request* raw)
+{
+    received_request request;
+    request.method = method_name(evhtp_request_get_method(raw));
+    if (raw->uri != nullptr && raw->uri->path != nullptr && raw->uri->path->full != nullptr) {
+        request.path = raw->uri->path->full;
+    }
+    if (raw->uri != nullptr) {
+        request.query = copy_pairs(raw->uri->query);
+    }
+    request.headers = copy_pairs(raw->headers_in);
+    request.body.resize(evbuffer_get_length(raw->buffer_in));
+    evbuffer_remove(raw->buffer_in, request.body.data(), request.body.size());
+    return request;
+}
+
+evbuffer* make_buffer(std::string_view text)
+{
+    evbuffer* buffer = evbuffer_new();
+    evbuffer_add(buffer, text.data(), text.size());
+    return buffer;
+}
+
+} // namespace
+
+void caller_reply::add_header(const std::string& name, const std::string& value)
+{
+    if (this->raw != nullptr) {
+        evhtp_headers_add_header(this->raw->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    }
+}
+
+void caller_reply::send(int status, std::string_view body, const std::string& content_type)
+{
+    if (this->raw == nullptr) {
+        return;
+    }
+    this->add_header("Content-Type", content_type);
+    this->restore_idle_timeout();
+    evhtp_request* request = std::exchange(this->raw, nullptr);
+    evbuffer_add(request->buffer_out, body.data(), body.size());
+    evhtp_send_reply(request, static_cast<evhtp_res>(status));
+}
+
+void caller_reply::start_stream(int status, const std::string& content_type)
+{
+    if (this->raw != nullptr) {
+        this->add_header("Content-Type", content_type);
+        this->streaming = true;
+        evhtp_send_reply_chunk_start(this->raw, static_cast<evhtp_res>(status));
+    }
+}
+
+void caller_reply::write(std::string_view part)
+{
+    if (this->raw != nullptr) {
+        evbuffer* buffer = make_buffer(part);
+        evhtp_send_reply_chunk(this->raw, buffer);
+        evbuffer_free(buffer);
+    }
+}
+
+void caller_reply::end_stream()
+{
+    if (this->raw != nullptr) {
+        this->restore_idle_timeout();
+        evhtp_send_reply_chunk_end(std::exchange(this->raw, nullptr));
+    }
+}
+
+void caller_reply::abort()
+{
+    if (this->raw != nullptr) {
+        evhtp_request* request = std::exchange(this->raw, nullptr);
+        evhtp_connection_free(request->conn);
+    }
+}
+
+void caller_reply::restore_idle_timeout()
+{
+    bufferevent_set_timeouts(this->raw->conn->bev, &this->raw->conn->recv_timeo, &this->raw->conn->send_timeo);
+}
+
+struct caller_server::state {
+    evhtp* raw = nullptr;
+    caller_limits limits;
+    handler handle;
+    int connections = 0;
+
+    static evhtp_res on_connect(evhtp_connection_t* connection, void* argument)
+    {
+        auto* server = static_cast<state*>(argument);
+        if (server->connections >= server->limits.max_connections) {
+            return EVHTP_RES_ERROR;
+        }
+        ++server->connections;
+        evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
+                                  reinterpret_cast<evhtp_hook>(on_connection_end), server);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res on_connection_end(evhtp_connection_t* /*connection*/, void* argument)
+    {
+        --static_cast<state*>(argument)->connections;
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res on_request_end(evhtp_request_t* /*request*/, void* argument)
+    {
+        const std::unique_ptr<std::shared_ptr<caller_reply>> held(
+            static_cast<std::shared_ptr<caller_reply>*>(argument));
+        caller_reply& reply = **held;
+        const bool unanswered = std::exchange(reply.raw, nullptr) != nullptr;
+        if (const std::function<void()> run = std::move(reply.when_gone); unanswered && run) {
+            run();
+        }
+        return EVHTP_RES_OK;
+    }
+
+    static void on_request(evhtp_request_t* raw, void* argument)
+    {
+        auto* server = static_cast<state*>(argument);
+        const auto reply = std::make_shared<caller_reply>(raw);
+        // The request's end hook owns this reference and releases it.
+        auto held = std::make_unique<std::shared_ptr<caller_reply>>(reply);
+        evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, reinterpret_cast<evhtp_hook>(on_request_end),
+                               held.release());
+        // A caller that waits for its answer sends nothing, which must not count against it.
+        bufferevent_set_timeouts(raw->conn->bev, nullptr, &raw->conn->send_timeo);
+        const received_request request = receive(raw);
+        if (request.body.size() > server->limits.max_body_bytes) {
+            reply->add_header("Outcome", "not_run");
+            reply->send(EVHTP_RES_ENTOOLARGE,
+                        absl::StrCat(R"({"error":{"code":"body_too_large","message":"the body exceeds )",
+                                     server->limits.max_body_bytes, R"( bytes"}})"));
+            return;
+        }
+        server->handle(request, reply);
+    }
+};
+
+caller_server::caller_server(event_loop& loop, caller_limits limits, handler handle)
+    : self(std::make_unique<state>())
+{
+    this->self->raw = evhtp_new(loop.base(), nullptr);
+    this->self->limits = limits;
+    this->self->handle = std::move(handle);
+    const timeval receive_timeout = to_timeval(limits.receive_timeout);
+    const timeval send_timeout = to_timeval(limits.send_timeout);
+    evhtp_set_timeouts(this->self->raw, &receive_timeout, &send_timeout);
+    evhtp_set_max_body_size(this->self->raw, limits.max_body_bytes * hard_limit_factor);
+    evhtp_set_post_accept_cb(this->self->raw, state::on_connect, this->self.get());
+    evhtp_set_gencb(this->self->raw, state::on_request, this->self.get());
+    evhtp_enable_flag(this->self->raw, EVHTP_FLAG_ENABLE_NODELAY);
+}
+
+caller_server::~caller_server()
+{
+    evhtp_unbind_socket(this->self->raw);
+    evhtp_free(this->self->raw);
+}
+
+absl::Status caller_server::listen(const endpoint& at)
+{
+    if (evhtp_bind_socket(this->self->raw, at.address.c_str(), at.port, listen_backlog) != 0) {
+        return absl::UnavailableError(absl::StrCat("cannot listen on ", to_string(at), ": ", std::strerror(errno)));
+    }
+    return absl::OkStatus();
+}
+
+int caller_server::connections() const
+{
+    return this->self->connections;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/adapters/event_loop.cpp
@@ -0,0 +1,142 @@
+#include "adapters/event_loop.hpp"
+
+#include <chrono>
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace dandelionstep {
+namespace {
+
+struct timer_state {
+    event_loop::callback run;
+    event* raw = nullptr;
+};
+
+timeval to_timeval(milliseconds delay)
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    const std::int64_t ms = delay.count < 0 ? 0 : delay.count;
+    return {.tv_sec = ms / ms_per_second, .tv_usec = (ms % ms_per_second) * 1000};
+}
+
+void on_event(evutil_socket_t /*fd*/, short /*what*/, void* argument)
+{
+    // A copy keeps the callback alive if it destroys its own timer.
+    const event_loop::callback run = static_cast<timer_state*>(argument)->run;
+    run();
+}
+
+std::shared_ptr<timer_state> make_state(event_base* base, int number, short what, event_loop::callback run)
+{
+    std::shared_ptr<timer_state> state(new timer_state{std::move(run), nullptr}, [](timer_state* held) {
+        event_free(held->raw);
+        delete held;
+    });
+    state->raw = event_new(base, number, what, on_event, state.get());
+    return state;
+}
+
+event_base* make_base()
+{
+    evthread_use_pthreads();
+    return event_base_new();
+}
+
+} // namespace
+
+struct event_loop::posted {
+    std::mutex lock;
+    std::vector<callback> waiting;
+    event* wake = nullptr;
+
+    static void on_wake(evutil_socket_t /*fd*/, short /*what*/, void* argument)
+    {
+        auto* queue = static_cast<posted*>(argument);
+        std::vector<callback> due;
+        {
+            const std::lock_guard guard(queue->lock);
+            due.swap(queue->waiting);
+        }
+        for (const callback& run : due) {
+            run();
+        }
+    }
+};
+
+event_loop::event_loop() : raw(make_base()), queue(std::make_unique<posted>())
+{
+    this->queue->wake = event_new(this->raw, -1, EV_PERSIST, posted::on_wake, this->queue.get());
+}
+
+event_loop::~event_loop()
+{
+    // What waits in the queue may hold connections, which must go before the base that they belong to.
+    this->queue->waiting.clear();
+    event_free(this->queue->wake);
+    event_base_free(this->raw);
+}
+
+time_point event_loop::now()
+{
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since_start).count()};
+}
+
+wall_time event_loop::wall_now()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count()};
+}
+
+event_loop::timer event_loop::run_after(milliseconds delay, callback run)
+{
+    timer handle;
+    auto state = make_state(this->raw, -1, EV_TIMEOUT, std::move(run));
+    const timeval after = to_timeval(delay);
+    event_add(state->raw, &after);
+    handle.state = std::move(state);
+    return handle;
+}
+
+event_loop::timer event_loop::run_every(milliseconds interval, callback run)
+{
+    timer handle;
+    auto state = make_state(this->raw, -1, EV_TIMEOUT | EV_PERSIST, std::move(run));
+    const timeval every = to_timeval(interval);
+    event_add(state->raw, &every);
+    handle.state = std::move(state);
+    return handle;
+}
+
+event_loop::timer event_loop::on_signal(int number, callback run)
+{
+    timer handle;
+    auto state = make_state(this->raw, number, EV_SIGNAL | EV_PERSIST, std::move(run));
+    event_add(state->raw, nullptr);
+    handle.state = std::move(state);
+    return handle;
+}
+
+void event_loop::post(callback run)
+{
+    {
+        const std::lock_guard guard(this->queue->lock);
+        this->queue->waiting.push_back(std::move(run));
+    }
+    event_active(this->queue->wake, 0, 0);
+}
+
+void event_loop::run()
+{
+    event_base_loop(this->raw, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::stop()
+{
+    event_base_loopbreak(this->raw);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/adapters/http_client.cpp
@@ -0,0 +1,275 @@
+#include "adapters/http_client.hpp"
+
+#include <algorithm>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <list>
+#include <unordered_map>
+
+namespace dandelionstep {
+namespace {
+
+constexpr std::size_t max_idle_connections_per_endpoint = 64;
+constexpr std::int64_t max_answer_bytes = 64LL * 1024 * 1024;
+// libevent's own timeout is only a backstop: it must not fire before an exchange's own timer.
+constexpr int connection_timeout_seconds = 600;
+
+evhttp_cmd_type method_of(std::string_view name)
+{
+    if (name == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (name == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (name == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+std::string take_text(evbuffer* buffer)
+{
+    std::string text(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, text.data(), text.size());
+    return text;
+}
+
+} // namespace
+
+std::string http_result::header(std::string_view name) const
+{
+    return find_header(this->headers, name);
+}
+
+// One kept connection; destroyed only from the loop's queue, as libevent still uses it after its callbacks.
+struct http_connection {
+    evhttp_connection* raw = nullptr;
+    bool bytes_sent = false;
+
+    http_connection() = default;
+    ~http_connection() { evhttp_connection_free(this->raw); }
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
+    http_connection(http_connection&&) = delete;
+    http_connection& operator=(http_connection&&) = delete;
+};
+
+class http_client::exchange {
+public:
+    pool* owner = nullptr;
+    endpoint to;
+    std::unique_ptr<http_connection> connection;
+    evhttp_request* raw = nullptr;
+    event_loop::timer deadline;
+    part_callback part;
+    done_callback done;
+    http_result result;
+    bool answered = false;
+};
+
+struct http_client::pool {
+    event_loop& loop;
+    std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle;
+    std::unordered_map<const exchange*, std::shared_ptr<exchange>> running;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    explicit pool(event_loop& loop_in) : loop(loop_in) {}
+
+    std::unique_ptr<http_connection> connect(const endpoint& to)
+    {
+        auto connection = std::make_unique<http_connection>();
+        connection->raw =
+            evhttp_connection_base_bufferevent_new(this->loop.base(), nullptr, nullptr, to.address.c_str(), to.port);
+        evhttp_connection_set_timeout(connection->raw, connection_timeout_seconds);
+        evhttp_connection_set_retries(connection->raw, 0);
+        evhttp_connection_set_max_body_size(connection->raw, max_answer_bytes);
+        evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw));
+        evbuffer_add_cb(output, on_output, connection.get());
+        return connection;
+    }
+
+    // The kernel took bytes out of the buffer: from here on the target may have seen the request.
+    static void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
+    {
+        if (info->n_deleted > 0) {
+            static_cast<http_connection*>(argument)->bytes_sent = true;
+        }
+    }
+
+    std::unique_ptr<http_connection> take(const endpoint& to, bool new_connection)
+    {
+        std::vector<std::unique_ptr<http_connection>>& kept = this->idle[to];
+        if (new_connection || kept.empty()) {
+            return this->connect(to);
+        }
+        std::unique_ptr<http_connection> connection = std::move(kept.back());
+        kept.pop_back();
+        connection->bytes_sent = false;
+        return connection;
+    }
+
+    void discard(std::unique_ptr<http_connection> connection)
+    {
+        if (connection) {
+            std::shared_ptr<http_connection> doomed = std::move(connection);
+            this->loop.post([doomed] {});
+        }
+    }
+
+    void give_back(exchange& finished)
+    {
+        std::vector<std::unique_ptr<http_connection>>& kept = this->idle[finished.to];
+        const bool reusable = finished.result.answered() && finished.result.header("Connection") != "close" &&
+                              kept.size() < max_idle_connections_per_endpoint;
+        if (reusable) {
+            kept.push_back(std::move(finished.connection));
+        } else {
+            this->discard(std::move(finished.connection));
+        }
+    }
+
+    // Reports from the loop's queue, so that no caller is re-entered and libevent is out of its callback.
+    void finish(exchange& ended, http_failure failure)
+    {
+        const auto found = this->running.find(&ended);
+        if (found == this->running.end()) {
+            return;
+        }
+        std::shared_ptr<exchange> kept = std::move(found->second);
+        this->running.erase(found);
+        kept->raw = nullptr;
+        kept->deadline = {};
+        kept->result.failure = failure;
+        kept->result.bytes_sent = kept->connection && kept->connection->bytes_sent;
+        this->loop.post([this, kept, watch = std::weak_ptr(this->alive)] {
+            if (watch.expired()) {
+                return;
+            }
+            this->give_back(*kept);
+            const done_callback done = std::move(kept->done);
+            if (done) {
+                done(kept->result);
+            }
+        });
+    }
+
+    void abort(exchange& ended)
+    {
+        if (ended.raw != nullptr) {
+            evhttp_cancel_request(std::exchange(ended.raw, nullptr));
+        }
+    }
+
+    static void on_chunk(evhttp_request* raw, void* argument)
+    {
+        auto* self = static_cast<exchange*>(argument);
+        const std::string text = take_text(evhttp_request_get_input_buffer(raw));
+        const int status = evhttp_request_get_response_code(raw);
+        constexpr int first_error_status = 300;
+        if (self->part && status < first_error_status) {
+            self->part(text);
+        } else {
+            self->result.body += text;
+        }
+    }
+
+    static void on_complete(evhttp_request* raw, void* argument)
+    {
+        auto* self = static_cast<exchange*>(argument);
+        if (raw == nullptr || evhttp_request_get_response_code(raw) == 0) {
+            const bool sent = self->connection->bytes_sent;
+            self->owner->finish(*self, sent ? http_failure::broken : http_failure::not_connected);
+            return;
+        }
+        self->result.status = evhttp_request_get_response_code(raw);
+        const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+        for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
+            self->result.headers.emplace_back(header->key, header->value);
+        }
+        self->result.body += take_text(evhttp_request_get_input_buffer(raw));
+        self->owner->finish(*self, http_failure::none);
+    }
+
+    std::shared_ptr<exchange> start(const endpoint& to, http_request& request, part_callback part,
+                                    done_callback done)
+    {
+        auto self = std::make_shared<exchange>();
+        self->owner = this;
+        self->to = to;
+        self->part = std::move(part);
+        self->done = std::move(done);
+        self->connection = this->take(to, request.new_connection);
+        self->raw = evhttp_request_new(on_complete, self.get());
+        if (self->part) {
+            evhttp_request_set_chunked_cb(self->raw, on_chunk);
+        }
+        evkeyvalq* headers = evhttp_request_get_output_headers(self->raw);
+        evhttp_add_header(headers, "Host", to.address.c_str());
+        for (const auto& [key, value] : request.headers) {
+            evhttp_add_header(headers, key.c_str(), value.c_str());
+        }
+        evbuffer_add(evhttp_request_get_output_buffer(self->raw), request.body.data(), request.body.size());
+        this->running.emplace(self.get(), self);
+        exchange* watched = self.get();
+        self->deadline = this->loop.run_after(request.timeout, [this, watched] {
+            const auto found = this->running.find(watched);
+            if (found != this->running.end()) {
+                const std::shared_ptr<exchange> kept = found->second;
+                this->abort(*kept);
+                this->finish(*kept, http_failure::timed_out);
+            }
+        });
+        if (evhttp_make_request(self->connection->raw, self->raw, method_of(request.method), request.path.c_str()) !=
+            0) {
+            // libevent has already freed the request.
+            self->raw = nullptr;
+            this->finish(*self, http_failure::not_connected);
+        }
+        return self;
+    }
+};
+
+http_client::http_client(event_loop& loop) : connections(std::make_unique<pool>(loop)) {}
+
+http_client::~http_client()
+{
+    this->connections->alive.reset();
+    for (auto& [key, running] : this->connections->running) {
+        this->connections->abort(*running);
+    }
+}
+
+http_client::handle http_client::send(const endpoint& to, http_request request, done_callback done)
+{
+    return this->connections->start(to, request, nullptr, std::move(done));
+}
+
+http_client::handle http_client::stream(const endpoint& to, http_request request, part_callback part,
+                                        done_callback done)
+{
+    return this->connections->start(to, request, std::move(part), std::move(done));
+}
+
+void http_client::cancel(const handle& running)
+{
+    const std::shared_ptr<exchange> self = running.lock();
+    if (!self || this->connections->running.erase(self.get()) == 0) {
+        return;
+    }
+    self->part = nullptr;
+    self->done = nullptr;
+    self->deadline = {};
+    // libevent may be inside this exchange's callback, so it is ended from the queue.
+    this->connections->loop.post([self, pool = this->connections.get(), watch = std::weak_ptr(this->connections->alive)] {
+        if (!watch.expired()) {
+            pool->abort(*self);
+            pool->discard(std::move(self->connection));
+        }
+    });
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/common/hash.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dandelionstep {
+
+//! A fast hash of the text, equal on every machine; not for secrets.
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0);
+
+//! The SHA-256 digest of the text, in lower-case hexadecimal.
+std::string sha256_hex(std::string_view text);
+
+//! Whether two texts are equal, in time that does not depend on where they differ.
+bool equal_in_constant_time(std::string_view a, std::string_view b);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/common/outcome.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "common/clock.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace dandelionstep {
+
+//! What became of a request, as its caller is told.
+enum class outcome {
+    completed, //!< Answered whole.
+    not_run,   //!< No target ran any part of it.
+    unknown,   //!< A target may have run it, in whole or in part.
+};
+
+//! The outcome's name in headers, logs and metrics.
+std::string_view to_string(outcome value);
+
+//! Why a request was answered with an error; each has one stable code.
+enum class error_code {
+    bad_request,
+    body_too_large,
+    unauthorised,
+    unknown_route,
+    key_required,
+    key_reused,
+    conflict,
+    overloaded,
+    no_capacity,
+    stopping,
+    not_ready,
+    store_unavailable,
+    deadline_exceeded,
+    target_failed,
+    unsettled,
+    suspected_crasher,
+};
+
+//! The stable code in error bodies, for example "no_capacity".
+std::string_view to_string(error_code code);
+
+//! The HTTP status that carries the code.
+int http_status(error_code code);
+
+//! An answer that says why a request was not served.
+struct refusal {
+    outcome result = outcome::not_run;
+    error_code code = error_code::bad_request;
+    std::string message;
+    //! When to come back; zero where repeating the request can't help.
+    milliseconds retry_after{0};
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/configuration/applied.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "configuration/declarations.hpp"
+
+#include <map>
+#include <vector>
+
+namespace dandelionstep {
+
+//! One accepted change: the records that it wrote and the revision that it produced.
+struct accepted_change {
+    revision number;
+    std::vector<configuration_record> records;
+};
+
+//! Every record as of one revision.
+struct configuration_snapshot {
+    revision number;
+    std::vector<configuration_record> records;
+};
+
+//! The configuration in force on one daemon; its revision never goes down.
+struct applied_configuration {
+    revision number{-1};
+    std::map<record_key, configuration_record> records;
+    declarations declared;
+    //! Records that this build could not read, with the reason; what they last declared stays in force.
+    std::map<record_key, std::string> unreadable;
+};
+
+//! What applying news did.
+enum class apply_result {
+    applied,
+    already_known,
+    gap, //!< Changes in between are missing; a snapshot is needed.
+};
+
+//! Applies the next change; a change that is not the direct successor changes nothing.
+apply_result apply_change(applied_configuration& state, const accepted_change& change);
+
+//! Replaces everything by a newer snapshot; an older or equal one changes nothing.
+apply_result apply_snapshot(applied_configuration& state, const configuration_snapshot& snapshot);
+
+//! Everything in force, for a peer that has a gap.
+configuration_snapshot snapshot_of(const applied_configuration& state);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/context.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "adapters/engine_client.hpp"
+#include "adapters/event_loop.hpp"
+#include "adapters/http_client.hpp"
+#include "adapters/platform_client.hpp"
+#include "configuration/applied.hpp"
+#include "report/request_counters.hpp"
+#include "target/health.hpp"
+#include "vm/settings.hpp"
+
+namespace dandelionstep {
+
+//! What all parts of one daemon share; touched by the loop alone.
+struct daemon_context {
+    event_loop& loop;
+    const settings& configured;
+    http_client& http;
+    platform_client& platform;
+    engine_client& engines;
+    applied_configuration configuration;
+    health_map health;
+    request_counters counters;
+    //! Requests of callers that are not answered yet.
+    std::int64_t requests_in_flight = 0;
+    //! Set by a planned stop: new requests are refused, running ones finish.
+    bool stopping = false;
+    incarnation started;
+
+    //! Whether the balancer may send callers here.
+    [[nodiscard]] bool ready() const { return !this->stopping && this->configuration.number.value >= 0; }
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,123 @@
+#include "daemon/daemon.hpp"
+
+#include "adapters/caller_server.hpp"
+#include "adapters/log.hpp"
+#include "daemon/caller_routes.hpp"
+#include "daemon/configuration_sync.hpp"
+#include "daemon/context.hpp"
+#include "daemon/group.hpp"
+#include "daemon/operator_port.hpp"
+#include "daemon/target_observer.hpp"
+
+#include <csignal>
+
+namespace dandelionstep {
+namespace {
+
+constexpr milliseconds stop_check_interval{50};
+
+caller_limits limits_of(const settings& configured)
+{
+    caller_limits limits;
+    limits.max_body_bytes = static_cast<std::size_t>(configured.max_body_bytes);
+    limits.max_connections = static_cast<int>(configured.max_connections);
+    return limits;
+}
+
+// All parts of a running daemon, in the order in which they depend on each other.
+class running_daemon {
+public:
+    explicit running_daemon(const settings& configured)
+        : configured(configured), http(loop), platform(http, configured.platform, configured.platform_timeout),
+          engines(http), context{.loop = loop,
+                                 .configured = configured,
+                                 .http = http,
+                                 .platform = platform,
+                                 .engines = engines,
+                                 .configuration = {},
+                                 .health = {},
+                                 .counters = {},
+                                 .requests_in_flight = 0,
+                                 .stopping = false,
+                                 .started = incarnation{event_loop::wall_now().count}},
+          generations(context), lookups(context), orders(context),
+          configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
+          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context),
+          routes(context, generations, lookups, orders),
+          callers(loop, limits_of(configured),
+                  [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
+                      this->routes.handle(request, reply);
+                  })
+    {}
+
+    absl::Status run()
+    {
+        for (const absl::Status& status :
+             {this->peers.start(), this->operators.start(), this->callers.listen(this->configured.callers)}) {
+            if (!status.ok()) {
+                return status;
+            }
+        }
+        this->configuration.start();
+        this->terminate = this->loop.on_signal(SIGTERM, [this] { this->stop(); });
+        this->interrupt = this->loop.on_signal(SIGINT, [this] { this->stop(); });
+        log_event("started", {{"callers", to_string(this->configured.callers)},
+                              {"peers", to_string(this->configured.peers)},
+                              {"data_centre", this->configured.data_centre.value}});
+        this->loop.run();
+        log_event("stopped", {{"requests_cut_off", this->context.requests_in_flight}});
+        return absl::OkStatus();
+    }
+
+private:
+    // First signal: finish what runs. Second signal: stop now.
+    void stop()
+    {
+        if (this->context.stopping) {
+            this->loop.stop();
+            return;
+        }
+        this->context.stopping = true;
+        this->stop_began = event_loop::now();
+        log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
+        this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
+    }
+
+    void check_stopped()
+    {
+        const milliseconds waited = event_loop::now() - this->stop_began;
+        const bool idle = this->context.requests_in_flight == 0 && this->orders.unwritten() == 0;
+        if ((idle && waited >= this->configured.balancer_notice) || waited >= this->configured.drain_limit) {
+            this->loop.stop();
+        }
+    }
+
+    const settings& configured;
+    event_loop loop;
+    http_client http;
+    platform_client platform;
+    engine_client engines;
+    daemon_context context;
+    generation_runner generations;
+    lookup_runner lookups;
+    order_runner orders;
+    configuration_sync configuration;
+    group peers;
+    operator_port operators;
+    target_observer observer;
+    caller_routes routes;
+    caller_server callers;
+    event_loop::timer terminate;
+    event_loop::timer interrupt;
+    event_loop::timer stop_check;
+    time_point stop_began;
+};
+
+} // namespace
+
+absl::Status run_daemon(const settings& configured)
+{
+    return running_daemon(configured).run();
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/generation_runner.cpp
@@ -0,0 +1,200 @@
+#include "daemon/generation_runner.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "adapters/log.hpp"
+#include "common/hash.hpp"
+#include "daemon/answers.hpp"
+#include "daemon/completion_format.hpp"
+#include "route/choose_chain.hpp"
+
+#include <vector>
+
+namespace dandelionstep {
+namespace {
+
+constexpr milliseconds tick_interval{20};
+constexpr std::string_view kind = "generation";
+
+} // namespace
+
+struct generation_runner::running_generation {
+    generation_state state;
+    std::shared_ptr<caller_reply> reply;
+    bool streamed = false;
+    http_client::handle stream;
+    //! The chain whose targets count this request as in flight.
+    std::optional<chain> counted;
+};
+
+generation_runner::generation_runner(daemon_context& context) : context(context)
+{
+    this->ticker = context.loop.run_every(tick_interval, [this] { this->tick(); });
+}
+
+generation_runner::~generation_runner() = default;
+
+void generation_runner::start(generation_request request, bool streamed,
+                              const std::shared_ptr<caller_reply>& reply)
+{
+    auto generation = std::make_shared<running_generation>();
+    generation->state.limits.token_gap = this->context.configured.token_gap;
+    generation->state.limits.first_token_gap = this->context.configured.first_token_gap;
+    generation->state.limits.max_attempts = this->context.configured.max_attempts;
+    generation->state.request = std::move(request);
+    generation->reply = reply;
+    generation->streamed = streamed;
+    this->generations.emplace(generation->state.request.id.value, generation);
+    ++this->context.requests_in_flight;
+    reply->on_gone([this, watch = std::weak_ptr(generation)] {
+        if (const running_ptr gone = watch.lock()) {
+            log_event("caller_gone", {{"request", gone->state.request.id.value}});
+            this->handle(gone, caller_gone{});
+        }
+    });
+    this->handle(generation, generation_started{});
+}
+
+void generation_runner::handle(const running_ptr& generation, const generation_event& event)
+{
+    generation_state& state = generation->state;
+    if (state.finished) {
+        return;
+    }
+    if (const auto* failure = std::get_if<attempt_failed>(&event)) {
+        this->note_failure(*failure);
+        log_event("attempt_failed", {{"request", state.request.id.value},
+                                     {"attempt", failure->attempt.value},
+                                     {"failure", to_string(failure->failure)},
+                                     {"target", failure->culprit ? failure->culprit->value : ""}});
+    }
+    const time_point now = event_loop::now();
+    const std::int64_t dropped_before = state.dropped_answers;
+    const chain_source chains = [&](const std::set<target_id>& excluded) {
+        const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
+                                hash_of(state.request.id.value)};
+        return choose_chain(this->context.configuration.declared, this->context.health, query, now);
+    };
+    const std::vector<generation_action> actions = advance(state, event, chains, now);
+    this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
+    for (const generation_action& action : actions) {
+        std::visit([&](const auto& each) { this->perform(generation, each); }, action);
+    }
+    if (state.finished) {
+        this->release_chain(*generation);
+        this->generations.erase(state.request.id.value);
+        --this->context.requests_in_flight;
+    }
+}
+
+void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
+{
+    this->release_chain(*generation);
+    generation->counted = action.through;
+    for (const hop& stage : action.through.hops()) {
+        ++this->context.health[stage.target].in_flight;
+    }
+    const milliseconds left = generation->state.request.deadline - event_loop::now();
+    generation->stream =
+        this->context.engines.open(generation->state.request, action, left,
+                                   [this, watch = std::weak_ptr(generation)](const generation_event& event) {
+                                       if (const running_ptr alive = watch.lock()) {
+                                           this->handle(alive, event);
+                                       }
+                                   });
+    log_event("attempt_opened", {{"request", generation->state.request.id.value},
+                                 {"attempt", action.attempt.value},
+                                 {"first_target", action.through.hops().front().target.value},
+                                 {"given_tokens", static_cast<std::int64_t>(action.given.size())}});
+}
+
+void generation_runner::perform(const running_ptr& generation, const cancel_attempt& action)
+{
+    this->release_chain(*generation);
+    this->context.engines.cancel(generation->stream, generation->state.request.id, action);
+}
+
+void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
+{
+    if (!generation->streamed) {
+        return;
+    }
+    if (!generation->reply->stream_started()) {
+        generation->reply->add_header(outcome_header, "streamed");
+        generation->reply->add_header("Cache-Control", "no-store");
+        generation->reply->start_stream(200, "text/event-stream");
+    }
+    generation->reply->write(token_event(generation->state.request, action));
+}
+
+void generation_runner::perform(const running_ptr& generation, const deliver_end& action)
+{
+    if (generation->counted) {
+        this->note_success(*generation->counted);
+    }
+    const generation_request& request = generation->state.request;
+    record_answered(this->context, kind, request.id, request.organisation, outcome::completed, "ok");
+    if (generation->streamed) {
+        if (!generation->reply->stream_started()) {
+            generation->reply->add_header(outcome_header, "streamed");
+            generation->reply->start_stream(200, "text/event-stream");
+        }
+        generation->reply->write(end_event(request, action));
+        generation->reply->end_stream();
+        return;
+    }
+    generation->reply->add_header(outcome_header, std::string(to_string(outcome::completed)));
+    generation->reply->send(200, whole_answer(request, generation->state.tokens, action));
+}
+
+void generation_runner::perform(const running_ptr& generation, const deliver_refusal& action)
+{
+    const generation_request& request = generation->state.request;
+    record_answered(this->context, kind, request.id, request.organisation, action.why.result,
+                    to_string(action.why.code));
+    if (generation->reply->stream_started()) {
+        generation->reply->write(absl::StrCat("data: ", refusal_body(action.why), "\n\n"));
+        generation->reply->end_stream();
+        return;
+    }
+    send_refusal(*generation->reply, action.why);
+}
+
+void generation_runner::release_chain(running_generation& generation)
+{
+    if (!generation.counted) {
+        return;
+    }
+    for (const hop& stage : generation.counted->hops()) {
+        --this->context.health[stage.target].in_flight;
+    }
+    generation.counted.reset();
+}
+
+void generation_runner::note_failure(const attempt_failed& failure)
+{
+    ++this->context.counters.attempts_failed;
+    if (failure.culprit) {
+        record_failure(this->context.health[*failure.culprit], event_loop::now());
+    }
+}
+
+void generation_runner::note_success(const chain& through)
+{
+    for (const hop& stage : through.hops()) {
+        record_success(this->context.health[stage.target]);
+    }
+}
+
+void generation_runner::tick()
+{
+    std::vector<running_ptr> all;
+    all.reserve(this->generations.size());
+    for (const auto& [id, generation] : this->generations) {
+        all.push_back(generation);
+    }
+    for (const running_ptr& generation : all) {
+        this->handle(generation, clock_ticked{});
+    }
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/generation_runner.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "adapters/caller_server.hpp"
+#include "daemon/context.hpp"
+#include "request/generation.hpp"
+
+#include <memory>
+#include <unordered_map>
+
+namespace dandelionstep {
+
+//! Carries out the actions of generations: opens streams at engines and writes answers to callers.
+class generation_runner {
+public:
+    explicit generation_runner(daemon_context& context);
+    ~generation_runner();
+    generation_runner(const generation_runner&) = delete;
+    generation_runner& operator=(const generation_runner&) = delete;
+    generation_runner(generation_runner&&) = delete;
+    generation_runner& operator=(generation_runner&&) = delete;
+
+    //! Runs one request to its end; `streamed` answers go out token by token.
+    void start(generation_request request, bool streamed, const std::shared_ptr<caller_reply>& reply);
+    [[nodiscard]] std::size_t running() const { return this->generations.size(); }
+
+private:
+    struct running_generation;
+    using running_ptr = std::shared_ptr<running_generation>;
+
+    void handle(const running_ptr& generation, const generation_event& event);
+    void perform(const running_ptr& generation, const open_attempt& action);
+    void perform(const running_ptr& generation, const cancel_attempt& action);
+    void perform(const running_ptr& generation, const deliver_token& action);
+    void perform(const running_ptr& generation, const deliver_end& action);
+    void perform(const running_ptr& generation, const deliver_refusal& action);
+    void release_chain(running_generation& generation);
+    void note_failure(const attempt_failed& failure);
+    void note_success(const chain& through);
+    void tick();
+
+    daemon_context& context;
+    std::unordered_map<std::string, running_ptr> generations;
+    event_loop::timer ticker;
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/operator_port.cpp
@@ -0,0 +1,133 @@
+#include "daemon/operator_port.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "adapters/log.hpp"
+#include "adapters/random.hpp"
+#include "common/hash.hpp"
+#include "daemon/answers.hpp"
+#include "daemon/configuration_apply.hpp"
+
+namespace dandelionstep {
+namespace {
+
+constexpr std::string_view bearer_prefix = "Bearer ";
+
+void refuse(http_reply& reply, const refusal& why)
+{
+    reply.add_header(outcome_header, std::string(to_string(why.result)));
+    reply.send(http_status(why.code), refusal_body(why));
+}
+
+absl::StatusOr<proposed_change> parse_proposal(const std::string& body)
+{
+    auto value = parse_json(body);
+    if (!value.ok()) {
+        return value.status();
+    }
+    proposed_change change;
+    change.id = change_id(string_or(*value, "change_id", random_id()));
+    const auto records = value->find("records");
+    if (records == value->end() || !records->is_array() || records->empty()) {
+        return absl::InvalidArgumentError("member \"records\" must be a list with at least one record");
+    }
+    for (const json& entry : *records) {
+        auto record = parse_record(entry);
+        if (!record.ok()) {
+            return record.status();
+        }
+        if (const absl::Status status = validate(*record); !status.ok()) {
+            return status;
+        }
+        change.records.push_back(*std::move(record));
+    }
+    return change;
+}
+
+} // namespace
+
+operator_port::operator_port(daemon_context& context, group& peers, std::function<void()> on_change)
+    : context(context), peers(peers), on_change(std::move(on_change)),
+      server(context.loop, [this](const received_request& request, const std::shared_ptr<http_reply>& reply) {
+          this->handle(request, reply);
+      })
+{}
+
+absl::Status operator_port::start()
+{
+    return this->server.listen(this->context.configured.operators).status();
+}
+
+bool operator_port::is_authorised(const received_request& request) const
+{
+    const std::string header = request.header("Authorization");
+    return header.starts_with(bearer_prefix) &&
+           equal_in_constant_time(sha256_hex(std::string_view(header).substr(bearer_prefix.size())),
+                                  this->context.configured.operator_token_sha256);
+}
+
+void operator_port::handle(const received_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    if (!this->is_authorised(request)) {
+        refuse(*reply, exposure{}.refuse(error_code::unauthorised, "the operators' token is missing or wrong", {}));
+    } else if (request.method == "GET" && request.path == "/v1/status") {
+        reply->send(200, dump(this->status()));
+    } else if (request.method == "POST" && request.path == "/v1/configuration/apply") {
+        this->apply(request, reply);
+    } else {
+        refuse(*reply, exposure{}.refuse(error_code::unknown_route,
+                                         absl::StrCat("no operation ", request.method, " ", request.path), {}));
+    }
+}
+
+void operator_port::apply(const received_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    const auto change = parse_proposal(request.body);
+    if (!change.ok()) {
+        refuse(*reply, exposure{}.refuse(error_code::bad_request, std::string(change.status().message()), {}));
+        return;
+    }
+    commit_change(this->context.platform, *change, [this, reply, id = change->id](const change_answer& answer) {
+        log_event("change_answered", {{"change", id.value},
+                                      {"outcome", to_string(answer.result)},
+                                      {"revision", answer.number.value}});
+        if (answer.result == outcome::completed) {
+            this->on_change();
+            reply->send(200, dump({{"change_id", id.value}, {"revision", answer.number.value}}));
+            return;
+        }
+        refuse(*reply, {answer.result, answer.code, answer.message, {}});
+    });
+}
+
+json operator_port::status() const
+{
+    json members = json::array();
+    for (const auto& [vm, each] : this->peers.members()) {
+        members.push_back({{"vm", vm.value},
+                           {"data_centre", each.data_centre.value},
+                           {"incarnation", each.started.value}});
+    }
+    json targets = json::array();
+    const time_point now = event_loop::now();
+    for (const auto& [id, each] : this->context.configuration.declared.targets) {
+        const auto found = this->context.health.find(id);
+        const target_health health = found == this->context.health.end() ? target_health{} : found->second;
+        targets.push_back({{"target", id.value},
+                           {"data_centre", each.data_centre.value},
+                           {"in_flight", health.in_flight},
+                           {"reported_load", health.reported_load},
+                           {"leaving", health.leaving},
+                           {"draining", this->context.configuration.declared.draining.contains(id)},
+                           {"eligible", is_eligible(this->context.health, id, now)}});
+    }
+    return {{"vm", this->context.configured.vm.value},
+            {"data_centre", this->context.configured.data_centre.value},
+            {"revision", this->context.configuration.number.value},
+            {"ready", this->context.ready()},
+            {"stopping", this->context.stopping},
+            {"requests_in_flight", this->context.requests_in_flight},
+            {"members", members},
+            {"targets", targets}};
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/daemon/service_call.cpp
@@ -0,0 +1,21 @@
+#include "daemon/service_call.hpp"
+
+namespace dandelionstep {
+
+http_request to_http_request(const service_call& call)
+{
+    http_request request{.method = call.method, .path = call.path};
+    request.headers = {{"X-Request-Id", call.id.value}, {"X-Organisation", call.organisation.value}};
+    if (!call.content_type.empty()) {
+        request.headers.emplace_back("Content-Type", call.content_type);
+    }
+    if (!call.key.value.empty()) {
+        request.headers.emplace_back("Idempotency-Key", call.key.value);
+        request.new_connection = true;
+    }
+    request.body = call.body;
+    request.timeout = call.timeout;
+    return request;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/platform/configuration_rows.cpp
@@ -0,0 +1,53 @@
+#include "platform/configuration_rows.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace dandelionstep {
+
+std::string record_row_key(const record_key& key)
+{
+    return absl::StrCat(std::string(record_rows), key.kind, "/", key.name);
+}
+
+std::string change_row_key(revision number)
+{
+    return absl::StrFormat("%s%012d", std::string(change_rows), number.value);
+}
+
+json to_json(const accepted_change& change, const change_id& id)
+{
+    json records = json::array();
+    for (const configuration_record& record : change.records) {
+        records.push_back(to_json(record));
+    }
+    return {{"revision", change.number.value}, {"change_id", id.value}, {"records", std::move(records)}};
+}
+
+absl::StatusOr<accepted_change> parse_change(const json& value)
+{
+    auto number = integer_member(value, "revision");
+    if (!number.ok()) {
+        return number.status();
+    }
+    accepted_change change{.number = revision{*number}, .records = {}};
+    const auto records = value.find("records");
+    if (records == value.end() || !records->is_array()) {
+        return absl::InvalidArgumentError("member \"records\" must be a list");
+    }
+    for (const json& entry : *records) {
+        auto record = parse_record(entry);
+        if (!record.ok()) {
+            return record.status();
+        }
+        change.records.push_back(*std::move(record));
+    }
+    return change;
+}
+
+revision parse_revision_row(const json& value)
+{
+    return revision{integer_or(value, "revision", 0)};
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/request/generation.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "common/clock.hpp"
+#include "common/ids.hpp"
+#include "request/exposure.hpp"
+#include "route/chain.hpp"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionstep {
+
+//! One caller's request for a model's answer.
+struct generation_request {
+    request_id id;
+    organisation_id organisation;
+    model_id model;
+    std::string prompt;
+    token_count max_tokens{256};
+    time_point deadline = never;
+};
+
+//! Why an attempt ended early.
+enum class attempt_failure {
+    not_connected, //!< The first hop was never reached; no byte left.
+    refused,       //!< The first hop refused under a contract that says refusals did not run.
+    reset,         //!< A connection broke, or a hop reported that the next one broke.
+    token_gap,     //!< Nothing arrived for too long.
+    protocol,      //!< An answer that breaks the contract, for example a token out of order.
+};
+
+//! The name of the failure in logs and metrics.
+std::string_view to_string(attempt_failure failure);
+
+struct generation_started {};
+struct token_received {
+    attempt_number attempt;
+    token_count index;
+    std::string text;
+};
+struct stream_ended {
+    attempt_number attempt;
+    token_count count;
+};
+struct attempt_failed {
+    attempt_number attempt;
+    attempt_failure failure = attempt_failure::reset;
+    //! The target at fault where it is known; else every stage but the healthy ones is suspect.
+    std::optional<target_id> culprit;
+};
+struct clock_ticked {};
+struct caller_gone {};
+
+//! What can happen to a generation.
+using generation_event =
+    std::variant<generation_started, token_received, stream_ended, attempt_failed, clock_ticked, caller_gone>;
+
+struct open_attempt {
+    attempt_number attempt;
+    chain through;
+    //! Tokens already given to the caller; the attempt goes on after them.
+    std::vector<std::string> given;
+};
+struct cancel_attempt {
+    attempt_number attempt;
+    chain through;
+};
+struct deliver_token {
+    token_count index;
+    std::string text;
+};
+struct deliver_end {
+    token_count count;
+    //! SHA-256 over the whole answer, so that a cut one can't pass for whole.
+    std::string digest;
+};
+struct deliver_refusal {
+    refusal why;
+};
+
+//! What the adapter is to do.
+using generation_action =
+    std::variant<open_attempt, cancel_attempt, deliver_token, deliver_end, deliver_refusal>;
+
+//! Bounds of one generation.
+struct generation_limits {
+    //! Longest silence between tokens before the attempt counts as failed.
+    milliseconds token_gap{400};
+    //! Longest wait for an attempt's first token, which includes the prefill.
+    milliseconds first_token_gap{1500};
+    std::int64_t max_attempts = 8;
+    milliseconds retry_after{1000};
+};
+
+//! The progress of one generation.
+struct generation_state {
+    generation_request request;
+    generation_limits limits;
+    exposure exposed;
+    std::vector<std::string> tokens;
+    attempt_number attempt;
+    std::optional<chain> active;
+    bool attempt_has_answered = false;
+    time_point last_progress;
+    std::set<target_id> excluded;
+    //! Answers that were dropped because they did not match the awaited step.
+    std::int64_t dropped_answers = 0;
+    bool finished = false;
+};
+
+//! Chooses a chain that avoids the excluded targets; fails when there is none.
+using chain_source = std::function<absl::StatusOr<chain>(const std::set<target_id>& excluded)>;
+
+//! Advances the generation by one event; after it has finished every event is ignored.
+std::vector<generation_action> advance(generation_state& state, const generation_event& event,
+                                       const chain_source& chains, time_point now);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/tests/standins/fake_model.cpp
@@ -0,0 +1,65 @@
+#include "fake_model.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "common/hash.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionstep::standins {
+
+std::uint64_t first_activation(const std::string& model, const std::string& version, const std::string& prompt,
+                               const std::vector<std::string>& given)
+{
+    std::uint64_t activation = hash_of(absl::StrCat(model, "\n", version, "\n", prompt));
+    for (const std::string& token : given) {
+        activation = hash_of(token, activation);
+    }
+    return activation;
+}
+
+std::uint64_t run_layers(std::uint64_t activation, std::int64_t begin, std::int64_t end)
+{
+    for (std::int64_t layer = begin; layer < end; ++layer) {
+        activation = hash_of(absl::StrCat("layer ", layer), activation);
+    }
+    return activation;
+}
+
+std::string sample_token(std::uint64_t activation)
+{
+    static constexpr std::array<std::string_view, 16> words{
+        "tallow", "lye", "core", "mill", "board", "kraft", "soap", "cure",
+        "tube",   "oil", "note", "dock", "label", "crush", "pour", "grade"};
+    return absl::StrCat(std::string(words[activation % words.size()]), activation / words.size() % 100, " ");
+}
+
+std::int64_t answer_length(const std::string& prompt, std::int64_t max_tokens)
+{
+    constexpr std::int64_t shortest = 20;
+    constexpr std::uint64_t spread = 20;
+    // A prompt that ends in "[n]" asks for exactly n tokens, so that load tools can choose.
+    const std::size_t open = prompt.rfind('[');
+    const std::size_t close = prompt.rfind(']');
+    if (open != std::string::npos && close != std::string::npos && close > open + 1 && close - open < 8) {
+        const std::int64_t asked = std::strtoll(prompt.c_str() + open + 1, nullptr, 10);
+        if (asked > 0) {
+            return std::min(asked, max_tokens);
+        }
+    }
+    return std::min(shortest + static_cast<std::int64_t>(hash_of(prompt) % spread), max_tokens);
+}
+
+std::vector<std::string> naive_answer(const std::string& model, const std::string& version,
+                                      const std::string& prompt, std::int64_t layers, std::int64_t max_tokens)
+{
+    std::vector<std::string> tokens;
+    const std::int64_t length = answer_length(prompt, max_tokens);
+    for (std::int64_t index = 0; index < length; ++index) {
+        tokens.push_back(
+            sample_token(run_layers(first_activation(model, version, prompt, tokens), 0, layers)));
+    }
+    return tokens;
+}
+
+} // namespace dandelionstep::standins
--- /dev/null
+++ b/tests/standins/faults.cpp
@@ -0,0 +1,31 @@
+#include "faults.hpp"
+
+namespace dandelionstep::standins {
+
+bool fault_switches::handle(const received_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    if (request.path != "/faults") {
+        return false;
+    }
+    if (request.method == "POST") {
+        const auto changes = parse_json(request.body);
+        if (!changes.ok() || !changes->is_object()) {
+            reply->send(400, R"({"error":"faults are a JSON object"})");
+            return true;
+        }
+        this->values.update(*changes);
+    }
+    reply->send(200, dump(this->values));
+    return true;
+}
+
+bool fault_switches::take(const char* name)
+{
+    const std::int64_t left = this->number(name);
+    if (left > 0) {
+        this->values[name] = left - 1;
+    }
+    return left > 0;
+}
+
+} // namespace dandelionstep::standins
--- /dev/null
+++ b/tests/standins/faults.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "adapters/http_server.hpp"
+#include "common/json.hpp"
+
+#include <memory>
+
+namespace dandelionstep::standins {
+
+//! Named fault switches, set over a stand-in's own HTTP: POST /faults with a JSON object merges into them.
+class fault_switches {
+public:
+    //! Answers /faults; false when the path is another one.
+    bool handle(const received_request& request, const std::shared_ptr<http_reply>& reply);
+
+    [[nodiscard]] bool on(const char* name) const { return boolean_or(this->values, name, false); }
+    [[nodiscard]] std::int64_t number(const char* name, std::int64_t fallback = 0) const
+    {
+        return integer_or(this->values, name, fallback);
+    }
+    [[nodiscard]] std::string text(const char* name) const { return string_or(this->values, name, ""); }
+    //! Counts a switch down; true while it was above 0.
+    bool take(const char* name);
+
+private:
+    json values = json::object();
+};
+
+} // namespace dandelionstep::standins
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,64 @@
+#include "engine_standin.hpp"
+#include "platform_standin.hpp"
+#include "service_standin.hpp"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace dandelionstep;
+using namespace dandelionstep::standins;
+
+int finish(const absl::Status& status)
+{
+    if (!status.ok()) {
+        std::cerr << status.message() << "\n";
+    }
+    return status.ok() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argument_count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app("Stand-ins for the platform, for engines and for plain services.");
+    app.require_subcommand(1);
+    endpoint listen{"127.0.0.1", 0};
+    app.add_option("--port", listen.port, "Port; 0 takes a free one, which is printed");
+
+    platform_options platform;
+    CLI::App* run_platform_command = app.add_subcommand("platform", "The platform's services");
+    run_platform_command->add_option("--weight-bytes-per-second", platform.weight_bytes_per_second);
+    run_platform_command->add_option("--vm-list-lag-ms", platform.vm_list_lag_ms);
+
+    engine_options engine;
+    CLI::App* run_engine_command = app.add_subcommand("engine", "An engine that holds a range of layers");
+    run_engine_command->add_option("--name", engine.name);
+    run_engine_command->add_option("--model", engine.model);
+    run_engine_command->add_option("--version", engine.version);
+    run_engine_command->add_option("--begin-layer", engine.begin_layer);
+    run_engine_command->add_option("--end-layer", engine.end_layer);
+    run_engine_command->add_option("--step-ms", engine.step_ms);
+    run_engine_command->add_option("--max-batch", engine.max_batch);
+    run_engine_command->add_option("--prefill-tokens-per-step", engine.prefill_tokens_per_step);
+    run_engine_command->add_flag("--checks-fencing", engine.checks_fencing);
+
+    service_options service;
+    CLI::App* run_service_command = app.add_subcommand("service", "A plain service");
+    run_service_command->add_option("--name", service.name);
+
+    CLI11_PARSE(app, argument_count, arguments);
+    if (run_platform_command->parsed()) {
+        platform.listen = listen;
+        return finish(run_platform(platform));
+    }
+    if (run_engine_command->parsed()) {
+        engine.listen = listen;
+        return finish(run_engine(engine));
+    }
+    service.listen = listen;
+    return finish(run_service(service));
+}
