--- /dev/null
+++ b/tests/vm/settings_test.cpp
@@ -0,0 +1,111 @@
+#include "vm/settings.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace dandelionstep;
+
+namespace {
+
+const std::string good = R"([vm]
+name = "nashua-1"
+data_centre = "nashua"
+[listen]
+callers = "127.0.0.1:8080"
+operators = "127.0.0.1:8081"
+peers = "127.0.0.1:8082"
+[platform]
+address = "127.0.0.1:9000"
+[operators]
+token_sha256 = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+)";
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    std::string text = good;
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+struct bad_file {
+    const char* what;
+    std::string text;
+    const char* location;
+    const char* reason;
+};
+
+} // namespace
+
+TEST_CASE("good settings are read, with defaults for what is absent")
+{
+    const auto parsed = parse_settings(good, "daemon.toml");
+    REQUIRE(parsed.ok());
+    CHECK(parsed->vm == vm_id("nashua-1"));
+    CHECK(parsed->callers == endpoint{"127.0.0.1", 8080});
+    CHECK(parsed->max_requests == settings{}.max_requests);
+    CHECK(parsed->platform_timeout == settings{}.platform_timeout);
+}
+
+TEST_CASE("each fault names file, line, key and reason")
+{
+    const std::vector<bad_file> table{
+        {"unknown key", good + "[limits]\nmax_reqests = 5\n", "daemon.toml:13: key \"limits.max_reqests\"",
+         "did you mean \"limits.max_requests\"?"},
+        {"unknown section", good + "[lissten]\n", "daemon.toml:12: key \"lissten\"", "is not a known key"},
+        {"wrong type", good + "[limits]\nmax_requests = \"many\"\n",
+         "daemon.toml:13: key \"limits.max_requests\"", "must be a whole number"},
+        {"out of range", good + "[limits]\nmax_requests = 0\n", "daemon.toml:13: key \"limits.max_requests\"",
+         "must be between 1 and 1000000, is 0"},
+        {"missing key", replaced("name = \"nashua-1\"\n", ""), "daemon.toml:1: key \"vm.name\"",
+         "is missing"},
+        {"missing section", replaced("[platform]\naddress = \"127.0.0.1:9000\"\n", ""),
+         "daemon.toml:1: key \"platform.address\"", "is missing"},
+        {"not an address", replaced("127.0.0.1:8080", "localhost"), "daemon.toml:5: key \"listen.callers\"",
+         "\"localhost\" is not an IP address and port"},
+        {"empty text", replaced("\"nashua\"\n", "\"\"\n"), "daemon.toml:3: key \"vm.data_centre\"",
+         "must not be empty"},
+        {"short hash", replaced("aaaaaaaa", "a"), "daemon.toml:11: key \"operators.token_sha256\"",
+         "must be 64 lower-case hexadecimal digits"},
+        {"seeds that are no list", good + "[peers]\nseeds = \"127.0.0.1:1\"\n",
+         "daemon.toml:13: key \"peers.seeds\"", "must be a list of addresses"},
+        {"section that is no table",
+         "vm = 3\n" + replaced("[vm]\nname = \"nashua-1\"\ndata_centre = \"nashua\"\n", ""),
+         "daemon.toml:1: key \"vm\"", "is not a known key"},
+        {"broken TOML", good + "[limits\n", "daemon.toml:12: ", ""},
+    };
+    for (const bad_file& row : table) {
+        CAPTURE(row.what);
+        const auto parsed = parse_settings(row.text, "daemon.toml");
+        REQUIRE_FALSE(parsed.ok());
+        const std::string message(parsed.status().message());
+        CAPTURE(message);
+        CHECK(message.find(row.location) != std::string::npos);
+        CHECK(message.find(row.reason) != std::string::npos);
+    }
+}
+
+TEST_CASE("one check shows every fault")
+{
+    const auto parsed =
+        parse_settings(good + "[limits]\nmax_requests = 0\nmax_attempts = true\n", "daemon.toml");
+    REQUIRE_FALSE(parsed.ok());
+    const std::string message(parsed.status().message());
+    CHECK(message.find("limits.max_requests") != std::string::npos);
+    CHECK(message.find("limits.max_attempts") != std::string::npos);
+}
+
+TEST_CASE("the printed defaults are what an absent key means")
+{
+    std::string optional_part = default_settings();
+    // The required keys stand there as comments; the good file gives them.
+    const std::size_t limits = optional_part.find("[limits]");
+    REQUIRE(limits != std::string::npos);
+    const auto parsed = parse_settings(good + optional_part.substr(limits), "defaults.toml");
+    REQUIRE_MESSAGE(parsed.ok(), parsed.status().message());
+    CHECK(parsed->max_requests == settings{}.max_requests);
+    CHECK(parsed->max_body_bytes == settings{}.max_body_bytes);
+    CHECK(parsed->token_gap == settings{}.token_gap);
+    CHECK(parsed->drain_limit == settings{}.drain_limit);
+}
