--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -11,13 +11,13 @@
 constexpr int busy_status = 429;
 constexpr int unavailable_status = 503;
 
-std::string percent_encode(std::string_view text)
+std::string percent_encode(std::string_view text, std::string_view also_plain = "")
 {
     constexpr std::string_view plain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
     constexpr std::string_view digits = "0123456789ABCDEF";
     std::string encoded;
     for (const char c : text) {
-        if (plain.find(c) != std::string_view::npos) {
+        if (plain.find(c) != std::string_view::npos || also_plain.find(c) != std::string_view::npos) {
             encoded += c;
         } else {
             const auto byte = static_cast<unsigned char>(c);
@@ -101,6 +101,22 @@
     return answer;
 }
 
+object_list parse_object_list(const http_result& result)
+{
+    const auto body = parse_json(result.body);
+    object_list list;
+    if (!result.answered() || result.status != ok_status || !body.ok() || !body->contains("names")) {
+        list.failed = true;
+        return list;
+    }
+    for (const json& name : (*body)["names"]) {
+        if (name.is_string()) {
+            list.names.push_back(name.get<std::string>());
+        }
+    }
+    return list;
+}
+
 } // namespace
 
 void platform_client::commit(const table_transaction& transaction,
@@ -138,7 +154,7 @@
 void platform_client::put_object(std::string_view name, std::string body,
                                  std::function<void(bool stored)> done)
 {
-    http_request request{.method = "PUT", .path = absl::StrCat("/v1/objects/", percent_encode(name))};
+    http_request request{.method = "PUT", .path = absl::StrCat("/v1/objects/", percent_encode(name, "/"))};
     request.body = std::move(body);
     request.timeout = this->timeout;
     this->http.send(this->platform, std::move(request), [done = std::move(done)](const http_result& result) {
@@ -148,9 +164,18 @@
 
 void platform_client::get_object(std::string_view name, std::function<void(const http_result&)> done)
 {
-    http_request request{.method = "GET", .path = absl::StrCat("/v1/objects/", percent_encode(name))};
+    http_request request{.method = "GET", .path = absl::StrCat("/v1/objects/", percent_encode(name, "/"))};
     request.timeout = this->timeout;
     this->http.send(this->platform, std::move(request), std::move(done));
 }
 
+void platform_client::list_objects(std::string_view prefix, std::function<void(const object_list&)> done)
+{
+    http_request request{.method = "GET",
+                         .path = absl::StrCat("/v1/objects?prefix=", percent_encode(prefix))};
+    request.timeout = this->timeout;
+    this->http.send(this->platform, std::move(request),
+                    [done = std::move(done)](const http_result& result) { done(parse_object_list(result)); });
+}
+
 } // namespace dandelionstep
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -9,6 +9,12 @@
 
 namespace dandelionstep {
 
+//! The names of objects; `failed` when the store could not be read.
+struct object_list {
+    bool failed = false;
+    std::vector<std::string> names;
+};
+
 //! Speaks the platform's contract (docs/CONTRACTS.md); each call answers exactly once, from the loop.
 class platform_client {
 public:
@@ -23,6 +29,7 @@
               std::function<void(const read_answer&)> done);
     void put_object(std::string_view name, std::string body, std::function<void(bool stored)> done);
     void get_object(std::string_view name, std::function<void(const http_result&)> done);
+    void list_objects(std::string_view prefix, std::function<void(const object_list&)> done);
 
 private:
     void get_rows(const std::string& path, std::function<void(const read_answer&)> done);
--- a/src/common/outcome.cpp
+++ b/src/common/outcome.cpp
@@ -60,6 +60,23 @@
     return traits(code).name;
 }
 
+bool is_callers_fault(error_code code)
+{
+    switch (code) {
+    case error_code::bad_request:
+    case error_code::body_too_large:
+    case error_code::unauthorised:
+    case error_code::unknown_route:
+    case error_code::key_required:
+    case error_code::key_reused:
+    case error_code::conflict:
+    case error_code::suspected_crasher:
+        return true;
+    default:
+        return false;
+    }
+}
+
 int http_status(error_code code)
 {
     return traits(code).status;
--- a/src/common/outcome.hpp
+++ b/src/common/outcome.hpp
@@ -43,6 +43,9 @@
 //! The HTTP status that carries the code.
 int http_status(error_code code);
 
+//! Whether the code blames the caller's own request rather than the system.
+bool is_callers_fault(error_code code);
+
 //! An answer that says why a request was not served.
 struct refusal {
     outcome result = outcome::not_run;
--- a/src/configuration/declarations.cpp
+++ b/src/configuration/declarations.cpp
@@ -67,6 +67,11 @@
     parsed.adapters = string_list(record.body, "adapters");
     parsed.layer_count = layer_index{*layers};
     parsed.answer_window = {integer_or(record.body, "answer_window_ms", parsed.answer_window.count)};
+    auto level = parse_service_level(record.body);
+    if (!level.ok()) {
+        return at_member(record, level.status());
+    }
+    parsed.level = *level;
     return parsed;
 }
 
@@ -78,6 +83,11 @@
     }
     parsed.call_timeout = {integer_or(record.body, "call_timeout_ms", parsed.call_timeout.count)};
     parsed.refusals_did_not_run = boolean_or(record.body, "refusals_did_not_run", false);
+    auto level = parse_service_level(record.body);
+    if (!level.ok()) {
+        return at_member(record, level.status());
+    }
+    parsed.level = *level;
     if (parsed.call_timeout.count < 1) {
         return wrong(record, "member \"call_timeout_ms\" must be at least 1");
     }
--- a/src/configuration/declarations.hpp
+++ b/src/configuration/declarations.hpp
@@ -4,6 +4,7 @@
 #include "configuration/record.hpp"
 #include "link/link.hpp"
 #include "organisation/organisation.hpp"
+#include "report/service_level.hpp"
 #include "target/target.hpp"
 
 #include <map>
@@ -20,6 +21,7 @@
     layer_index layer_count;
     //! Time allowed for a whole answer.
     milliseconds answer_window{60'000};
+    service_level level;
 };
 
 //! A plain service that takes orders and lookups.
@@ -31,6 +33,7 @@
     milliseconds call_timeout{5'000};
     //! Whether a 503 of this service with "Outcome: not_run" is trusted to have run nothing.
     bool refusals_did_not_run = false;
+    service_level level;
 };
 
 //! Everything declared, parsed into the objects that decisions work on.
--- a/src/daemon/answers.cpp
+++ b/src/daemon/answers.cpp
@@ -13,6 +13,18 @@
     return (time.count + ms_per_second - 1) / ms_per_second;
 }
 
+bool kept_level(const declarations& declared, const finished_request& finished)
+{
+    if (finished.kind == "generation") {
+        const auto found = declared.models.find(model_id(finished.service));
+        return is_good_generation(found == declared.models.end() ? service_level{} : found->second.level,
+                                  finished.timing);
+    }
+    const auto found = declared.services.find(service_id(finished.service));
+    return is_good_call(found == declared.services.end() ? service_level{} : found->second.level,
+                        finished.timing);
+}
+
 } // namespace
 
 std::string refusal_body(const refusal& why)
@@ -35,15 +47,29 @@
     reply.send(http_status(why.code), refusal_body(why));
 }
 
-void record_answered(daemon_context& context, std::string_view kind, const request_id& request,
-                     const organisation_id& organisation, outcome result, std::string_view code)
+void record_finished(daemon_context& context, const finished_request& finished)
 {
-    ++context.counters.answered[{std::string(kind), result}];
-    log_event("request_answered", {{"request", request.value},
-                                   {"organisation", organisation.value},
-                                   {"kind", kind},
-                                   {"outcome", to_string(result)},
-                                   {"code", code}});
+    ++context.counters.answered[{std::string(finished.kind), finished.result}];
+    const bool completed = finished.result == outcome::completed;
+    if (completed) {
+        request_latencies& latencies = context.counters.latencies[std::string(finished.kind)];
+        latencies.first.add(finished.timing.first);
+        latencies.whole.add(finished.timing.whole);
+    }
+    if (!finished.refused || !is_callers_fault(*finished.refused)) {
+        const bool good =
+            completed && !finished.refused && kept_level(context.configuration.declared, finished);
+        record_event(context.burn, {finished.service, finished.organisation}, good, event_loop::wall_now());
+    }
+    log_event("request_answered", {{"request", finished.request.value},
+                                   {"organisation", finished.organisation.value},
+                                   {"kind", finished.kind},
+                                   {"service", finished.service},
+                                   {"outcome", to_string(finished.result)},
+                                   {"code", finished.refused ? to_string(*finished.refused) : "ok"},
+                                   {"first_ms", finished.timing.first.count},
+                                   {"whole_ms", finished.timing.whole.count},
+                                   {"tokens", finished.timing.tokens}});
 }
 
 } // namespace dandelionstep
--- a/src/daemon/answers.hpp
+++ b/src/daemon/answers.hpp
@@ -3,7 +3,10 @@
 #include "adapters/caller_server.hpp"
 #include "common/outcome.hpp"
 #include "daemon/context.hpp"
+#include "report/service_level.hpp"
 
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace dandelionstep {
@@ -17,8 +20,21 @@
 //! Answers a caller with a refusal, its outcome and when to come back.
 void send_refusal(caller_reply& reply, const refusal& why);
 
-//! Counts and logs one answered request.
-void record_answered(daemon_context& context, std::string_view kind, const request_id& request,
-                     const organisation_id& organisation, outcome result, std::string_view code);
+//! A request that got its final answer.
+struct finished_request {
+    //! "generation", "lookup" or "order".
+    std::string_view kind;
+    request_id request;
+    organisation_id organisation;
+    //! The model or service.
+    std::string service;
+    outcome result = outcome::completed;
+    //! Why it was refused; absent for an answer.
+    std::optional<error_code> refused;
+    answer_timing timing;
+};
+
+//! Counts one finished request for metrics and service levels, and logs it.
+void record_finished(daemon_context& context, const finished_request& finished);
 
 } // namespace dandelionstep
--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -148,6 +148,7 @@
     call.content_type = request.header("Content-Type");
     call.body = request.body;
     call.timeout = service->second.call_timeout;
+    call.began = event_loop::now();
     reply->add_header("X-Request-Id", call.id.value);
     if (request.method == "GET" || service->second.idempotent_paths.contains(path)) {
         this->lookups.start(std::move(call), reply);
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -5,6 +5,7 @@
 #include "adapters/http_client.hpp"
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
+#include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
@@ -21,6 +22,7 @@
     applied_configuration configuration;
     health_map health;
     request_counters counters;
+    burn_table burn;
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
     //! Set by a planned stop: new requests are refused, running ones finish.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
 #include "daemon/operator_port.hpp"
+#include "daemon/report_store.hpp"
 #include "daemon/target_observer.hpp"
 
 #include <csignal>
@@ -38,13 +39,14 @@
                                  .configuration = {},
                                  .health = {},
                                  .counters = {},
+                                 .burn = {},
                                  .requests_in_flight = 0,
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context),
-          routes(context, generations, lookups, orders),
+          reports(context), operators(context, peers, reports, [this] { this->configuration.poll_soon(); }),
+          observer(context), routes(context, generations, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
@@ -80,6 +82,7 @@
         }
         this->context.stopping = true;
         this->stop_began = event_loop::now();
+        this->reports.write();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
     }
@@ -104,6 +107,7 @@
     order_runner orders;
     configuration_sync configuration;
     group peers;
+    report_store reports;
     operator_port operators;
     target_observer observer;
     caller_routes routes;
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -22,8 +22,23 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    time_point began;
+    time_point first_token;
     //! The chain whose targets count this request as in flight.
     std::optional<chain> counted;
+
+    [[nodiscard]] finished_request finished(outcome result, std::optional<error_code> refused) const
+    {
+        const generation_request& request = this->state.request;
+        return {kind,
+                request.id,
+                request.organisation,
+                request.model.value,
+                result,
+                refused,
+                {this->first_token - this->began, event_loop::now() - this->began,
+                 static_cast<std::int64_t>(this->state.tokens.size())}};
+    }
 };
 
 generation_runner::generation_runner(daemon_context& context) : context(context)
@@ -42,6 +57,7 @@
     generation->state.limits.max_attempts = this->context.configured.max_attempts;
     generation->state.request = std::move(request);
     generation->reply = reply;
+    generation->began = event_loop::now();
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
@@ -115,6 +131,9 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
+    if (action.index.value == 0) {
+        generation->first_token = event_loop::now();
+    }
     if (!generation->streamed) {
         return;
     }
@@ -132,7 +151,7 @@
         this->note_success(*generation->counted);
     }
     const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, outcome::completed, "ok");
+    record_finished(this->context, generation->finished(outcome::completed, std::nullopt));
     if (generation->streamed) {
         if (!generation->reply->stream_started()) {
             generation->reply->add_header(outcome_header, "streamed");
@@ -148,9 +167,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_refusal& action)
 {
-    const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, generation->finished(action.why.result, action.why.code));
     if (generation->reply->stream_started()) {
         generation->reply->write(absl::StrCat("data: ", refusal_body(action.why), "\n\n"));
         generation->reply->end_stream();
--- a/src/daemon/lookup_runner.cpp
+++ b/src/daemon/lookup_runner.cpp
@@ -86,16 +86,14 @@
 
 void lookup_runner::perform(const running_ptr& lookup, const answer_lookup& action)
 {
-    record_answered(this->context, kind, lookup->call.id, lookup->call.organisation, outcome::completed,
-                    "ok");
+    record_finished(this->context, finished_call(kind, lookup->call, outcome::completed, std::nullopt));
     lookup->reply->add_header(outcome_header, std::string(to_string(outcome::completed)));
     lookup->reply->send(action.status, action.body, action.content_type);
 }
 
 void lookup_runner::perform(const running_ptr& lookup, const refuse_lookup& action)
 {
-    record_answered(this->context, kind, lookup->call.id, lookup->call.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, finished_call(kind, lookup->call, action.why.result, action.why.code));
     send_refusal(*lookup->reply, action.why);
 }
 
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -45,8 +45,9 @@
 
 } // namespace
 
-operator_port::operator_port(daemon_context& context, group& peers, std::function<void()> on_change)
-    : context(context), peers(peers), on_change(std::move(on_change)),
+operator_port::operator_port(daemon_context& context, group& peers, report_store& reports,
+                             std::function<void()> on_change)
+    : context(context), peers(peers), reports(reports), on_change(std::move(on_change)),
       server(context.loop, [this](const received_request& request, const std::shared_ptr<http_reply>& reply) {
           this->handle(request, reply);
       })
@@ -74,6 +75,8 @@
         reply->send(200, dump(this->status()));
     } else if (request.method == "POST" && request.path == "/v1/configuration/apply") {
         this->apply(request, reply);
+    } else if (request.method == "GET" && request.path == "/v1/report/burn") {
+        this->report_burn(request, reply);
     } else {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
@@ -103,6 +106,23 @@
         });
 }
 
+void operator_port::report_burn(const received_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    std::vector<vm_id> vms;
+    for (const auto& [vm, each] : this->peers.members()) {
+        vms.push_back(vm);
+    }
+    this->reports.read_all(vms, [reply, format = request.parameter("format")](const burn_report& report) {
+        if (format == "html") {
+            reply->send(200, to_html(report), "text/html; charset=utf-8");
+        } else if (format == "text") {
+            reply->send(200, to_text(report), "text/plain; charset=utf-8");
+        } else {
+            reply->send(200, dump(to_json(report)));
+        }
+    });
+}
+
 json operator_port::status() const
 {
     json members = json::array();
--- a/src/daemon/order_runner.cpp
+++ b/src/daemon/order_runner.cpp
@@ -146,8 +146,7 @@
 
 void order_runner::perform(const running_ptr& order, const answer_order& action)
 {
-    record_answered(this->context, kind, order->call.id, order->call.organisation, outcome::completed,
-                    action.repeated ? "repeated" : "ok");
+    record_finished(this->context, finished_call(kind, order->call, outcome::completed, std::nullopt));
     order->reply->add_header(outcome_header, std::string(to_string(outcome::completed)));
     if (action.repeated) {
         order->reply->add_header("Idempotent-Replayed", "true");
@@ -157,8 +156,7 @@
 
 void order_runner::perform(const running_ptr& order, const refuse_order& action)
 {
-    record_answered(this->context, kind, order->call.id, order->call.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, finished_call(kind, order->call, action.why.result, action.why.code));
     send_refusal(*order->reply, action.why);
 }
 
--- a/src/daemon/service_call.cpp
+++ b/src/daemon/service_call.cpp
@@ -2,6 +2,13 @@
 
 namespace dandelionstep {
 
+finished_request finished_call(std::string_view kind, const service_call& call, outcome result,
+                               std::optional<error_code> refused)
+{
+    const milliseconds taken = event_loop::now() - call.began;
+    return {kind, call.id, call.organisation, call.service.value, result, refused, {taken, taken, 0}};
+}
+
 http_request to_http_request(const service_call& call)
 {
     http_request request{.method = call.method, .path = call.path};
--- a/src/daemon/service_call.hpp
+++ b/src/daemon/service_call.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_client.hpp"
 #include "common/ids.hpp"
+#include "daemon/answers.hpp"
 
 #include <string>
 
@@ -20,8 +21,13 @@
     //! Empty for calls that may be repeated.
     order_key key;
     milliseconds timeout{5000};
+    time_point began;
 };
 
+//! The call as it is counted and logged once it has its final answer.
+finished_request finished_call(std::string_view kind, const service_call& call, outcome result,
+                               std::optional<error_code> refused);
+
 //! The request that carries the call to a target.
 http_request to_http_request(const service_call& call);
 
--- a/src/report/request_counters.cpp
+++ b/src/report/request_counters.cpp
@@ -15,6 +15,16 @@
                     "dandelionstep_attempts_failed_total ", counters.attempts_failed, "\n",
                     "# TYPE dandelionstep_answers_dropped_total counter\n",
                     "dandelionstep_answers_dropped_total ", counters.answers_dropped, "\n");
+    absl::StrAppend(&text, "# TYPE dandelionstep_first_token_seconds histogram\n");
+    for (const auto& [kind, latencies] : counters.latencies) {
+        const std::string labels = absl::StrCat("kind=\"", kind, "\"");
+        absl::StrAppend(&text, latencies.first.to_prometheus("dandelionstep_first_token_seconds", labels));
+    }
+    absl::StrAppend(&text, "# TYPE dandelionstep_request_seconds histogram\n");
+    for (const auto& [kind, latencies] : counters.latencies) {
+        const std::string labels = absl::StrCat("kind=\"", kind, "\"");
+        absl::StrAppend(&text, latencies.whole.to_prometheus("dandelionstep_request_seconds", labels));
+    }
     return text;
 }
 
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -2,7 +2,8 @@
 
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
-#include "tool/operator_client.hpp"
+#include "tool/call_any.hpp"
+#include "tool/report_command.hpp"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -39,44 +40,6 @@
     return all;
 }
 
-// Asks the daemons in turn until one answers; a call that may have been executed is not repeated.
-absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
-                                         const std::string& path, const std::string& body)
-{
-    absl::Status last = absl::InvalidArgumentError("no daemon was named; use --daemon");
-    for (const std::string& daemon : options.daemons) {
-        auto answer = call_daemon(options, daemon, method, path, body);
-        if (answer.ok() || !absl::IsUnavailable(answer.status())) {
-            return answer;
-        }
-        last = answer.status();
-    }
-    return last;
-}
-
-int exit_for(const absl::Status& status)
-{
-    if (absl::IsUnavailable(status)) {
-        return exit_unreachable;
-    }
-    return absl::IsDeadlineExceeded(status) ? exit_unknown : exit_bad_usage;
-}
-
-int exit_for(const operator_answer& answer)
-{
-    if (answer.status == ok_status) {
-        return exit_ok;
-    }
-    return answer.outcome == "unknown" ? exit_unknown : exit_refused;
-}
-
-void print_error(const operator_answer& answer)
-{
-    const json error = answer.body.is_object() ? answer.body.value("error", json::object()) : json::object();
-    std::cerr << string_or(error, "code", "error") << ": " << string_or(error, "message", "no reason given")
-              << "\n";
-}
-
 int send_change(const tool_options& options, const std::vector<configuration_record>& records)
 {
     json list = json::array();
@@ -206,6 +169,7 @@
     undrain->add_option("target", *target, "The target")->required();
     undrain->callback([&options, target] { options.exit_status = set_draining(options, *target, false); });
 
+    add_report_command(app, options);
     app.add_subcommand("version", "Show the version")->callback([] { std::cout << "dandelionstep 0.1.0\n"; });
 }
 
--- a/src/tool/operator_client.cpp
+++ b/src/tool/operator_client.cpp
@@ -33,8 +33,8 @@
         return absl::DeadlineExceededError(absl::StrCat("daemon ", daemon, " did not answer"));
     }
     auto parsed = parse_json(answer.body);
-    return operator_answer{answer.status, answer.header("Outcome"),
-                           parsed.ok() ? *std::move(parsed) : json()};
+    return operator_answer{answer.status, answer.header("Outcome"), parsed.ok() ? *std::move(parsed) : json(),
+                           answer.body};
 }
 
 } // namespace dandelionstep
--- a/src/tool/operator_client.hpp
+++ b/src/tool/operator_client.hpp
@@ -13,6 +13,8 @@
     int status = 0;
     std::string outcome;
     json body;
+    //! The body as it came.
+    std::string text;
 };
 
 //! Calls one daemon and waits for its answer. Unavailable: it did not answer.
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -103,6 +103,8 @@
         } else if (request.path == "/v1/table/scan") {
             ++this->reads;
             this->scan(request, reply);
+        } else if (request.path == "/v1/objects") {
+            this->list_objects(request.parameter("prefix"), reply);
         } else if (request.path.starts_with(objects_prefix)) {
             this->object(request, reply);
         } else if (request.path.starts_with(weights_prefix)) {
@@ -217,6 +219,18 @@
         }
     }
 
+    void list_objects(const std::string& prefix, const std::shared_ptr<http_reply>& reply)
+    {
+        ++this->reads;
+        json names = json::array();
+        for (const auto& [name, body] : this->objects) {
+            if (name.starts_with(prefix)) {
+                names.push_back(name);
+            }
+        }
+        reply->send(200, dump({{"names", names}}));
+    }
+
     void weights(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
         const std::int64_t bytes = std::strtoll(request.parameter("bytes").c_str(), nullptr, 10);
