TLS for callers and peers, on unless the settings say otherwise

The callers' port uses libevhtp's TLS and takes up a new key on SIGHUP; broken files keep the old key. Peers use mutual TLS by gRPC, which watches its files.

--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "adapters/caller_server.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "adapters/certificate.hpp"
 
 #include <cstring>
 #include <event2/buffer.h>
@@ -215,6 +216,29 @@
     evhtp_free(this->self->raw);
 }
 
+absl::Status caller_server::use_tls(const tls_files& files)
+{
+    if (const absl::Status status = check_certificate(files); !status.ok()) {
+        return status;
+    }
+    if (this->self->raw->ssl_ctx != nullptr) {
+        // Connections keep the key that they began with; new ones get the new key.
+        return load_certificate(this->self->raw->ssl_ctx, files);
+    }
+    evhtp_ssl_cfg_t configuration{};
+    std::string certificate = files.certificate;
+    std::string key = files.key;
+    configuration.pemfile = certificate.data();
+    configuration.privfile = key.data();
+    configuration.ssl_opts = SSL_OP_NO_SSLv2 | SSL_OP_NO_SSLv3 | SSL_OP_NO_TLSv1 | SSL_OP_NO_TLSv1_1;
+    configuration.scache_type = evhtp_ssl_scache_type_disabled;
+    if (evhtp_ssl_init(this->self->raw, &configuration) != 0) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("certificate \"", files.certificate, "\" cannot be used"));
+    }
+    return absl::OkStatus();
+}
+
 absl::Status caller_server::listen(const endpoint& at)
 {
     if (evhtp_bind_socket(this->self->raw, at.address.c_str(), at.port, listen_backlog) != 0) {
--- a/src/adapters/caller_server.hpp
+++ b/src/adapters/caller_server.hpp
@@ -4,6 +4,7 @@
 #include "adapters/event_loop.hpp"
 #include "adapters/received_request.hpp"
 #include "target/endpoint.hpp"
+#include "vm/settings.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,9 @@
     caller_server(caller_server&&) = delete;
     caller_server& operator=(caller_server&&) = delete;
 
+    //! Uses TLS from now on; to be called before listen, and again when the files hold a new key.
+    //! InvalidArgument: the files do not hold a certificate and its key; what was in use stays.
+    absl::Status use_tls(const tls_files& files);
     absl::Status listen(const endpoint& at);
     //! Callers connected now.
     [[nodiscard]] int connections() const;
--- a/src/adapters/peer_node.cpp
+++ b/src/adapters/peer_node.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_node.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "adapters/peer_credentials.hpp"
 
 #include <chrono>
 #include <grpcpp/grpcpp.h>
@@ -80,8 +81,11 @@
     std::unique_ptr<grpc::Server> server;
     std::map<endpoint, std::unique_ptr<wire::Peer::Stub>> stubs;
     std::thread waiter;
+    peer_credentials credentials;
 
-    state(event_loop& loop_in, handler handle_in) : loop(loop_in), handle(std::move(handle_in)) {}
+    state(event_loop& loop_in, const std::optional<tls_files>& tls, handler handle_in)
+        : loop(loop_in), handle(std::move(handle_in)), credentials(make_peer_credentials(tls))
+    {}
 
     void wait_for_calls(const std::weak_ptr<state>& watch)
     {
@@ -108,14 +112,14 @@
             arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
             arguments.SetMaxReceiveMessageSize(max_message_bytes);
             stub = wire::Peer::NewStub(
-                grpc::CreateCustomChannel(to_string(to), grpc::InsecureChannelCredentials(), arguments));
+                grpc::CreateCustomChannel(to_string(to), this->credentials.client, arguments));
         }
         return *stub;
     }
 };
 
-peer_node::peer_node(event_loop& loop, handler handle)
-    : self(std::make_shared<state>(loop, std::move(handle)))
+peer_node::peer_node(event_loop& loop, const std::optional<tls_files>& tls, handler handle)
+    : self(std::make_shared<state>(loop, tls, std::move(handle)))
 {}
 
 peer_node::~peer_node()
@@ -133,7 +137,7 @@
 {
     grpc::ServerBuilder builder;
     int port = 0;
-    builder.AddListeningPort(to_string(at), grpc::InsecureServerCredentials(), &port);
+    builder.AddListeningPort(to_string(at), this->self->credentials.server, &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.RegisterService(&this->self->service);
--- a/src/adapters/peer_node.hpp
+++ b/src/adapters/peer_node.hpp
@@ -3,10 +3,12 @@
 #include "absl/status/statusor.h"
 #include "adapters/event_loop.hpp"
 #include "target/endpoint.hpp"
+#include "vm/settings.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace dandelionstep::wire {
 class ExchangeMessage;
@@ -23,7 +25,8 @@
     //! Receives a peer's answer, or nullptr when the call failed.
     using done_callback = std::function<void(const wire::ExchangeMessage* answer)>;
 
-    peer_node(event_loop& loop, handler handle);
+    //! With `tls` peers prove themselves to each other; the files are watched for new keys.
+    peer_node(event_loop& loop, const std::optional<tls_files>& tls, handler handle);
     ~peer_node();
     peer_node(const peer_node&) = delete;
     peer_node& operator=(const peer_node&) = delete;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -55,6 +55,11 @@
 
     absl::Status run()
     {
+        if (this->configured.tls) {
+            if (absl::Status status = this->callers.use_tls(*this->configured.tls); !status.ok()) {
+                return status;
+            }
+        }
         for (const absl::Status& status :
              {this->peers.start(), this->operators.start(), this->callers.listen(this->configured.callers)}) {
             if (!status.ok()) {
@@ -64,6 +69,7 @@
         this->configuration.start();
         this->terminate = this->loop.on_signal(SIGTERM, [this] { this->stop(); });
         this->interrupt = this->loop.on_signal(SIGINT, [this] { this->stop(); });
+        this->hang_up = this->loop.on_signal(SIGHUP, [this] { this->reload_key(); });
         log_event("started", {{"callers", to_string(this->configured.callers)},
                               {"peers", to_string(this->configured.peers)},
                               {"data_centre", this->configured.data_centre.value}});
@@ -73,6 +79,18 @@
     }
 
 private:
+    // The peers' side watches its files by itself.
+    void reload_key()
+    {
+        if (!this->configured.tls) {
+            log_event("key_not_reloaded", {{"reason", "TLS is off"}});
+            return;
+        }
+        const absl::Status status = this->callers.use_tls(*this->configured.tls);
+        log_event(status.ok() ? "key_reloaded" : "key_not_reloaded",
+                  {{"reason", std::string(status.message())}});
+    }
+
     // First signal: finish what runs. Second signal: stop now.
     void stop()
     {
@@ -114,6 +132,7 @@
     caller_server callers;
     event_loop::timer terminate;
     event_loop::timer interrupt;
+    event_loop::timer hang_up;
     event_loop::timer stop_check;
     time_point stop_began;
 };
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -62,7 +62,8 @@
 
 group::group(daemon_context& context, configuration_sync& configuration)
     : context(context), configuration(configuration),
-      node(context.loop, [this](const wire::ExchangeMessage& question) { return this->answer(question); })
+      node(context.loop, context.configured.tls,
+           [this](const wire::ExchangeMessage& question) { return this->answer(question); })
 {}
 
 absl::Status group::start()
--- a/src/vm/settings.cpp
+++ b/src/vm/settings.cpp
@@ -112,6 +112,21 @@
     return std::nullopt;
 }
 
+setter tls_path_setter(std::string tls_files::*member)
+{
+    return text_setter([member](settings& into, const std::string& path) {
+        if (!into.tls) {
+            into.tls.emplace();
+        }
+        *into.tls.*member = path;
+    });
+}
+
+std::optional<std::string> check_boolean(settings& /*into*/, const toml::node& node)
+{
+    return node.is_boolean() ? std::nullopt : std::optional<std::string>("must be true or false");
+}
+
 const std::vector<setting_key>& setting_keys()
 {
     constexpr std::int64_t gibibyte = 1024LL * 1024 * 1024;
@@ -127,6 +142,10 @@
         {"platform.timeout_ms", false, "1000", time_setter(&settings::platform_timeout, 10, 60'000)},
         {"peers.seeds", false, "[]", store_seeds},
         {"operators.token_sha256", true, "", store_operator_token},
+        {"tls.enabled", false, "true", check_boolean},
+        {"tls.certificate", false, "", tls_path_setter(&tls_files::certificate)},
+        {"tls.key", false, "", tls_path_setter(&tls_files::key)},
+        {"tls.authority", false, "", tls_path_setter(&tls_files::authority)},
         {"limits.max_body_bytes", false, "1048576", count_setter(&settings::max_body_bytes, 1024, gibibyte)},
         {"limits.max_connections", false, "4096", count_setter(&settings::max_connections, 1, 1'000'000)},
         {"limits.max_requests", false, "2048", count_setter(&settings::max_requests, 1, 1'000'000)},
@@ -170,6 +189,21 @@
         }
     }
 
+    // TLS is off only where the file says so; else all three files are needed.
+    void check_tls(const toml::table& document)
+    {
+        if (!document.at_path("tls.enabled").value_or(true)) {
+            this->parsed.tls.reset();
+            return;
+        }
+        for (const char* key : {"tls.certificate", "tls.key", "tls.authority"}) {
+            if (!document.at_path(key)) {
+                this->fail(line_of_section(document, "tls"), key,
+                           "is missing; TLS is off only with tls.enabled = false");
+            }
+        }
+    }
+
     absl::StatusOr<settings> result() &&
     {
         if (!this->faults.empty()) {
@@ -227,6 +261,7 @@
     }
     settings_reader reader(file_name);
     reader.read(document);
+    reader.check_tls(document);
     return std::move(reader).result();
 }
 
@@ -241,8 +276,9 @@
             absl::StrAppend(&text, text.empty() ? "" : "\n", "[", section, "]\n");
         }
         const std::string name = key.path.substr(dot + 1);
-        if (key.required) {
-            absl::StrAppend(&text, "# ", name, " = ...  (required)\n");
+        if (key.default_text.empty()) {
+            absl::StrAppend(&text, "# ", name, " = ...  (required",
+                            key.required ? "" : " unless tls.enabled = false", ")\n");
         } else {
             absl::StrAppend(&text, name, " = ", key.default_text, "\n");
         }
--- a/src/vm/settings.hpp
+++ b/src/vm/settings.hpp
@@ -5,11 +5,19 @@
 #include "common/ids.hpp"
 #include "target/endpoint.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace dandelionstep {
 
+//! Where a daemon's certificate, its key and the authority of its peers are; PEM files.
+struct tls_files {
+    std::string certificate;
+    std::string key;
+    std::string authority;
+};
+
 //! A daemon's own settings, as its TOML file gives them.
 struct settings {
     vm_id vm;
@@ -21,6 +29,8 @@
     milliseconds platform_timeout{1000};
     //! Peer addresses to meet first; any that answers is enough.
     std::vector<endpoint> seeds;
+    //! Absent only when the settings say `tls.enabled = false`.
+    std::optional<tls_files> tls;
     //! SHA-256 of the operators' bearer token, in hexadecimal.
     std::string operator_token_sha256;
     std::int64_t max_body_bytes = 1024LL * 1024;
--- a/tests/process/caller_interface_test.cpp
+++ b/tests/process/caller_interface_test.cpp
@@ -206,6 +206,8 @@
 address = "127.0.0.1:4"
 [operators]
 token_sha256 = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+[tls]
+enabled = false
 )");
     CHECK(run_program("dandelionstepd", {"--check", good}).exit_status == 0);
     const std::string bad = folder.write("bad.toml", "[vm]\nnane = \"a\"\n");
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "common/hash.hpp"
 #include "fake_model.hpp"
+#include "support/certificates.hpp"
 
 #include <arpa/inet.h>
 #include <csignal>
@@ -85,6 +86,9 @@
 
 cluster::cluster(const cluster_plan& plan) : plan(plan)
 {
+    if (plan.tls) {
+        this->certificate = make_certificate(this->folder, "daemon");
+    }
     this->start_standin("platform", {"platform"});
     for (const engine_plan& engine : plan.engines) {
         std::vector<std::string> arguments{"engine",
@@ -136,20 +140,31 @@
         child_process("dandelionstepd", {settings_path}, this->folder.path(name + ".log"));
 }
 
+json cluster::status(std::size_t index) const
+{
+    http_request request{.method = "GET", .path = "/v1/status"};
+    request.headers = {{"Authorization", std::string("Bearer ") + operator_token}};
+    const auto body = parse_json(call(this->operators_of(index), std::move(request)).body);
+    return body.ok() ? *body : json();
+}
+
 bool cluster::await_ready(std::size_t index)
 {
     return eventually([&] {
-        const http_result ready = call(this->callers_of(index), {.method = "GET", .path = "/readyz"});
-        if (!ready.answered() || ready.status != ok_status) {
-            return false;
-        }
-        http_request status{.method = "GET", .path = "/v1/status"};
-        status.headers = {{"Authorization", std::string("Bearer ") + operator_token}};
-        const auto body = parse_json(call(this->operators_of(index), std::move(status)).body);
-        return body.ok() && integer_or(*body, "revision", 0) > 0;
+        const json status = this->status(index);
+        return boolean_or(status, "ready", false) && integer_or(status, "revision", 0) > 0;
     });
 }
 
+std::string cluster::tls_settings() const
+{
+    if (!this->plan.tls) {
+        return "[tls]\nenabled = false\n";
+    }
+    return absl::StrCat("[tls]\ncertificate = \"", this->certificate.certificate, "\"\nkey = \"",
+                        this->certificate.key, "\"\nauthority = \"", this->certificate.authority, "\"\n");
+}
+
 std::string cluster::settings_text(std::size_t index) const
 {
     const daemon_endpoints& own = this->daemon_ports[index];
@@ -165,7 +180,7 @@
                         to_string(own.operators), "\"\npeers = \"", to_string(own.peers),
                         "\"\n[platform]\naddress = \"", to_string(this->addresses.at("platform")),
                         "\"\n[peers]\nseeds = [", seeds, "]\n[operators]\ntoken_sha256 = \"",
-                        sha256_hex(operator_token), "\"\n", this->plan.extra_settings);
+                        sha256_hex(operator_token), "\"\n", this->tls_settings(), this->plan.extra_settings);
 }
 
 std::string cluster::declarations_text() const
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -4,6 +4,7 @@
 #include "common/json.hpp"
 #include "support/child_process.hpp"
 #include "target/endpoint.hpp"
+#include "vm/settings.hpp"
 
 #include <functional>
 #include <map>
@@ -47,6 +48,8 @@
     std::string extra_settings;
     //! Extra members of the service's record, as TOML lines.
     std::string service_settings;
+    //! Runs the daemons with TLS; callers then speak TLS too, and `ask` and the like do not work.
+    bool tls = false;
 };
 
 //! Two replicas for each of three stages, in one data centre.
@@ -59,7 +62,9 @@
 
     //! Starts a daemon again after it was stopped.
     void start_daemon(std::size_t index);
-    //! Waits until the daemon is ready.
+    //! What the daemon says of itself to operators; null when it does not answer.
+    [[nodiscard]] json status(std::size_t index) const;
+    //! Waits until the daemon has the configuration.
     bool await_ready(std::size_t index);
 
     [[nodiscard]] endpoint callers_of(std::size_t index) const
@@ -92,6 +97,8 @@
 
     std::map<std::string, child_process> processes;
     scratch_folder folder;
+    //! The files of the daemons' shared test certificate, when TLS is on.
+    tls_files certificate;
 
 private:
     struct daemon_endpoints {
@@ -101,6 +108,7 @@
     };
 
     void start_standin(const std::string& name, const std::vector<std::string>& arguments);
+    [[nodiscard]] std::string tls_settings() const;
     [[nodiscard]] std::string settings_text(std::size_t index) const;
     [[nodiscard]] std::string declarations_text() const;
 
--- a/tests/vm/settings_test.cpp
+++ b/tests/vm/settings_test.cpp
@@ -19,6 +19,8 @@
 address = "127.0.0.1:9000"
 [operators]
 token_sha256 = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+[tls]
+enabled = false
 )";
 
 std::string replaced(const std::string& from, const std::string& to)
@@ -51,12 +53,12 @@
 TEST_CASE("each fault names file, line, key and reason")
 {
     const std::vector<bad_file> table{
-        {"unknown key", good + "[limits]\nmax_reqests = 5\n", "daemon.toml:13: key \"limits.max_reqests\"",
+        {"unknown key", good + "[limits]\nmax_reqests = 5\n", "daemon.toml:15: key \"limits.max_reqests\"",
          "did you mean \"limits.max_requests\"?"},
-        {"unknown section", good + "[lissten]\n", "daemon.toml:12: key \"lissten\"", "is not a known key"},
+        {"unknown section", good + "[lissten]\n", "daemon.toml:14: key \"lissten\"", "is not a known key"},
         {"wrong type", good + "[limits]\nmax_requests = \"many\"\n",
-         "daemon.toml:13: key \"limits.max_requests\"", "must be a whole number"},
-        {"out of range", good + "[limits]\nmax_requests = 0\n", "daemon.toml:13: key \"limits.max_requests\"",
+         "daemon.toml:15: key \"limits.max_requests\"", "must be a whole number"},
+        {"out of range", good + "[limits]\nmax_requests = 0\n", "daemon.toml:15: key \"limits.max_requests\"",
          "must be between 1 and 1000000, is 0"},
         {"missing key", replaced("name = \"nashua-1\"\n", ""), "daemon.toml:1: key \"vm.name\"",
          "is missing"},
@@ -69,11 +71,18 @@
         {"short hash", replaced("aaaaaaaa", "a"), "daemon.toml:11: key \"operators.token_sha256\"",
          "must be 64 lower-case hexadecimal digits"},
         {"seeds that are no list", good + "[peers]\nseeds = \"127.0.0.1:1\"\n",
-         "daemon.toml:13: key \"peers.seeds\"", "must be a list of addresses"},
+         "daemon.toml:15: key \"peers.seeds\"", "must be a list of addresses"},
         {"section that is no table",
          "vm = 3\n" + replaced("[vm]\nname = \"nashua-1\"\ndata_centre = \"nashua\"\n", ""),
          "daemon.toml:1: key \"vm\"", "is not a known key"},
-        {"broken TOML", good + "[limits\n", "daemon.toml:12: ", ""},
+        {"TLS without files", replaced("[tls]\nenabled = false\n", ""),
+         "daemon.toml:1: key \"tls.certificate\"", "TLS is off only with tls.enabled = false"},
+        {"TLS with one file missing",
+         replaced("enabled = false\n", "certificate = \"c.pem\"\nauthority = \"a.pem\"\n"),
+         "daemon.toml:12: key \"tls.key\"", "is missing"},
+        {"TLS switch of another type", replaced("enabled = false\n", "enabled = \"no\"\n"),
+         "daemon.toml:13: key \"tls.enabled\"", "must be true or false"},
+        {"broken TOML", good + "[limits\n", "daemon.toml:14: ", ""},
     };
     for (const bad_file& row : table) {
         CAPTURE(row.what);
@@ -86,6 +95,21 @@
     }
 }
 
+TEST_CASE("TLS is on unless the file says otherwise")
+{
+    const auto off = parse_settings(good, "daemon.toml");
+    REQUIRE(off.ok());
+    CHECK_FALSE(off->tls.has_value());
+    const auto on = parse_settings(
+        replaced("enabled = false\n", "certificate = \"c.pem\"\nkey = \"k.pem\"\nauthority = \"a.pem\"\n"),
+        "daemon.toml");
+    REQUIRE_MESSAGE(on.ok(), on.status().message());
+    REQUIRE(on->tls.has_value());
+    CHECK(on->tls->certificate == "c.pem");
+    CHECK(on->tls->key == "k.pem");
+    CHECK(on->tls->authority == "a.pem");
+}
+
 TEST_CASE("one check shows every fault")
 {
     const auto parsed =
