--- a/src/common/json.cpp
+++ b/src/common/json.cpp
@@ -57,6 +57,8 @@
         return json::parse(text);
     } catch (const json::parse_error& error) {
         return absl::InvalidArgumentError(absl::StrCat("not valid JSON at byte ", error.byte));
+    } catch (const json::out_of_range&) {
+        return absl::InvalidArgumentError("a number in the JSON is out of range");
     }
 }
 
--- a/tests/process/caller_interface_test.cpp
+++ b/tests/process/caller_interface_test.cpp
@@ -86,6 +86,7 @@
          std::string(2000, '['),
          400,
          "bad_request"},
+        {"a number out of range", "POST", completions, {{"Authorization", bearer}}, R"({"model":1e400})", 400, "bad_request"},
         {"no messages",
          "POST",
          completions,
