Throughput bound by maximum flow, and the tool's plan command

Cause: goodput had nothing to be compared with. Ruled out: one edge per replica (the network grows with the replicas); replicas of one layer range in one data centre are one edge instead, so the network depends on ranges and data centres only. Limit: each layer boundary is given the whole of a link, so a link that is crossed at several boundaries makes the bound too high, never too low.

--- a/src/configuration/declarations.cpp
+++ b/src/configuration/declarations.cpp
@@ -67,6 +67,10 @@
     parsed.adapters = string_list(record.body, "adapters");
     parsed.layer_count = layer_index{*layers};
     parsed.answer_window = {integer_or(record.body, "answer_window_ms", parsed.answer_window.count)};
+    parsed.activation_bytes = {integer_or(record.body, "activation_bytes", parsed.activation_bytes.value)};
+    if (parsed.activation_bytes.value < 1) {
+        return wrong(record, "member \"activation_bytes\" must be at least 1");
+    }
     return parsed;
 }
 
--- a/src/configuration/declarations.hpp
+++ b/src/configuration/declarations.hpp
@@ -20,6 +20,8 @@
     layer_index layer_count;
     //! Time allowed for a whole answer.
     milliseconds answer_window{60'000};
+    //! What one token's activation weighs on a link between two stages.
+    byte_count activation_bytes{16'384};
 };
 
 //! A plain service that takes orders and lookups.
--- /dev/null
+++ b/src/route/throughput_bound.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "configuration/declarations.hpp"
+
+#include <set>
+#include <vector>
+
+namespace dandelionstep {
+
+//! Targets of one layer range in one data centre, or one link at one layer boundary, that limit a model.
+struct bound_limit {
+    //! The range of the targets; for a link, begin and end are both the boundary at which it is crossed.
+    layer_range layers;
+    data_centre_id from;
+    //! Equal to `from` for targets.
+    data_centre_id to;
+    //! Number of targets; 0 for a link.
+    std::int64_t targets = 0;
+    double tokens_per_second = 0;
+};
+
+//! The most tokens a second that a model's targets and links can give together.
+struct throughput_bound {
+    double tokens_per_second = 0;
+    //! A minimum cut: the capacities of its members add up to the bound.
+    std::vector<bound_limit> cut;
+};
+
+//! Tokens a second that the link's bandwidth carries between two stages of the model.
+double tokens_per_second_of(const link& path, const model& carried);
+
+//! The maximum flow through the model's layer ranges and links, without draining targets and those in `lost`.
+//! Each layer boundary is given the whole of a link, so the bound is exact where a link is crossed once.
+//! Zero when the model is not declared or some layer is held by no target.
+throughput_bound find_throughput_bound(const declarations& declared, const model_id& name,
+                                       const std::set<target_id>& lost = {});
+
+} // namespace dandelionstep
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -2,43 +2,19 @@
 
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
+#include "tool/declaration_files.hpp"
 #include "tool/operator_client.hpp"
+#include "tool/plan_command.hpp"
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 namespace dandelionstep {
 namespace {
 
 constexpr int ok_status = 200;
 
-absl::StatusOr<std::vector<configuration_record>> read_declarations(const std::vector<std::string>& paths)
-{
-    std::vector<configuration_record> all;
-    for (const std::string& path : paths) {
-        std::ifstream file(path);
-        if (!file) {
-            return absl::NotFoundError(path + ": cannot be read");
-        }
-        std::ostringstream text;
-        text << file.rdbuf();
-        auto records = parse_declarations(text.str(), path);
-        if (!records.ok()) {
-            return records.status();
-        }
-        for (configuration_record& record : *records) {
-            if (const absl::Status status = validate(record); !status.ok()) {
-                return absl::InvalidArgumentError(path + ": " + std::string(status.message()));
-            }
-            all.push_back(std::move(record));
-        }
-    }
-    return all;
-}
-
 // Asks the daemons in turn until one answers; a call that may have been executed is not repeated.
 absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
                                          const std::string& path, const std::string& body)
@@ -195,6 +171,8 @@
     check->add_option("files", *paths, "Declaration files (TOML)")->required();
     check->callback([&options, paths] { options.exit_status = check_files(*paths); });
 
+    add_plan_command(app, options);
+
     CLI::App* status = app.add_subcommand("status", "Show daemons and targets");
     status->callback([&options] { options.exit_status = show_status(options); });
 
