--- a/src/route/throughput_bound.cpp
+++ b/src/route/throughput_bound.cpp
@@ -4,12 +4,18 @@
 
 #include <limits>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace dandelionstep {
 namespace {
 
-using place = std::pair<layer_index, data_centre_id>;
+constexpr double unlimited = std::numeric_limits<double>::infinity();
+
+// Where activations are handed on. Arrivals and departures are apart, so that a flow crosses one link between
+// two stages and never a third data centre on its way, as activations go straight from engine to engine.
+enum class side { arrival, departure };
+using place = std::tuple<layer_index, data_centre_id, side>;
 
 // Replicas of one range in one data centre are interchangeable, so the network has one edge for all of them.
 using group_key = std::pair<layer_range, data_centre_id>;
@@ -58,8 +64,8 @@
         : declared(declared), wanted(wanted), groups(group_engines(declared, wanted, lost))
     {
         for (const auto& [key, rate] : this->groups) {
-            this->add_place({key.first.begin, key.second});
-            this->add_place({key.first.end, key.second});
+            this->add_place({key.first.begin, key.second, side::departure});
+            this->add_place({key.first.end, key.second, side::arrival});
         }
         this->add_groups();
         this->add_links();
@@ -67,15 +73,14 @@
 
     throughput_bound solve()
     {
-        constexpr double unlimited = std::numeric_limits<double>::infinity();
         flow_network network(this->places.size() + 2);
         const std::size_t source = this->places.size();
         const std::size_t sink = source + 1;
         for (const auto& [where, node] : this->places) {
-            if (where.first == layer_index{0}) {
+            if (std::get<layer_index>(where) == layer_index{0}) {
                 network.add_edge(source, node, unlimited);
             }
-            if (where.first == this->wanted.layer_count) {
+            if (std::get<layer_index>(where) == this->wanted.layer_count) {
                 network.add_edge(node, sink, unlimited);
             }
         }
@@ -99,8 +104,8 @@
     {
         for (const auto& [key, rate] : this->groups) {
             const auto& [layers, where] = key;
-            this->edges.push_back({this->places.at({layers.begin, where}),
-                                   this->places.at({layers.end, where}),
+            this->edges.push_back({this->places.at({layers.begin, where, side::departure}),
+                                   this->places.at({layers.end, where, side::arrival}),
                                    {layers, where, where, rate.targets, rate.tokens_per_second}});
         }
     }
@@ -110,24 +115,28 @@
     void add_links()
     {
         for (const auto& [from, from_node] : this->places) {
-            if (from.first == layer_index{0} || from.first == this->wanted.layer_count) {
-                continue;
-            }
+            const auto& [boundary, origin, arriving] = from;
             for (const auto& [to, to_node] : this->places) {
-                if (to.first == from.first && to.second != from.second) {
-                    const link& path = link_between(this->declared, from.second, to.second);
+                const auto& [next, destination, departing] = to;
+                if (arriving == side::arrival && departing == side::departure && next == boundary) {
                     this->edges.push_back({from_node,
                                            to_node,
-                                           {{from.first, from.first},
-                                            from.second,
-                                            to.second,
+                                           {{boundary, boundary},
+                                            origin,
+                                            destination,
                                             0,
-                                            tokens_per_second_of(path, this->wanted)}});
+                                            this->rate_between(origin, destination)}});
                 }
             }
         }
     }
 
+    [[nodiscard]] double rate_between(const data_centre_id& from, const data_centre_id& to) const
+    {
+        return from == to ? unlimited
+                          : tokens_per_second_of(link_between(this->declared, from, to), this->wanted);
+    }
+
     const declarations& declared;
     const model& wanted;
     std::map<group_key, group_rate> groups;
