Chain choice by an index per model, two draws per group and Dijkstra's search

Cause: choose_chain looked at every target and every pair of engines, O(n^2) for each request, and all daemons that held the same report chose alike. Change: routes are indexed per model and rebuilt only when the revision changes. Of each group of engines (layer range, data centre) two are drawn in proportion to their rates and the cheaper is taken; the queue estimate charges what n requests at an engine of rate R wait beyond an idle token's time. Prefixes go to a hashed engine while it costs at most a quarter more. Ruled out: the least loaded of all engines (herd; see below), more than two draws (a false report attracts more).

--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -6,6 +6,7 @@
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
 #include "report/request_counters.hpp"
+#include "route/route_index.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
@@ -26,6 +27,15 @@
     //! Set by a planned stop: new requests are refused, running ones finish.
     bool stopping = false;
     incarnation started;
+    route_cache routes{};
+
+    //! The routes of the configuration in force.
+    const route_index& current_routes()
+    {
+        return this->routes.at(this->configuration.number, this->configuration.declared);
+    }
+    //! Chains chosen so far.
+    std::uint64_t chains_chosen = 0;
 
     //! Whether the balancer may send callers here.
     [[nodiscard]] bool ready() const { return !this->stopping && this->configuration.number.value >= 0; }
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -4,6 +4,7 @@
 #include "adapters/log.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
 #include "route/choose_chain.hpp"
 
@@ -70,9 +71,8 @@
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
     const chain_source chains = [&](const std::set<target_id>& excluded) {
-        const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
-                                hash_of(state.request.id.value)};
-        return choose_chain(this->context.configuration.declared, this->context.health, query, now);
+        return choose_chain(this->context.current_routes(), this->context.health,
+                            chain_query_for(this->context, state.request, excluded), now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
--- a/src/route/choose_chain.cpp
+++ b/src/route/choose_chain.cpp
@@ -1,114 +1,172 @@
 #include "route/choose_chain.hpp"
 
 #include "absl/strings/str_cat.h"
-#include "common/hash.hpp"
+#include "route/naive_chain.hpp"
+#include "route/pick_engine.hpp"
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace dandelionstep {
 namespace {
 
-// The cheapest way found to reach a layer boundary, ending at one engine.
-struct partial_path {
-    double cost = std::numeric_limits<double>::infinity();
+constexpr double infinite = std::numeric_limits<double>::infinity();
+// To a data centre that has neither engines nor a declared link.
+constexpr double unknown_link_ms = 1;
+// Below saturation a longer queue costs little; it still spreads requests over equal engines.
+constexpr double fill_weight = 0.25;
+
+// Where a token's activation is after some layers: at a boundary, in a data centre.
+struct place {
+    layer_index boundary;
+    std::size_t data_centre;
+
+    friend auto operator<=>(const place&, const place&) = default;
+};
+
+struct path_to {
+    double cost = infinite;
     const target* last = nullptr;
-    std::ptrdiff_t previous = -1;
+    const place* previous = nullptr;
+    bool settled = false;
 };
 
-double link_latency_ms(const declarations& declared, const data_centre_id& from, const data_centre_id& to)
-{
-    constexpr double within_data_centre_ms = 0.1;
-    if (from == to) {
-        return within_data_centre_ms;
+// Dijkstra's search over places. Engines are picked only for groups that it reaches, so that groups behind
+// slow links are seldom looked at.
+class chain_search {
+public:
+    chain_search(const model_routes& routes, const health_map& health, const chain_query& query,
+                 time_point now)
+        : routes(routes), health(health), query(query), now(now), picks(routes.groups.size())
+    {}
+
+    std::vector<target> run()
+    {
+        this->expand_start();
+        for (auto* next = this->cheapest(); next != nullptr; next = this->cheapest()) {
+            next->second.settled = true;
+            if (next->first.boundary == this->routes.layer_count) {
+                return this->walk_back(next->second);
+            }
+            this->expand(next->first, next->second.cost);
+        }
+        return {};
+    }
+
+private:
+    using entry = std::map<place, path_to>::value_type;
+
+    struct lazy_pick {
+        bool known = false;
+        std::optional<engine_pick> found;
+    };
+
+    void expand_start()
+    {
+        const auto& known = this->routes.data_centres;
+        const auto origin = std::ranges::find(known, this->query.from);
+        const auto own = static_cast<std::size_t>(origin - known.begin());
+        this->for_groups_at(layer_index{0}, [&](const engine_group& group, const engine_pick& pick) {
+            const double way =
+                origin == known.end() ? unknown_link_ms : this->routes.token_link_ms[own][group.data_centre];
+            this->reach({group.layers.end, group.data_centre}, way + pick.cost_ms, *pick.engine, nullptr);
+        });
     }
-    for (const link& known : declared.links) {
-        if ((known.from == from && known.to == to) || (known.from == to && known.to == from)) {
-            return known.latency_ms;
+
+    void expand(const place& from, double cost)
+    {
+        this->for_groups_at(from.boundary, [&](const engine_group& group, const engine_pick& pick) {
+            const double way = this->routes.token_link_ms[from.data_centre][group.data_centre];
+            this->reach({group.layers.end, group.data_centre}, cost + way + pick.cost_ms, *pick.engine,
+                        &from);
+        });
+    }
+
+    template <class Visit>
+    void for_groups_at(layer_index boundary, Visit visit)
+    {
+        const auto range = this->routes.groups_from.find(boundary);
+        if (range == this->routes.groups_from.end()) {
+            return;
+        }
+        for (std::size_t i = range->second.first; i < range->second.second; ++i) {
+            if (!this->picks[i].known) {
+                this->picks[i] = {true, pick_engine(this->routes, i, this->health, this->query, this->now)};
+            }
+            if (this->picks[i].found) {
+                visit(this->routes.groups[i], *this->picks[i].found);
+            }
         }
     }
-    return link{}.latency_ms;
-}
 
-// Work of one batch slows every request in it, so the estimate grows with the load.
-double stage_cost_ms(const health_map& health, const target& stage, std::uint64_t seed)
-{
-    constexpr double requests_per_doubling = 8;
-    constexpr double tie_break_share = 0.02;
-    const auto load = static_cast<double>(estimated_load(health, stage.id));
-    const double jitter = static_cast<double>(hash_of(stage.id.value, seed) % 1000) / 1000;
-    return stage.engine->step_ms * (1 + load / requests_per_doubling) * (1 + tie_break_share * jitter);
-}
+    void reach(const place& to, double cost, const target& engine, const place* previous)
+    {
+        path_to& known = this->paths[to];
+        if (!known.settled && cost < known.cost) {
+            known = {cost, &engine, previous, false};
+        }
+    }
 
-std::vector<const target*> eligible_engines(const declarations& declared, const health_map& health,
-                                            const chain_query& query, const model_variant& variant,
-                                            time_point now)
-{
-    std::vector<const target*> engines;
-    for (const auto& [id, candidate] : declared.targets) {
-        if (candidate.engine && candidate.engine->variant == variant && !query.excluded.contains(id) &&
-            !declared.draining.contains(id) && is_eligible(health, id, now)) {
-            engines.push_back(&candidate);
+    entry* cheapest()
+    {
+        entry* best = nullptr;
+        for (entry& each : this->paths) {
+            if (!each.second.settled && (best == nullptr || each.second.cost < best->second.cost)) {
+                best = &each;
+            }
         }
+        return best;
     }
-    std::ranges::stable_sort(engines, {}, [](const target* engine) { return engine->engine->layers.begin; });
-    return engines;
-}
 
-std::vector<target> walk_back(const std::vector<partial_path>& paths, std::ptrdiff_t index)
-{
-    std::vector<target> stages;
-    for (; index >= 0; index = paths[static_cast<std::size_t>(index)].previous) {
-        stages.push_back(*paths[static_cast<std::size_t>(index)].last);
+    std::vector<target> walk_back(const path_to& end)
+    {
+        std::vector<target> stages{*end.last};
+        for (const place* at = end.previous; at != nullptr;) {
+            const path_to& step = this->paths.at(*at);
+            stages.push_back(*step.last);
+            at = step.previous;
+        }
+        std::ranges::reverse(stages);
+        return stages;
     }
-    std::ranges::reverse(stages);
-    return stages;
-}
+
+    const model_routes& routes;
+    const health_map& health;
+    const chain_query& query;
+    time_point now;
+    std::vector<lazy_pick> picks;
+    // Nodes of a map stay where they are, so that places can point at each other.
+    std::map<place, path_to> paths;
+};
 
 } // namespace
 
-absl::StatusOr<chain> choose_chain(const declarations& declared, const health_map& health,
+// With n requests at an engine of rate R, none of them comes round sooner than after n / R: what exceeds the
+// time that a token is under way anyhow is spent waiting in this engine's queue.
+double stage_token_ms(const engine_spec& engine, std::int64_t load, double idle_token_ms)
+{
+    constexpr double ms_per_second = 1000;
+    const double round_ms = static_cast<double>(load + 1) * ms_per_second / engine.tokens_per_second;
+    return engine.step_ms + fill_weight * round_ms + std::max(0.0, round_ms - idle_token_ms);
+}
+
+absl::StatusOr<chain> choose_chain(const route_index& index, const health_map& health,
                                    const chain_query& query, time_point now)
 {
-    const auto wanted = declared.models.find(query.model);
-    if (wanted == declared.models.end()) {
+    const auto found = index.models.find(query.model);
+    if (found == index.models.end()) {
         return absl::NotFoundError(absl::StrCat("model \"", query.model.value, "\" is not declared"));
     }
-    const model_variant variant{wanted->second.id, wanted->second.version, wanted->second.adapters};
-    const std::vector<const target*> engines = eligible_engines(declared, health, query, variant, now);
-
-    // Engines come in order of their first layer, so every predecessor is final before it is extended.
-    std::vector<partial_path> paths(engines.size());
-    std::ptrdiff_t best = -1;
-    double best_cost = std::numeric_limits<double>::infinity();
-    for (std::size_t i = 0; i < engines.size(); ++i) {
-        const target& stage = *engines[i];
-        paths[i].last = &stage;
-        const double own_cost = stage_cost_ms(health, stage, query.seed);
-        if (stage.engine->layers.begin == layer_index{0}) {
-            paths[i].cost = own_cost + link_latency_ms(declared, query.from, stage.data_centre);
-        }
-        for (std::size_t j = 0; j < i; ++j) {
-            if (engines[j]->engine->layers.end != stage.engine->layers.begin) {
-                continue;
-            }
-            const double cost = paths[j].cost + own_cost +
-                                link_latency_ms(declared, engines[j]->data_centre, stage.data_centre);
-            if (cost < paths[i].cost) {
-                paths[i].cost = cost;
-                paths[i].previous = static_cast<std::ptrdiff_t>(j);
-            }
-        }
-        if (stage.engine->layers.end == wanted->second.layer_count && paths[i].cost < best_cost) {
-            best_cost = paths[i].cost;
-            best = static_cast<std::ptrdiff_t>(i);
-        }
-    }
-    if (best < 0) {
+    const model_routes& routes = found->second;
+    const std::vector<target> stages = query.policy == chain_policy::least_cost
+                                           ? chain_search(routes, health, query, now).run()
+                                           : choose_naive_stages(routes, health, query, now);
+    if (stages.empty()) {
         return absl::UnavailableError(
             absl::StrCat("no eligible targets hold all layers of model \"", query.model.value, "\""));
     }
-    return chain::make(variant, wanted->second.layer_count, walk_back(paths, best));
+    return chain::make(routes.variant, routes.layer_count, stages);
 }
 
 } // namespace dandelionstep
--- a/src/vm/settings.cpp
+++ b/src/vm/settings.cpp
@@ -112,6 +112,18 @@
     return std::nullopt;
 }
 
+std::optional<std::string> store_policy(settings& into, const toml::node& node)
+{
+    const auto* text = node.as_string();
+    for (const auto& [name, policy] : chain_policy_names) {
+        if (text != nullptr && text->get() == name) {
+            into.policy = policy;
+            return std::nullopt;
+        }
+    }
+    return "must be \"least_cost\", \"random\", \"round_robin\" or \"least_reported\"";
+}
+
 const std::vector<setting_key>& setting_keys()
 {
     constexpr std::int64_t gibibyte = 1024LL * 1024 * 1024;
@@ -135,6 +147,7 @@
         {"limits.max_attempts", false, "8", count_setter(&settings::max_attempts, 1, 100)},
         {"limits.drain_limit_ms", false, "60000", time_setter(&settings::drain_limit, 0, hour_ms)},
         {"limits.balancer_notice_ms", false, "1000", time_setter(&settings::balancer_notice, 0, 60'000)},
+        {"routing.policy", false, "\"least_cost\"", store_policy},
     };
     return keys;
 }
--- a/src/vm/settings.hpp
+++ b/src/vm/settings.hpp
@@ -3,6 +3,7 @@
 #include "absl/status/statusor.h"
 #include "common/clock.hpp"
 #include "common/ids.hpp"
+#include "route/chain_policy.hpp"
 #include "target/endpoint.hpp"
 
 #include <string>
@@ -29,6 +30,7 @@
     milliseconds token_gap{400};
     milliseconds first_token_gap{1500};
     std::int64_t max_attempts = 8;
+    chain_policy policy = chain_policy::least_cost;
     //! Longest time that a planned stop waits for requests to finish.
     milliseconds drain_limit{60'000};
     //! How long the balancer is given to see that the daemon is leaving.
