--- /dev/null
+++ b/src/request/admission.cpp
@@ -0,0 +1,173 @@
+#include "request/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dandelionstep {
+namespace {
+
+constexpr double average_weight = 0.05;
+constexpr double decrease = 0.9;
+constexpr double increase_share = 0.04;
+constexpr double used_share = 0.9;
+constexpr milliseconds least_retry_after{100};
+
+double expected_tokens(const admission_state& state, token_count max_tokens)
+{
+    return std::min(state.answer_tokens, static_cast<double>(std::max<std::int64_t>(max_tokens.value, 1)));
+}
+
+milliseconds in_ms(double value)
+{
+    return {static_cast<std::int64_t>(std::ceil(value))};
+}
+
+// Tokens a millisecond with all places taken.
+double full_rate(const admission_state& state)
+{
+    return state.running_limit / std::max(state.token_ms, 1.0);
+}
+
+bool has_place(const admission_state& state)
+{
+    return static_cast<double>(state.running.size()) + 1 <= state.running_limit;
+}
+
+bool is_at_limit(const admission_state& state, const organisation_id& organisation, std::int64_t limit)
+{
+    const auto own = state.running_by_organisation.find(organisation);
+    return own != state.running_by_organisation.end() && own->second >= limit;
+}
+
+void start(admission_state& state, const request_id& id, const organisation_id& organisation, time_point now,
+           admission_actions& actions)
+{
+    state.running.emplace(id, admission_state::running_request{organisation, now});
+    ++state.running_by_organisation[organisation];
+    actions.emplace_back(start_request{id});
+}
+
+void turn_away_late(admission_state& state, time_point now, admission_actions& actions)
+{
+    const milliseconds service = in_ms(state.answer_tokens * state.token_ms);
+    for (const queued_request& late : state.queue.remove_late(now, service)) {
+        const double backlog = state.queue.work_ahead(late.organisation, late.weight, late.priority);
+        actions.emplace_back(turn_away_request{
+            late.id, error_code::overloaded, std::max(least_retry_after, in_ms(backlog / full_rate(state)))});
+    }
+}
+
+void start_next(admission_state& state, time_point now, admission_actions& actions)
+{
+    turn_away_late(state, now, actions);
+    while (has_place(state) && state.queue.size() > 0) {
+        std::map<organisation_id, bool> held_back;
+        for (const auto& [organisation, limit] : state.limit_of_organisation) {
+            held_back[organisation] = is_at_limit(state, organisation, limit);
+        }
+        const auto next = state.queue.pop(held_back);
+        if (!next) {
+            return;
+        }
+        start(state, next->id, next->organisation, now, actions);
+    }
+}
+
+// Additive increase while the places are used and tokens come fast enough, multiplicative decrease otherwise:
+// daemons that share engines settle at fair parts without telling each other.
+void adapt_limit(admission_state& state)
+{
+    if (static_cast<double>(++state.finished_since_change) < state.running_limit / 4) {
+        return;
+    }
+    state.finished_since_change = 0;
+    if (state.token_ms > state.limits.token_ms) {
+        state.running_limit *= decrease;
+    } else if (static_cast<double>(state.running.size()) >= used_share * state.running_limit) {
+        state.running_limit += std::max(1.0, increase_share * state.running_limit);
+    }
+    state.running_limit =
+        std::clamp(state.running_limit, state.limits.least_running, state.limits.most_running);
+}
+
+void learn_pace(admission_state& state, double tokens, double duration_ms)
+{
+    state.token_ms += average_weight * (duration_ms / tokens - state.token_ms);
+    state.answer_tokens += average_weight * (tokens - state.answer_tokens);
+    adapt_limit(state);
+}
+
+} // namespace
+
+milliseconds expected_wait(const admission_state& state, const admission_request& request)
+{
+    if (has_place(state) && state.queue.size() == 0) {
+        return {0};
+    }
+    const double ahead = state.queue.work_ahead(request.organisation, request.weight, request.priority);
+    // Half a token's work stands for the place that has to become free first.
+    return in_ms((ahead + state.answer_tokens / 2) / full_rate(state));
+}
+
+admission_actions offer(admission_state& state, const admission_request& request, time_point now)
+{
+    admission_actions actions;
+    state.limit_of_organisation[request.organisation] = request.max_in_flight;
+    const bool held = is_at_limit(state, request.organisation, request.max_in_flight);
+    if (has_place(state) && state.queue.size() == 0 && !held) {
+        start(state, request.id, request.organisation, now, actions);
+        return actions;
+    }
+    const double tokens = expected_tokens(state, request.max_tokens);
+    const milliseconds wait = expected_wait(state, request);
+    const milliseconds service = in_ms(tokens * state.token_ms);
+    const milliseconds allowed = std::min(state.limits.max_wait, request.deadline - now - service);
+    if (wait > allowed) {
+        actions.emplace_back(turn_away_request{request.id, error_code::overloaded,
+                                               std::max(least_retry_after, wait - allowed)});
+        return actions;
+    }
+    state.queue.push({request.id, request.organisation, request.weight, request.priority, tokens,
+                      std::min(request.deadline, now + state.limits.max_wait + service)});
+    if (state.queue.size() > state.limits.max_queued) {
+        const auto dropped = state.queue.drop_longest();
+        actions.emplace_back(
+            turn_away_request{dropped->id, error_code::overloaded, std::max(least_retry_after, wait)});
+    }
+    start_next(state, now, actions);
+    return actions;
+}
+
+admission_actions finish(admission_state& state, const request_id& id, token_count tokens, bool completed,
+                         time_point now)
+{
+    admission_actions actions;
+    const auto found = state.running.find(id);
+    if (found != state.running.end()) {
+        const auto own = state.running_by_organisation.find(found->second.organisation);
+        if (--own->second == 0) {
+            state.running_by_organisation.erase(own);
+        }
+        if (completed && tokens.value > 0) {
+            learn_pace(state, static_cast<double>(tokens.value),
+                       static_cast<double>((now - found->second.began).count));
+        }
+        state.running.erase(found);
+    }
+    start_next(state, now, actions);
+    return actions;
+}
+
+admission_actions tick(admission_state& state, time_point now)
+{
+    admission_actions actions;
+    start_next(state, now, actions);
+    return actions;
+}
+
+void abandon(admission_state& state, const request_id& id)
+{
+    state.queue.remove(id);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/request/fair_queue.cpp
@@ -0,0 +1,126 @@
+#include "request/fair_queue.hpp"
+
+#include <algorithm>
+
+namespace dandelionstep {
+
+bool fair_queue::flow::empty() const
+{
+    return std::ranges::all_of(this->waiting, [](const auto& list) { return list.empty(); });
+}
+
+void fair_queue::push(queued_request added)
+{
+    flow& own = this->flows[added.organisation];
+    if (own.empty()) {
+        // An organisation that was idle starts level with the others; it saves up no credit.
+        own.served = std::max(own.served, this->virtual_time);
+    }
+    own.weight = added.weight;
+    own.queued_cost += added.cost;
+    this->total_cost += added.cost;
+    ++this->count;
+    own.waiting[static_cast<std::size_t>(added.priority)].push_back(std::move(added));
+}
+
+queued_request fair_queue::take(flow& from, std::deque<queued_request>& list,
+                                std::deque<queued_request>::iterator at)
+{
+    queued_request taken = std::move(*at);
+    list.erase(at);
+    from.queued_cost -= taken.cost;
+    this->total_cost -= taken.cost;
+    --this->count;
+    return taken;
+}
+
+std::optional<queued_request> fair_queue::pop(const std::map<organisation_id, bool>& held_back)
+{
+    flow* next = nullptr;
+    for (auto& [id, each] : this->flows) {
+        const auto held = held_back.find(id);
+        if (!each.empty() && (held == held_back.end() || !held->second) &&
+            (next == nullptr || each.served < next->served)) {
+            next = &each;
+        }
+    }
+    if (next == nullptr) {
+        return std::nullopt;
+    }
+    auto& list = *std::ranges::find_if(next->waiting, [](const auto& each) { return !each.empty(); });
+    queued_request taken = this->take(*next, list, list.begin());
+    this->virtual_time = std::max(this->virtual_time, next->served);
+    next->served += taken.cost / next->weight;
+    return taken;
+}
+
+std::optional<queued_request> fair_queue::drop_longest()
+{
+    flow* longest = nullptr;
+    for (auto& [id, each] : this->flows) {
+        if (!each.empty() &&
+            (longest == nullptr || each.queued_cost / each.weight > longest->queued_cost / longest->weight)) {
+            longest = &each;
+        }
+    }
+    if (longest == nullptr) {
+        return std::nullopt;
+    }
+    const auto list = std::find_if(longest->waiting.rbegin(), longest->waiting.rend(),
+                                   [](const auto& each) { return !each.empty(); });
+    return this->take(*longest, *list, std::prev(list->end()));
+}
+
+std::optional<queued_request> fair_queue::remove(const request_id& wanted)
+{
+    for (auto& [id, each] : this->flows) {
+        for (auto& list : each.waiting) {
+            const auto found = std::ranges::find(list, wanted, &queued_request::id);
+            if (found != list.end()) {
+                return this->take(each, list, found);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<queued_request> fair_queue::remove_late(time_point now, milliseconds service)
+{
+    std::vector<queued_request> late;
+    for (auto& [id, each] : this->flows) {
+        for (auto& list : each.waiting) {
+            for (auto at = list.begin(); at != list.end();) {
+                if (now + service <= at->deadline) {
+                    ++at;
+                    continue;
+                }
+                const auto index = at - list.begin();
+                late.push_back(this->take(each, list, at));
+                at = list.begin() + index;
+            }
+        }
+    }
+    return late;
+}
+
+// An organisation waits for its own queue, served at its share; other queues add at most what they hold.
+double fair_queue::work_ahead(const organisation_id& organisation, double weight,
+                              request_priority priority) const
+{
+    double own = 0;
+    double weights = weight;
+    for (const auto& [id, each] : this->flows) {
+        if (id == organisation) {
+            for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+                for (const queued_request& waiting : each.waiting[i]) {
+                    own += waiting.cost;
+                }
+            }
+        } else if (!each.empty()) {
+            weights += each.weight;
+        }
+    }
+    return std::min(own * weights / weight, this->total_cost);
+}
+
+} // namespace dandelionstep
