--- a/src/configuration/declarations.cpp
+++ b/src/configuration/declarations.cpp
@@ -72,6 +72,10 @@
         return at_member(record, level.status());
     }
     parsed.level = *level;
+    parsed.activation_bytes = {integer_or(record.body, "activation_bytes", parsed.activation_bytes.value)};
+    if (parsed.activation_bytes.value < 1) {
+        return wrong(record, "member \"activation_bytes\" must be at least 1");
+    }
     return parsed;
 }
 
--- a/src/configuration/declarations.hpp
+++ b/src/configuration/declarations.hpp
@@ -22,6 +22,8 @@
     //! Time allowed for a whole answer.
     milliseconds answer_window{60'000};
     service_level level;
+    //! What one token's activation weighs on a link between two stages.
+    byte_count activation_bytes{16'384};
 };
 
 //! A plain service that takes orders and lookups.
