Orders: mended settling, kept answers and background writes; seeded simulation

Cause: a read older than the claim ended an order as unsettled; an answer over the limit was kept cut and given again as whole; a row that could not be read was answered key_reused; a claim from a clock that runs ahead was never taken over; a daemon paused after its mark sent without asking the table again; background writes read before each write, so a stale read lost the answer. Now: reads older than a confirmed version count as failed, large answers are not kept and say so, the mark is renewed when more than 2 s old, background writes are conditional writes alone (3 writes and no read an order; before 3 writes and 1 read) and at most 10,000 wait.

--- a/src/common/outcome.cpp
+++ b/src/common/outcome.cpp
@@ -28,6 +28,8 @@
     error_traits{error_code::target_failed, "target_failed", 502},
     error_traits{error_code::unsettled, "unsettled", 409},
     error_traits{error_code::suspected_crasher, "suspected_crasher", 422},
+    error_traits{error_code::answer_not_kept, "answer_not_kept", 410},
+    error_traits{error_code::settled_by_operator, "settled_by_operator", 409},
 };
 
 const error_traits& traits(error_code code)
--- a/src/common/outcome.hpp
+++ b/src/common/outcome.hpp
@@ -35,6 +35,8 @@
     target_failed,
     unsettled,
     suspected_crasher,
+    answer_not_kept,
+    settled_by_operator,
 };
 
 //! The stable code in error bodies, for example "no_capacity".
--- a/src/daemon/order_runner.cpp
+++ b/src/daemon/order_runner.cpp
@@ -12,26 +12,10 @@
 namespace {
 
 constexpr std::string_view kind = "order";
-constexpr int max_background_tries = 600;
-constexpr milliseconds first_background_delay{200};
-constexpr milliseconds max_background_delay{10'000};
+// Bounds the memory that a long outage of the table can take.
+constexpr std::int64_t max_background_writes = 10'000;
 constexpr int unavailable_status = 503;
 
-std::optional<stored_order> to_stored(const std::optional<table_row>& row)
-{
-    if (!row) {
-        return std::nullopt;
-    }
-    auto record = parse_order_record(row->value);
-    if (!record.ok()) {
-        // A row that can't be read may be an order that ran, so it counts as being sent.
-        order_record unreadable;
-        unreadable.phase = order_phase::sending;
-        return stored_order{row->version, unreadable};
-    }
-    return stored_order{row->version, *std::move(record)};
-}
-
 order_event to_event(const commit_answer& answer)
 {
     switch (answer.result) {
@@ -88,7 +72,8 @@
         return choose_replica(this->context.configuration.declared, this->context.health, query,
                               event_loop::now());
     };
-    for (const order_action& action : advance(order->state, event, replicas, event_loop::wall_now())) {
+    const order_clock clock{event_loop::now(), event_loop::wall_now()};
+    for (const order_action& action : advance(order->state, event, replicas, clock)) {
         std::visit([&](const auto& each) { this->perform(order, each); }, action);
     }
     if (order->state.waiting == order_wait::finished) {
@@ -164,57 +149,49 @@
 
 void order_runner::perform(const running_ptr& /*order*/, const release_order& action)
 {
-    this->write_in_background(action.record, max_background_tries);
+    this->write_in_background({action.expected, action.record});
 }
 
 void order_runner::perform(const running_ptr& /*order*/, const record_answer& action)
 {
-    this->write_in_background(action.record, max_background_tries);
+    this->write_in_background({action.expected, action.record});
 }
 
-// Both background writes replace only the row that still carries our own nonce, so they are repeated freely.
-void order_runner::write_in_background(const order_record& record, int tries)
+void order_runner::write_in_background(const background_write& write)
 {
+    if (this->background_writes >= max_background_writes) {
+        log_event("order_write_given_up",
+                  {{"request", write.record.request.value}, {"phase", to_string(write.record.phase)}});
+        return;
+    }
     ++this->background_writes;
-    this->try_background_write(record, tries);
+    this->try_background_write(write);
 }
 
-void order_runner::try_background_write(const order_record& record, int tries)
+void order_runner::try_background_write(const background_write& write)
 {
-    const auto retry = [this, record, tries] {
-        if (tries <= 1) {
+    this->context.platform.commit(
+        write_row(write.record, write.expected), [this, write](const commit_answer& answer) {
+            background_write next = write;
+            const background_step step = advance(next, to_event(answer));
+            switch (step.what) {
+            case background_step::kind::again: {
+                auto timer = std::make_shared<event_loop::timer>();
+                *timer = this->context.loop.run_after(step.delay, [this, next, timer] {
+                    *timer = {};
+                    this->try_background_write(next);
+                });
+                return;
+            }
+            case background_step::kind::given_up:
+                log_event("order_write_given_up",
+                          {{"request", next.record.request.value}, {"phase", to_string(next.record.phase)}});
+                break;
+            case background_step::kind::finished:
+                break;
+            }
             --this->background_writes;
-            log_event("order_write_given_up", {{"request", record.request.value}});
-            return;
-        }
-        const std::int64_t made = max_background_tries - tries;
-        const milliseconds delay = std::min(first_background_delay * (made + 1), max_background_delay);
-        auto timer = std::make_shared<event_loop::timer>();
-        *timer = this->context.loop.run_after(delay, [this, record, tries, timer] {
-            *timer = {};
-            this->try_background_write(record, tries - 1);
         });
-    };
-    this->context.platform.read(table_key(record), [this, record, retry](const read_answer& answer) {
-        if (answer.failed) {
-            retry();
-            return;
-        }
-        const std::optional<stored_order> current =
-            answer.rows.empty() ? std::nullopt : to_stored(answer.rows.front());
-        if (!current || current->record.nonce != record.nonce || current->record.phase == record.phase) {
-            --this->background_writes;
-            return;
-        }
-        this->context.platform.commit(write_row(record, current->version),
-                                      [this, retry](const commit_answer& committed) {
-                                          if (committed.result == commit_result::committed) {
-                                              --this->background_writes;
-                                          } else {
-                                              retry();
-                                          }
-                                      });
-    });
 }
 
 } // namespace dandelionstep
--- a/src/daemon/order_runner.hpp
+++ b/src/daemon/order_runner.hpp
@@ -3,7 +3,7 @@
 #include "adapters/caller_server.hpp"
 #include "daemon/context.hpp"
 #include "daemon/service_call.hpp"
-#include "order/order.hpp"
+#include "order/background_write.hpp"
 
 #include <memory>
 
@@ -30,8 +30,8 @@
     void perform(const running_ptr& order, const refuse_order& action);
     void perform(const running_ptr& order, const release_order& action);
     void perform(const running_ptr& order, const record_answer& action);
-    void write_in_background(const order_record& record, int tries);
-    void try_background_write(const order_record& record, int tries);
+    void write_in_background(const background_write& write);
+    void try_background_write(const background_write& write);
 
     daemon_context& context;
     std::int64_t background_writes = 0;
--- a/src/order/order.hpp
+++ b/src/order/order.hpp
@@ -22,6 +22,9 @@
     order_record record;
 };
 
+//! Reads a row; one that can't be read counts as being sent, since its order may have run.
+std::optional<stored_order> to_stored(const std::optional<table_row>& row);
+
 struct order_started {};
 //! The awaited write took effect.
 struct write_committed {
@@ -75,6 +78,7 @@
 };
 //! Give the row back in the background, and go on trying while the store is away.
 struct release_order {
+    row_version expected;
     order_record record;
 };
 //! Keep the answer in the background, and go on trying while the store is away.
@@ -91,6 +95,8 @@
 struct order_limits {
     //! After this time another daemon may take over an order that is claimed but not being sent.
     milliseconds claim_lease{5000};
+    //! The order is sent only within this time of beginning the write that marks it; else it is marked anew.
+    milliseconds send_within{2000};
     milliseconds retry_after{1000};
     int max_settling_reads = 3;
     int max_sends = 3;
@@ -108,16 +114,24 @@
     order_limits limits;
     exposure exposed;
     order_wait waiting = order_wait::start;
+    time_point mark_began;
     int settling_reads = 0;
     int sends = 0;
     std::set<target_id> excluded;
 };
 
+//! Both of a daemon's clocks at one moment.
+struct order_clock {
+    time_point monotonic;
+    //! Only compared with the time of another daemon's claim.
+    wall_time civil;
+};
+
 //! Chooses a replica of the service that avoids the excluded ones; nullopt when there is none.
 using replica_source = std::function<std::optional<target>(const std::set<target_id>& excluded)>;
 
 //! Advances the order by one event; the order is sent only after the table holds it as `sending` in our name.
 std::vector<order_action> advance(order_state& state, const order_event& event,
-                                  const replica_source& replicas, wall_time now);
+                                  const replica_source& replicas, order_clock now);
 
 } // namespace dandelionstep
--- a/src/order/order_record.cpp
+++ b/src/order/order_record.cpp
@@ -18,18 +18,10 @@
     phase_name{order_phase::sending, "sending"},
     phase_name{order_phase::done, "done"},
     phase_name{order_phase::released, "released"},
+    phase_name{order_phase::settled_ran, "settled_ran"},
+    phase_name{order_phase::settled_not_run, "settled_not_run"},
 };
 
-absl::StatusOr<order_phase> parse_phase(std::string_view text)
-{
-    for (const phase_name& row : phase_names) {
-        if (row.name == text) {
-            return row.phase;
-        }
-    }
-    return absl::InvalidArgumentError(absl::StrCat("order phase \"", std::string(text), "\" is not known"));
-}
-
 } // namespace
 
 std::string_view to_string(order_phase phase)
@@ -42,6 +34,16 @@
     return "";
 }
 
+absl::StatusOr<order_phase> parse_order_phase(std::string_view text)
+{
+    for (const phase_name& row : phase_names) {
+        if (row.name == text) {
+            return row.phase;
+        }
+    }
+    return absl::InvalidArgumentError(absl::StrCat("order phase \"", std::string(text), "\" is not known"));
+}
+
 std::string table_key(const order_record& order)
 {
     // The caller's key is hashed: it may hold any bytes and any length.
@@ -65,7 +67,9 @@
         {"answer",
          {{"status", order.answer.status},
           {"content_type", order.answer.content_type},
-          {"body", order.answer.body}}},
+          {"body", order.answer.body},
+          {"body_kept", order.answer.body_kept}}},
+        {"note", order.note},
     };
 }
 
@@ -75,7 +79,7 @@
     if (!phase_text.ok()) {
         return phase_text.status();
     }
-    auto phase = parse_phase(*phase_text);
+    auto phase = parse_order_phase(*phase_text);
     if (!phase.ok()) {
         return phase.status();
     }
@@ -89,10 +93,12 @@
     order.body_sha256 = string_or(value, "body_sha256", "");
     order.claimed_at = {integer_or(value, "claimed_at_ms", 0)};
     order.request = request_id(string_or(value, "request", ""));
+    order.note = string_or(value, "note", "");
     if (const auto answer = value.find("answer"); answer != value.end()) {
         order.answer.status = static_cast<int>(integer_or(*answer, "status", 0));
         order.answer.content_type = string_or(*answer, "content_type", "");
         order.answer.body = string_or(*answer, "body", "");
+        order.answer.body_kept = boolean_or(*answer, "body_kept", true);
     }
     return order;
 }
--- /dev/null
+++ b/tests/order/at_most_once_proof_test.cpp
@@ -0,0 +1,79 @@
+#include "support/order_simulation.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr std::uint64_t seeds = 20'000;
+
+order_simulation finished_run(std::uint64_t seed, bool naive)
+{
+    order_simulation run({.seed = seed, .naive = naive});
+    run.run();
+    return run;
+}
+
+} // namespace
+
+TEST_CASE("whatever fails, an order with one key is executed at most once")
+{
+    std::int64_t executed = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        const order_simulation run = finished_run(seed, false);
+        CAPTURE(seed);
+        REQUIRE(run.executions() <= 1);
+        executed += run.executions();
+    }
+    // The faults must leave enough runs in which the order is executed at all.
+    CHECK(executed > static_cast<std::int64_t>(seeds) / 2);
+}
+
+TEST_CASE("a caller who is told not_run is told the truth, for ever")
+{
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        const order_simulation run = finished_run(seed, false);
+        CAPTURE(seed);
+        for (const simulated_attempt& attempt : run.attempts) {
+            const bool told_not_run = attempt.told == outcome::not_run;
+            REQUIRE((!told_not_run || attempt.executions == 0));
+            REQUIRE((attempt.told != outcome::completed || run.executions() == 1));
+        }
+    }
+}
+
+TEST_CASE(
+    "every caller whose daemon lives is answered exactly once, and an order that ran is never free again")
+{
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        const order_simulation run = finished_run(seed, false);
+        CAPTURE(seed);
+        for (const simulated_attempt& attempt : run.attempts) {
+            REQUIRE((run.died(attempt.daemon) || attempt.answers == 1));
+            REQUIRE(attempt.answers <= 1);
+        }
+        if (run.executions() > 0) {
+            REQUIRE(run.table.row);
+            const order_phase phase = run.table.row->record.phase;
+            REQUIRE((phase == order_phase::sending || phase == order_phase::done));
+        }
+    }
+}
+
+TEST_CASE("the simulation finds doubled orders and untrue answers in a router without claims")
+{
+    std::int64_t doubled = 0;
+    std::int64_t untrue = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        const order_simulation run = finished_run(seed, true);
+        doubled += run.executions() > 1 ? 1 : 0;
+        for (const simulated_attempt& attempt : run.attempts) {
+            untrue += attempt.told == outcome::not_run && attempt.executions > 0 ? 1 : 0;
+        }
+    }
+    MESSAGE("naive: ", doubled, " of ", seeds, " runs doubled the order, ", untrue, " untrue answers");
+    CHECK(doubled > 0);
+    CHECK(untrue > 0);
+}
--- /dev/null
+++ b/tests/order/order_contract_test.cpp
@@ -0,0 +1,311 @@
+#include "order/background_write.hpp"
+#include "order/order.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr time_point start{1'000'000};
+constexpr wall_time civil_start{50'000'000};
+
+order_clock at(std::int64_t ms)
+{
+    return {start + milliseconds{ms}, wall_time{civil_start.count + ms}};
+}
+
+std::optional<target> two_targets(const std::set<target_id>& excluded)
+{
+    for (const char* name : {"desk0", "desk1"}) {
+        if (!excluded.contains(target_id(name))) {
+            target found;
+            found.id = target_id(name);
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+stored_order row(std::int64_t version, order_phase phase, const std::string& nonce,
+                 std::int64_t claimed_ms = 0)
+{
+    stored_order stored{row_version{version}, {}};
+    stored.record.phase = phase;
+    stored.record.nonce = nonce;
+    stored.record.body_sha256 = "body";
+    stored.record.claimed_at = {civil_start.count + claimed_ms};
+    stored.record.answer = {201, "text/plain", "kept"};
+    return stored;
+}
+
+// One action as a short text, so that a table row reads as a sentence.
+struct describe {
+    std::string operator()(const write_order& a) const
+    {
+        return "write " + std::string(to_string(a.record.phase)) + " at " + std::to_string(a.expected.value);
+    }
+    std::string operator()(const read_order& /*a*/) const { return "read"; }
+    std::string operator()(const send_order& a) const { return "send " + a.to.id.value; }
+    std::string operator()(const answer_order& a) const
+    {
+        return (a.repeated ? "repeat " : "answer ") + std::to_string(a.answer.status);
+    }
+    std::string operator()(const refuse_order& a) const
+    {
+        return std::string(to_string(a.why.result)) + " " + std::string(to_string(a.why.code));
+    }
+    std::string operator()(const release_order& a) const
+    {
+        return "release at " + std::to_string(a.expected.value);
+    }
+    std::string operator()(const record_answer& a) const
+    {
+        return "record at " + std::to_string(a.expected.value);
+    }
+};
+
+std::string text_of(const std::vector<order_action>& actions)
+{
+    std::string text;
+    for (const order_action& action : actions) {
+        text += (text.empty() ? "" : ", ") + std::visit(describe{}, action);
+    }
+    return text.empty() ? "nothing" : text;
+}
+
+struct timed_event {
+    order_event event;
+    std::int64_t at_ms = 0;
+};
+
+// Runs the events one after another and returns what the last one led to.
+std::string last_actions(const std::vector<timed_event>& events)
+{
+    order_state state;
+    state.record.nonce = "own";
+    state.record.body_sha256 = "body";
+    std::string text;
+    for (const timed_event& each : events) {
+        text = text_of(advance(state, each.event, two_targets, at(each.at_ms)));
+    }
+    return text;
+}
+
+struct contract_row {
+    const char* when;
+    std::vector<timed_event> events;
+    const char* then;
+};
+
+const timed_event started{order_started{}};
+const timed_event claimed{write_committed{row_version{7}}};
+const timed_event marked{write_committed{row_version{8}}};
+const timed_event unsure{write_unsure{}};
+const timed_event read_failed{order_read{.failed = true, .current = {}}};
+
+timed_event conflict(const stored_order& current)
+{
+    return {write_conflicted{current}};
+}
+timed_event read(const stored_order& current)
+{
+    return {order_read{.failed = false, .current = current}};
+}
+
+void check(const std::vector<contract_row>& rows)
+{
+    for (const contract_row& each : rows) {
+        CAPTURE(each.when);
+        CHECK(last_actions(each.events) == each.then);
+    }
+}
+
+} // namespace
+
+TEST_CASE("claiming: nothing is sent before the table holds the claim and its mark")
+{
+    check({
+        {"started", {started}, "write claimed at 0"},
+        {"started twice", {started, started}, "nothing"},
+        {"claim committed", {started, claimed}, "write sending at 7"},
+        {"mark committed", {started, claimed, marked}, "send desk0"},
+        {"claim not executed", {started, {write_refused{}}}, "not_run store_unavailable"},
+        {"claim unsure", {started, unsure}, "read"},
+        {"claim unsure, read fails", {started, unsure, read_failed}, "read"},
+        {"claim unsure, the table stays unreadable",
+         {started, unsure, read_failed, read_failed, read_failed},
+         "release at 0, not_run store_unavailable"},
+        {"claim unsure, it did not land", {started, unsure, {order_read{}}}, "write claimed at 0"},
+        {"claim unsure, it landed",
+         {started, unsure, read(row(5, order_phase::claimed, "own"))},
+         "write sending at 5"},
+        {"the first claim lands late",
+         {started, unsure, {order_read{}}, conflict(row(5, order_phase::claimed, "own"))},
+         "write sending at 5"},
+        {"a target's answer that nobody awaits", {started, {target_answered{}}}, "nothing"},
+        {"the caller goes", {started, {order_caller_gone{}}}, "nothing"},
+    });
+}
+
+TEST_CASE("a repeat: the kept answer, unknown while unsettled, a takeover only of what was never sent")
+{
+    stored_order other_body = row(5, order_phase::done, "other");
+    other_body.record.body_sha256 = "another body";
+    stored_order too_large = row(5, order_phase::done, "other");
+    too_large.record.answer.body_kept = false;
+    stored_order unreadable{row_version{5}, {}};
+    unreadable.record.phase = order_phase::sending;
+    const timed_event late{write_conflicted{row(5, order_phase::claimed, "other")}, 5000};
+    const timed_event later{write_conflicted{row(5, order_phase::sending, "other")}, 86'400'000};
+    const timed_event wrong_clock{write_conflicted{row(5, order_phase::claimed, "other", 3'600'000)}, 0};
+    check({
+        {"done", {started, conflict(row(5, order_phase::done, "other"))}, "repeat 201"},
+        {"done with a large answer", {started, conflict(too_large)}, "unknown answer_not_kept"},
+        {"claimed by another",
+         {started, conflict(row(5, order_phase::claimed, "other"))},
+         "unknown unsettled"},
+        {"claimed by another and lapsed", {started, late}, "write claimed at 5"},
+        {"claimed by a daemon whose clock is an hour ahead", {started, wrong_clock}, "write claimed at 5"},
+        {"being sent by another",
+         {started, conflict(row(5, order_phase::sending, "other"))},
+         "unknown unsettled"},
+        {"being sent since yesterday", {started, later}, "unknown unsettled"},
+        {"released", {started, conflict(row(5, order_phase::released, "other"))}, "write claimed at 5"},
+        {"settled as run",
+         {started, conflict(row(5, order_phase::settled_ran, "other"))},
+         "unknown settled_by_operator"},
+        {"settled as not run",
+         {started, conflict(row(5, order_phase::settled_not_run, "other"))},
+         "not_run settled_by_operator"},
+        {"another body", {started, conflict(other_body)}, "not_run key_reused"},
+        {"a row of a newer schema", {started, conflict(unreadable)}, "unknown unsettled"},
+    });
+}
+
+TEST_CASE("marking: an unsure mark is read back, and a lost claim is never sent")
+{
+    check({
+        {"mark not executed",
+         {started, claimed, {write_refused{}}},
+         "release at 7, not_run store_unavailable"},
+        {"mark unsure", {started, claimed, unsure}, "read"},
+        {"mark unsure, it landed",
+         {started, claimed, unsure, read(row(8, order_phase::sending, "own"))},
+         "send desk0"},
+        {"mark unsure, it did not land",
+         {started, claimed, unsure, read(row(7, order_phase::claimed, "own"))},
+         "write sending at 7"},
+        {"mark unsure, the read is older than the claim", {started, claimed, unsure, {order_read{}}}, "read"},
+        {"mark unsure, the table stays unreadable",
+         {started, claimed, unsure, read_failed, read_failed, read_failed},
+         "release at 7, not_run store_unavailable"},
+        {"the first mark lands late",
+         {started, claimed, conflict(row(8, order_phase::sending, "own"))},
+         "send desk0"},
+        {"taken over meanwhile",
+         {started, claimed, conflict(row(9, order_phase::claimed, "other"))},
+         "unknown unsettled"},
+        {"taken over and done meanwhile",
+         {started, claimed, conflict(row(9, order_phase::done, "other"))},
+         "repeat 201"},
+        {"the row is gone", {started, claimed, {write_conflicted{}}}, "unknown unsettled"},
+    });
+}
+
+TEST_CASE("sending: sent again only where it is proven that nothing ran")
+{
+    const timed_event nothing_ran_at_0{target_ran_nothing{target_id("desk0")}};
+    const timed_event nothing_ran_at_1{target_ran_nothing{target_id("desk1")}};
+    const timed_event slow{write_committed{row_version{8}}, 60'000};
+    const timed_event again{write_committed{row_version{9}}, 60'001};
+    const timed_event settled{write_conflicted{row(9, order_phase::settled_not_run, "own")}, 60'001};
+    check({
+        {"answered",
+         {started, claimed, marked, {target_answered{{200, "", "ok"}}}},
+         "answer 200, record at 8"},
+        {"answered with a server error",
+         {started, claimed, marked, {target_answered{{500, "", ""}}}},
+         "answer 500, record at 8"},
+        {"nothing ran", {started, claimed, marked, nothing_ran_at_0}, "send desk1"},
+        {"nothing ran anywhere",
+         {started, claimed, marked, nothing_ran_at_0, nothing_ran_at_1},
+         "release at 8, not_run no_capacity"},
+        {"broken", {started, claimed, marked, {target_unsure{}}}, "unknown unsettled"},
+        {"broken after another target ran nothing",
+         {started, claimed, marked, nothing_ran_at_0, {target_unsure{}}},
+         "unknown unsettled"},
+        {"the caller goes", {started, claimed, marked, {order_caller_gone{}}}, "nothing"},
+        {"the daemon was paused before it learned of its mark",
+         {started, claimed, slow},
+         "write sending at 8"},
+        {"and the order is still its own", {started, claimed, slow, again}, "send desk0"},
+        {"and an operator has settled it", {started, claimed, slow, settled}, "not_run settled_by_operator"},
+    });
+}
+
+TEST_CASE("an answer over the limit is not kept in part")
+{
+    order_state state;
+    state.limits.max_kept_answer_bytes = 4;
+    advance(state, order_started{}, two_targets, at(0));
+    advance(state, write_committed{row_version{1}}, two_targets, at(0));
+    advance(state, write_committed{row_version{2}}, two_targets, at(0));
+    const auto actions = advance(state, target_answered{{200, "", "large"}}, two_targets, at(0));
+    CHECK(std::get<answer_order>(actions.at(0)).answer.body == "large");
+    const order_record& kept = std::get<record_answer>(actions.at(1)).record;
+    CHECK(kept.answer.body.empty());
+    CHECK_FALSE(kept.answer.body_kept);
+    const auto reread = parse_order_record(to_json(kept));
+    REQUIRE(reread.ok());
+    CHECK_FALSE(reread->answer.body_kept);
+}
+
+TEST_CASE("background writes replace only a row that carries their own nonce")
+{
+    struct background_row {
+        const char* when;
+        order_phase wanted;
+        order_event answer;
+        background_step::kind then;
+    };
+    using kind = background_step::kind;
+    const auto current = [](order_phase phase, const char* nonce) {
+        return write_conflicted{row(9, phase, nonce)};
+    };
+    const std::vector<background_row> rows{
+        {"committed", order_phase::done, write_committed{row_version{9}}, kind::finished},
+        {"lost", order_phase::done, write_unsure{}, kind::again},
+        {"refused", order_phase::released, write_refused{}, kind::again},
+        {"its lost try had landed", order_phase::done, current(order_phase::done, "own"), kind::finished},
+        {"the row moved under its own nonce", order_phase::done, current(order_phase::sending, "own"),
+         kind::again},
+        {"an operator settled it before the answer", order_phase::done,
+         current(order_phase::settled_not_run, "own"), kind::again},
+        {"its own mark landed late", order_phase::released, current(order_phase::sending, "own"),
+         kind::again},
+        {"released already", order_phase::released, current(order_phase::released, "own"), kind::finished},
+        {"an operator settled it before the release", order_phase::released,
+         current(order_phase::settled_ran, "own"), kind::finished},
+        {"taken over", order_phase::released, current(order_phase::claimed, "other"), kind::finished},
+        {"taken over and done", order_phase::done, current(order_phase::done, "other"), kind::finished},
+        {"gone", order_phase::done, write_conflicted{}, kind::finished},
+    };
+    for (const background_row& each : rows) {
+        CAPTURE(each.when);
+        background_write pending{row_version{8}, row(8, each.wanted, "own").record};
+        CHECK((advance(pending, each.answer).what == each.then));
+        const bool moved = std::holds_alternative<write_conflicted>(each.answer) && each.then == kind::again;
+        CHECK(pending.expected.value == (moved ? 9 : 8));
+    }
+}
+
+TEST_CASE("a background write is given up after a bounded number of tries")
+{
+    background_write pending{row_version{8}, row(8, order_phase::done, "own").record};
+    int tries = 1;
+    while (advance(pending, write_unsure{}).what == background_step::kind::again) {
+        REQUIRE(++tries < 10'000);
+    }
+    CHECK(tries == 600);
+}
