--- a/tests/order/order_contract_test.cpp
+++ b/tests/order/order_contract_test.cpp
@@ -93,9 +93,9 @@
 }
 
 struct contract_row {
-    const char* when;
+    std::string when;
     std::vector<timed_event> events;
-    const char* then;
+    std::string then;
 };
 
 const timed_event started{order_started{}};
@@ -264,7 +264,7 @@
 TEST_CASE("background writes replace only a row that carries their own nonce")
 {
     struct background_row {
-        const char* when;
+        std::string when;
         order_phase wanted;
         order_event answer;
         background_step::kind then;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -21,6 +21,11 @@
     json value;
 };
 
+struct table_answer {
+    int status = 0;
+    std::string body;
+};
+
 using rows_by_key = std::map<std::string, stored_row>;
 
 json row_json(const std::string& key, const stored_row& row)
@@ -85,9 +90,11 @@
             reply->send(200, "{}");
             return true;
         }
-        if (request.path == "/control/stats") {
-            reply->send(200,
-                        dump({{"reads", this->reads}, {"writes", this->writes}, {"version", this->version}}));
+        if (request.path == "/control/stats" || request.path == "/ledger") {
+            reply->send(200, dump({{"reads", this->reads},
+                                   {"writes", this->writes},
+                                   {"version", this->version},
+                                   {"held", this->held}}));
             return true;
         }
         return false;
@@ -96,7 +103,7 @@
     void answer(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
         if (request.path == "/v1/table/transact") {
-            this->transact(request, reply);
+            this->hold_or_transact(request, reply);
         } else if (request.path == "/v1/table/get") {
             ++this->reads;
             this->get(request.parameter("key"), reply);
@@ -114,6 +121,36 @@
         }
     }
 
+    // Holds a transaction whose text matches, before it takes effect or before it is answered.
+    void hold_or_transact(const received_request& request, const std::shared_ptr<http_reply>& reply)
+    {
+        const auto matches = [&](const char* name) {
+            const std::string text = this->faults.text(name);
+            return !text.empty() && request.body.find(text) != std::string::npos;
+        };
+        const bool hold_effect = matches("hold_before");
+        if ((!hold_effect && !matches("hold_after")) || !this->faults.take("holds")) {
+            this->transact(request, reply);
+            return;
+        }
+        ++this->held;
+        std::optional<table_answer> answer;
+        if (!hold_effect) {
+            ++this->writes;
+            answer = this->execute(request);
+        }
+        auto timer = std::make_shared<event_loop::timer>();
+        *timer =
+            this->loop.run_after({this->faults.number("hold_ms")}, [this, request, reply, answer, timer] {
+                *timer = {};
+                if (answer) {
+                    reply->send(answer->status, answer->body);
+                } else {
+                    this->transact(request, reply);
+                }
+            });
+    }
+
     void transact(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
         ++this->writes;
@@ -121,10 +158,19 @@
             reply->drop();
             return;
         }
+        const table_answer answer = this->execute(request);
+        if (answer.status == 200 && this->faults.take("lose_answers")) {
+            reply->drop();
+            return;
+        }
+        reply->send(answer.status, answer.body);
+    }
+
+    table_answer execute(const received_request& request)
+    {
         const auto body = parse_json(request.body);
         if (!body.ok() || !body->contains("conditions") || !body->contains("writes")) {
-            reply->send(400, R"({"error":"a transaction has conditions and writes"})");
-            return;
+            return {400, R"({"error":"a transaction has conditions and writes"})"};
         }
         for (const json& condition : (*body)["conditions"]) {
             const std::string key = string_or(condition, "key", "");
@@ -135,8 +181,7 @@
                 if (found != this->rows.end()) {
                     conflict["row"] = row_json(key, found->second);
                 }
-                reply->send(409, dump(conflict));
-                return;
+                return {409, dump(conflict)};
             }
         }
         this->remember_old_rows();
@@ -149,11 +194,7 @@
                 this->rows[key] = {this->version, write.value("value", json())};
             }
         }
-        if (this->faults.take("lose_answers")) {
-            reply->drop();
-            return;
-        }
-        reply->send(200, dump({{"version", this->version}}));
+        return {200, dump({{"version", this->version}})};
     }
 
     // With stale_reads on, reads see the table as it was when the switch was last off.
@@ -259,6 +300,8 @@
     std::int64_t version = 0;
     std::int64_t reads = 0;
     std::int64_t writes = 0;
+    //! Transactions that were held.
+    std::int64_t held = 0;
     std::int64_t weight_budget = 0;
     time_point weights_refilled;
 };
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -40,7 +40,10 @@
             return;
         }
         if (request.path == "/ledger") {
-            reply->send(200, dump({{"orders", this->executions}, {"lookups", this->lookups}}));
+            reply->send(200, dump({{"orders", this->executions},
+                                   {"lookups", this->lookups},
+                                   {"requests", this->requests},
+                                   {"received", this->received}}));
             return;
         }
         if (request.path == "/v1/load") {
@@ -51,6 +54,7 @@
             return;
         }
         ++this->running;
+        ++this->received;
         auto timer = std::make_shared<event_loop::timer>();
         *timer = this->loop.run_after({this->faults.number("delay_ms")}, [this, request, reply, timer] {
             *timer = {};
@@ -79,6 +83,11 @@
             return;
         }
         ++this->lookups;
+        ++this->requests[request.header("X-Request-Id")];
+        if (this->faults.take("drop_answers")) {
+            reply->drop();
+            return;
+        }
         reply->send(200, dump({{"service", this->options.name}, {"lookup", request.path}}));
     }
 
@@ -89,6 +98,7 @@
         }
         const std::string key = request.header("X-Organisation") + "/" + request.header("Idempotency-Key");
         const std::int64_t count = ++this->executions[key];
+        ++this->requests[request.header("X-Request-Id")];
         if (this->faults.take("die_after_effect")) {
             _exit(1);
         }
@@ -96,7 +106,14 @@
             reply->drop();
             return;
         }
-        reply->send(200, dump({{"service", this->options.name}, {"order", key}, {"executions", count}}));
+        const std::string body =
+            dump({{"service", this->options.name}, {"order", key}, {"executions", count}}) +
+            std::string(static_cast<std::size_t>(this->faults.number("answer_padding")), ' ');
+        auto timer = std::make_shared<event_loop::timer>();
+        *timer = this->loop.run_after({this->faults.number("answer_delay_ms")}, [reply, body, timer] {
+            *timer = {};
+            reply->send(200, body);
+        });
     }
 
     service_options options;
@@ -104,8 +121,11 @@
     fault_switches faults;
     http_server server;
     std::map<std::string, std::int64_t> executions;
+    //! How often each request of the router ran, orders and lookups.
+    std::map<std::string, std::int64_t> requests;
     std::int64_t lookups = 0;
     std::int64_t running = 0;
+    std::int64_t received = 0;
     std::int64_t incarnation = event_loop::wall_now().count;
 };
 
