Orders: operators list and settle those whose outcome is unknown

GET /v1/orders, POST /v1/orders/settle, and the tool's orders list and settle. A settlement is a compare-and-set of an order that is being sent and older than any daemon may still take to send it; its key stays used up, so that a paused daemon or a wrong finding never lets it run twice.

--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -6,6 +6,7 @@
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
 #include "daemon/configuration_apply.hpp"
+#include "daemon/order_operations.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -74,7 +75,7 @@
         reply->send(200, dump(this->status()));
     } else if (request.method == "POST" && request.path == "/v1/configuration/apply") {
         this->apply(request, reply);
-    } else {
+    } else if (!handle_order_operation(this->context, request, reply)) {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
                                  absl::StrCat("no operation ", request.method, " ", request.path), {}));
--- a/src/daemon/order_runner.cpp
+++ b/src/daemon/order_runner.cpp
@@ -4,6 +4,7 @@
 #include "adapters/random.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/order_events.hpp"
 #include "route/choose_replica.hpp"
 
 #include <algorithm>
@@ -16,26 +17,6 @@
 constexpr std::int64_t max_background_writes = 10'000;
 constexpr int unavailable_status = 503;
 
-order_event to_event(const commit_answer& answer)
-{
-    switch (answer.result) {
-    case commit_result::committed:
-        return write_committed{answer.version};
-    case commit_result::conflicted:
-        return write_conflicted{to_stored(answer.conflict)};
-    case commit_result::refused:
-        return write_refused{};
-    case commit_result::unsure:
-        return write_unsure{};
-    }
-    return write_unsure{};
-}
-
-table_transaction write_row(const order_record& record, row_version expected)
-{
-    return {.conditions = {{table_key(record), expected}}, .writes = {{table_key(record), to_json(record)}}};
-}
-
 } // namespace
 
 struct order_runner::running_order {
@@ -91,12 +72,7 @@
 void order_runner::perform(const running_ptr& order, const read_order& /*action*/)
 {
     this->context.platform.read(table_key(order->state.record), [this, order](const read_answer& answer) {
-        order_read event;
-        event.failed = answer.failed;
-        if (!answer.rows.empty()) {
-            event.current = to_stored(answer.rows.front());
-        }
-        this->handle(order, event);
+        this->handle(order, to_event(answer));
     });
 }
 
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -3,6 +3,7 @@
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
 #include "tool/operator_client.hpp"
+#include "tool/orders_command.hpp"
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -206,6 +207,7 @@
     undrain->add_option("target", *target, "The target")->required();
     undrain->callback([&options, target] { options.exit_status = set_draining(options, *target, false); });
 
+    add_order_commands(app, options);
     app.add_subcommand("version", "Show the version")->callback([] { std::cout << "dandelionstep 0.1.0\n"; });
 }
 
--- /dev/null
+++ b/src/tool/orders_command.cpp
@@ -0,0 +1,150 @@
+#include "tool/orders_command.hpp"
+
+#include "tool/operator_client.hpp"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <memory>
+
+namespace dandelionstep {
+namespace {
+
+constexpr int ok_status = 200;
+
+//! What `orders settle` was given.
+struct settle_options {
+    std::string organisation;
+    std::string service;
+    std::string key;
+    std::string note;
+    bool ran = false;
+    bool did_not_run = false;
+};
+
+// Asks the daemons in turn until one is reached.
+absl::StatusOr<operator_answer> ask(const tool_options& options, const std::string& method,
+                                    const std::string& path, const std::string& body)
+{
+    absl::StatusOr<operator_answer> answer = absl::InvalidArgumentError("no daemon was named; use --daemon");
+    for (const std::string& daemon : options.daemons) {
+        answer = call_daemon(options, daemon, method, path, body);
+        if (!absl::IsUnavailable(answer.status())) {
+            return answer;
+        }
+    }
+    return answer;
+}
+
+// The exit status of a call that failed or was refused; prints why.
+int report_failure(const absl::StatusOr<operator_answer>& answer)
+{
+    if (!answer.ok()) {
+        std::cerr << answer.status().message() << "\n";
+        if (absl::IsUnavailable(answer.status())) {
+            return exit_unreachable;
+        }
+        return absl::IsDeadlineExceeded(answer.status()) ? exit_unknown : exit_bad_usage;
+    }
+    const json error =
+        answer->body.is_object() ? answer->body.value("error", json::object()) : json::object();
+    std::cerr << string_or(error, "code", "error") << ": " << string_or(error, "message", "no reason given")
+              << "\n";
+    return answer->outcome == "unknown" ? exit_unknown : exit_refused;
+}
+
+bool succeeded(const absl::StatusOr<operator_answer>& answer)
+{
+    return answer.ok() && answer->status == ok_status;
+}
+
+void print_order(const json& order)
+{
+    std::cout << "organisation=" << string_or(order, "organisation", "")
+              << " service=" << string_or(order, "service", "") << " key=" << string_or(order, "key", "")
+              << " phase=" << string_or(order, "phase", "") << " age_ms=" << integer_or(order, "age_ms", 0)
+              << " holder=" << string_or(order, "holder", "")
+              << " request=" << string_or(order, "request", "") << " note=" << string_or(order, "note", "")
+              << "\n";
+}
+
+// A key of the table holds names and digits only, but for its slashes.
+std::string query_of(const std::string& phase, const std::string& after)
+{
+    std::string query = "/v1/orders?phase=" + phase + "&after=";
+    for (const char c : after) {
+        query += c == '/' ? std::string("%2F") : std::string(1, c);
+    }
+    return query;
+}
+
+int list_orders(const tool_options& options, const std::string& phase)
+{
+    json all = json::array();
+    std::string after;
+    do {
+        const auto page = ask(options, "GET", query_of(phase, after), "");
+        if (!succeeded(page)) {
+            return report_failure(page);
+        }
+        for (const json& order : page->body.value("orders", json::array())) {
+            all.push_back(order);
+        }
+        after = string_or(page->body, "next", "");
+    } while (!after.empty());
+    if (options.output == "json") {
+        std::cout << dump(all) << "\n";
+        return exit_ok;
+    }
+    for (const json& order : all) {
+        print_order(order);
+    }
+    return exit_ok;
+}
+
+int settle_order(const tool_options& options, const settle_options& settle)
+{
+    if (settle.ran == settle.did_not_run) {
+        std::cerr << "one of --ran and --did-not-run is needed\n";
+        return exit_bad_usage;
+    }
+    const json body{{"organisation", settle.organisation},
+                    {"service", settle.service},
+                    {"key", settle.key},
+                    {"ran", settle.ran},
+                    {"note", settle.note}};
+    const auto answer = ask(options, "POST", "/v1/orders/settle", dump(body));
+    if (!succeeded(answer)) {
+        return report_failure(answer);
+    }
+    if (options.output == "json") {
+        std::cout << dump(answer->body) << "\n";
+    } else {
+        print_order(answer->body);
+    }
+    return exit_ok;
+}
+
+} // namespace
+
+void add_order_commands(CLI::App& app, tool_options& options)
+{
+    CLI::App* orders = app.add_subcommand("orders", "Find and settle orders whose outcome is unknown");
+    orders->require_subcommand(1);
+
+    const auto phase = std::make_shared<std::string>("sending");
+    CLI::App* list = orders->add_subcommand("list", "List orders of one phase");
+    list->add_option("--phase", *phase, "The phase; \"sending\" are those that may have run");
+    list->callback([&options, phase] { options.exit_status = list_orders(options, *phase); });
+
+    const auto given = std::make_shared<settle_options>();
+    CLI::App* settle = orders->add_subcommand("settle", "Record what became of an order");
+    settle->add_option("organisation", given->organisation)->required();
+    settle->add_option("service", given->service)->required();
+    settle->add_option("key", given->key, "The caller's Idempotency-Key")->required();
+    settle->add_option("--note", given->note, "How it was found out")->required();
+    settle->add_flag("--ran", given->ran, "The order ran");
+    settle->add_flag("--did-not-run", given->did_not_run, "The order did not run; its key stays used up");
+    settle->callback([&options, given] { options.exit_status = settle_order(options, *given); });
+}
+
+} // namespace dandelionstep
--- a/tests/order/at_most_once_proof_test.cpp
+++ b/tests/order/at_most_once_proof_test.cpp
@@ -9,9 +9,9 @@
 
 constexpr std::uint64_t seeds = 20'000;
 
-order_simulation finished_run(std::uint64_t seed, bool naive)
+order_simulation finished_run(std::uint64_t seed, bool naive, bool operator_settles = false)
 {
-    order_simulation run({.seed = seed, .naive = naive});
+    order_simulation run({.seed = seed, .naive = naive, .operator_settles = operator_settles});
     run.run();
     return run;
 }
@@ -62,6 +62,19 @@
     }
 }
 
+TEST_CASE("even an operator's wrong settlement never lets an order run twice")
+{
+    std::int64_t settled = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        const order_simulation run = finished_run(seed, false, true);
+        CAPTURE(seed);
+        REQUIRE(run.executions() <= 1);
+        const bool has_row = run.table.row.has_value();
+        settled += has_row && !run.table.row->record.note.empty() ? 1 : 0;
+    }
+    CHECK(settled > static_cast<std::int64_t>(seeds) / 10);
+}
+
 TEST_CASE("the simulation finds doubled orders and untrue answers in a router without claims")
 {
     std::int64_t doubled = 0;
--- a/tests/support/order_faults.hpp
+++ b/tests/support/order_faults.hpp
@@ -9,7 +9,7 @@
 
 //! A point in an order's life at which its daemon can be caught.
 struct order_point {
-    const char* name;
+    std::string name;
     //! Fault switches that hold the order at this point; empty for the other stand-in.
     json platform_faults;
     json desk_faults;
--- a/tests/support/order_simulation.cpp
+++ b/tests/support/order_simulation.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 order_simulation::order_simulation(const simulation_plan& plan)
-    : plan(plan), random(plan.seed), dead(plan.daemons, false), paused_until(plan.daemons, 0)
+    : plan(plan), random(plan.seed), dead(plan.daemons + 1, false), paused_until(plan.daemons + 1, 0)
 {
     this->attempts.resize(plan.attempts);
     for (std::size_t i = 0; i < plan.attempts; ++i) {
@@ -50,6 +50,38 @@
         this->on_daemon(attempt.daemon, start, [this, i] { this->handle(i, order_started{}); });
     }
     this->schedule_faults();
+    if (plan.operator_settles) {
+        this->schedule_settlements();
+    }
+}
+
+// The operator's own daemon, the last one, never fails.
+void order_simulation::schedule_settlements()
+{
+    for (int i = 0; i < 4; ++i) {
+        const auto settlement = std::make_shared<settlement_state>();
+        settlement->request.ran = this->draw(2) == 0;
+        settlement->request.note = "assumed";
+        settlement->request.min_age = {5000};
+        this->after(5000 + this->draw(30'000),
+                    [this, settlement] { this->handle(settlement, settlement_started{}); });
+    }
+}
+
+void order_simulation::handle(const std::shared_ptr<settlement_state>& settlement,
+                              const settlement_event& event)
+{
+    for (const settlement_action& action : advance(*settlement, event, wall_time{this->now})) {
+        if (std::holds_alternative<read_order>(action)) {
+            this->after(1 + this->draw(20), [this, settlement] {
+                this->handle(settlement,
+                             order_event{order_read{.failed = false, .current = this->table.row}});
+            });
+        } else if (const auto* write = std::get_if<write_order>(&action)) {
+            this->write(this->plan.daemons, write->expected, write->record,
+                        [this, settlement](const order_event& answer) { this->handle(settlement, answer); });
+        }
+    }
 }
 
 void order_simulation::schedule_faults()
--- a/tests/support/order_simulation.hpp
+++ b/tests/support/order_simulation.hpp
@@ -2,10 +2,12 @@
 
 #include "order/background_write.hpp"
 #include "order/order.hpp"
+#include "order/settlement.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <string>
@@ -49,6 +51,8 @@
     std::size_t attempts = 6;
     //! Sends without a claim, as a router without this protocol does.
     bool naive = false;
+    //! An operator settles the order now and then, at times wrongly.
+    bool operator_settles = false;
 };
 
 //! Several daemons that get repeats of one order, with faults of table, targets and daemons drawn from the
@@ -96,6 +100,8 @@
                const std::function<void(const order_event&)>& done);
     void write_in_background(std::size_t daemon, background_write pending);
     void schedule_faults();
+    void handle(const std::shared_ptr<settlement_state>& settlement, const settlement_event& event);
+    void schedule_settlements();
 
     simulation_plan plan;
     std::mt19937_64 random;
