--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -6,6 +6,7 @@
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
 #include "daemon/configuration_apply.hpp"
+#include "daemon/order_operations.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -77,7 +78,7 @@
         this->apply(request, reply);
     } else if (request.method == "GET" && request.path == "/v1/report/burn") {
         this->report_burn(request, reply);
-    } else {
+    } else if (!handle_order_operation(this->context, request, reply)) {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
                                  absl::StrCat("no operation ", request.method, " ", request.path), {}));
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -4,6 +4,7 @@
 #include "configuration/record.hpp"
 #include "tool/call_any.hpp"
 #include "tool/declaration_files.hpp"
+#include "tool/orders_command.hpp"
 #include "tool/plan_command.hpp"
 #include "tool/report_command.hpp"
 
@@ -148,6 +149,7 @@
     undrain->callback([&options, target] { options.exit_status = set_draining(options, *target, false); });
 
     add_report_command(app, options);
+    add_order_commands(app, options);
     app.add_subcommand("version", "Show the version")->callback([] { std::cout << "dandelionstep 0.1.0\n"; });
 }
 
