Resume an answer with the KV caches that its stages still hold

An attempt after a failed one prefilled the prompt and all given tokens at every stage, because nothing said which stage held what. The decisions now note the positions that each target has run for the request and plan each hop: where its prefill begins and how long it waits for the hops after it. A frozen stage was blamed on the hop before it, as all hops waited equally long; waits now shrink along the chain, so the hop next to the silent one names it. A token gap with no word from the first hop is the first hop's own fault, and a second one avoids the whole chain. A hop whose cache is gone answers cache_missing, which costs an attempt and no suspicion.

A request avoids a target for 2 s instead of for good, and forgets no exclusion when nothing else is left: the old reset of the set brought the same dead stages back until the attempts were spent. An answer that has begun may use targets that failed other requests; one that has not is refused at once.

The stand-in's cache now holds an entry for each layer and position, and a layer's result depends on it: a layer left out, run twice, or run on another attempt's cache changes the text. Older attempts are shut out.

--- a/src/adapters/engine_client.cpp
+++ b/src/adapters/engine_client.cpp
@@ -12,14 +12,19 @@
 constexpr int unavailable_status = 503;
 constexpr std::size_t max_line_bytes = 65536;
 
-json hops_of(const chain& through)
+json hops_of(const open_attempt& attempt)
 {
     json hops = json::array();
-    for (const hop& stage : through.hops()) {
+    for (std::size_t i = 0; i < attempt.plans.size(); ++i) {
+        const hop& stage = attempt.through.hops()[i];
+        const hop_plan& plan = attempt.plans[i];
         hops.push_back({{"target", stage.target.value},
                         {"address", to_string(stage.address)},
                         {"begin_layer", stage.layers.begin.value},
-                        {"end_layer", stage.layers.end.value}});
+                        {"end_layer", stage.layers.end.value},
+                        {"prefill_from", plan.prefill_from.value},
+                        {"first_wait_ms", plan.first_wait.count},
+                        {"wait_ms", plan.next_wait.count}});
     }
     return hops;
 }
@@ -36,7 +41,7 @@
                  {"prompt", request.prompt},
                  {"given", attempt.given},
                  {"max_tokens", request.max_tokens.value},
-                 {"hops", hops_of(attempt.through)}});
+                 {"hops", hops_of(attempt)}});
 }
 
 // Turns the lines of one stream into events; at most one event ends it.
@@ -89,7 +94,8 @@
         }
         if (value->contains("error")) {
             const std::string culprit = string_or(*value, "target", this->first_hop.value);
-            this->fail(attempt_failure::reset, target_id(culprit));
+            const bool missing = string_or(*value, "error", "") == "cache_missing";
+            this->fail(missing ? attempt_failure::cache_missing : attempt_failure::reset, target_id(culprit));
         } else if (boolean_or(*value, "done", false)) {
             this->ended = true;
             this->on_event(stream_ended{this->attempt, token_count{integer_or(*value, "count", -1)}});
@@ -153,7 +159,9 @@
     for (const hop& stage : attempt.through.hops()) {
         http_request message{.method = "POST", .path = "/v1/cancel"};
         message.headers = {{"Content-Type", "application/json"}};
-        message.body = dump({{"request", request.value}, {"attempt", attempt.attempt.value}});
+        message.body = dump({{"request", request.value},
+                             {"attempt", attempt.attempt.value},
+                             {"keep_cache", attempt.keep_cache}});
         message.timeout = cancel_timeout;
         this->http.send(stage.address, std::move(message), [](const http_result&) {});
     }
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -15,6 +15,15 @@
 constexpr milliseconds tick_interval{20};
 constexpr std::string_view kind = "generation";
 
+// Leaving targets stay left alone; those that only failed may be tried again.
+health_map without_ejections(health_map health)
+{
+    for (auto& [id, state] : health) {
+        state.ejected_until = time_point{INT64_MIN / 2};
+    }
+    return health;
+}
+
 } // namespace
 
 struct generation_runner::running_generation {
@@ -61,7 +70,6 @@
         return;
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-        this->note_failure(*failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -69,10 +77,13 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded) {
+    const chain_source chains = [&](const std::set<target_id>& excluded, ejected_targets ejected) {
         const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
                                 hash_of(state.request.id.value)};
-        return choose_chain(this->context.configuration.declared, this->context.health, query, now);
+        const declarations& declared = this->context.configuration.declared;
+        return ejected == ejected_targets::use
+                   ? choose_chain(declared, without_ejections(this->context.health), query, now)
+                   : choose_chain(declared, this->context.health, query, now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -113,6 +124,15 @@
     this->context.engines.cancel(generation->stream, generation->state.request.id, action);
 }
 
+void generation_runner::perform(const running_ptr& generation, const suspect_target& action)
+{
+    ++this->context.counters.attempts_failed;
+    record_failure(this->context.health[action.target], event_loop::now());
+    log_event("target_suspected", {{"request", generation->state.request.id.value},
+                                   {"target", action.target.value},
+                                   {"failure", to_string(action.failure)}});
+}
+
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
     if (!generation->streamed) {
@@ -170,14 +190,6 @@
     generation.counted.reset();
 }
 
-void generation_runner::note_failure(const attempt_failed& failure)
-{
-    ++this->context.counters.attempts_failed;
-    if (failure.culprit) {
-        record_failure(this->context.health[*failure.culprit], event_loop::now());
-    }
-}
-
 void generation_runner::note_success(const chain& through)
 {
     for (const hop& stage : through.hops()) {
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -30,11 +30,11 @@
     void handle(const running_ptr& generation, const generation_event& event);
     void perform(const running_ptr& generation, const open_attempt& action);
     void perform(const running_ptr& generation, const cancel_attempt& action);
+    void perform(const running_ptr& generation, const suspect_target& action);
     void perform(const running_ptr& generation, const deliver_token& action);
     void perform(const running_ptr& generation, const deliver_end& action);
     void perform(const running_ptr& generation, const deliver_refusal& action);
     void release_chain(running_generation& generation);
-    void note_failure(const attempt_failed& failure);
     void note_success(const chain& through);
     void tick();
 
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -25,13 +25,20 @@
         if (!this->is_awaited(event.attempt)) {
             return {};
         }
-        if (event.index.value != static_cast<std::int64_t>(this->state.tokens.size())) {
-            this->fail_attempt(attempt_failure::protocol, this->state.active->hops().front().target);
+        const auto expected = static_cast<std::int64_t>(this->state.tokens.size());
+        if (event.index.value >= 0 && event.index.value < expected) {
+            // A doubled answer: the token has been given already.
+            ++this->state.dropped_answers;
+            return {};
+        }
+        if (event.index.value != expected) {
+            this->fail_attempt(attempt_failure::protocol, std::nullopt);
             return std::move(this->result);
         }
         this->state.attempt_has_answered = true;
         this->state.last_progress = this->now;
         this->state.tokens.push_back(event.text);
+        this->note_caches();
         this->result.emplace_back(deliver_token{event.index, event.text});
         return std::move(this->result);
     }
@@ -43,7 +50,7 @@
         }
         // A stream that ends with another count than was received has lost tokens on the way.
         if (event.count.value != static_cast<std::int64_t>(this->state.tokens.size())) {
-            this->fail_attempt(attempt_failure::protocol, this->state.active->hops().front().target);
+            this->fail_attempt(attempt_failure::protocol, std::nullopt);
             return std::move(this->result);
         }
         this->state.finished = true;
@@ -80,7 +87,7 @@
 
     actions operator()(const caller_gone& /*event*/)
     {
-        this->cancel_active();
+        this->cancel_active(false);
         this->state.finished = true;
         return std::move(this->result);
     }
@@ -96,36 +103,81 @@
         return false;
     }
 
-    void cancel_active()
+    // Every hop of the chain has run the token's position, so its cache holds it.
+    void note_caches()
+    {
+        const token_count positions{static_cast<std::int64_t>(this->state.tokens.size())};
+        for (const hop& stage : this->state.active->hops()) {
+            this->state.cached[stage.target] = positions;
+        }
+    }
+
+    void cancel_active(bool keep_cache)
     {
         if (this->state.active) {
-            this->result.emplace_back(cancel_attempt{this->state.attempt, *this->state.active});
+            this->result.emplace_back(cancel_attempt{this->state.attempt, *this->state.active, keep_cache});
             this->state.active.reset();
         }
     }
 
-    void fail_attempt(attempt_failure failure, const std::optional<target_id>& culprit)
+    void fail_attempt(attempt_failure failure, const std::optional<target_id>& named)
     {
         if (failure == attempt_failure::not_connected || failure == attempt_failure::refused) {
             this->state.exposed.prove_not_run();
         }
-        if (culprit) {
-            this->state.excluded.insert(*culprit);
+        if (failure == attempt_failure::cache_missing) {
+            // The hop is well; its cache, and with it any other that we took for held, is rebuilt.
+            this->state.cached.clear();
         } else {
-            this->exclude_all_stages();
+            this->suspect_hop(failure, named);
         }
-        this->cancel_active();
+        this->cancel_active(true);
         this->open_next_attempt();
     }
 
-    // With no stage known to be at fault, the next attempt avoids all of them.
-    void exclude_all_stages()
+    void suspect_hop(attempt_failure failure, const std::optional<target_id>& named)
     {
-        for (const hop& stage : this->state.active->hops()) {
-            this->state.excluded.insert(stage.target);
+        const bool known = named && this->state.active->contains(*named);
+        const target_id culprit = known ? *named : this->state.active->hops().front().target;
+        this->exclude(culprit);
+        this->result.emplace_back(suspect_target{culprit, failure});
+        if (failure == attempt_failure::token_gap && !known && ++this->state.silent_attempts > 1) {
+            // Engines that don't report a silent hop leave us guessing; avoid the whole chain.
+            for (const hop& stage : this->state.active->hops()) {
+                this->exclude(stage.target);
+            }
         }
     }
 
+    void exclude(const target_id& target)
+    {
+        this->state.excluded[target] = this->now + this->state.limits.exclusion;
+        this->state.cached.erase(target);
+    }
+
+    std::set<target_id> excluded_now() const
+    {
+        std::set<target_id> targets;
+        for (const auto& [target, until] : this->state.excluded) {
+            if (until > this->now) {
+                targets.insert(target);
+            }
+        }
+        return targets;
+    }
+
+    absl::StatusOr<chain> choose_next_chain() const
+    {
+        const std::set<target_id> excluded = this->excluded_now();
+        absl::StatusOr<chain> through = this->chains(excluded, ejected_targets::avoid);
+        // An answer that has begun is better served by a target that failed others than cut off. A request
+        // that has nothing yet is refused at once, so that its caller can come back.
+        if (absl::IsUnavailable(through.status()) && !this->state.tokens.empty()) {
+            through = this->chains(excluded, ejected_targets::use);
+        }
+        return through;
+    }
+
     void open_next_attempt()
     {
         if (this->now >= this->state.request.deadline) {
@@ -137,12 +189,7 @@
                           absl::StrCat("gave up after ", this->state.attempt.value, " attempts"));
             return;
         }
-        absl::StatusOr<chain> through = this->chains(this->state.excluded);
-        if (!through.ok() && !this->state.excluded.empty()) {
-            // Suspected stages are better than none: forget the suspicion and let health decide.
-            this->state.excluded.clear();
-            through = this->chains(this->state.excluded);
-        }
+        absl::StatusOr<chain> through = this->choose_next_chain();
         if (!through.ok()) {
             const bool unknown = absl::IsNotFound(through.status());
             this->give_up(unknown ? error_code::unknown_route : error_code::no_capacity,
@@ -154,12 +201,20 @@
         this->state.attempt_has_answered = false;
         this->state.last_progress = this->now;
         this->state.exposed.begin_send();
-        this->result.emplace_back(open_attempt{this->state.attempt, *std::move(through), this->state.tokens});
+        this->result.emplace_back(this->attempt_through(*std::move(through)));
+    }
+
+    open_attempt attempt_through(chain through) const
+    {
+        const token_count given{static_cast<std::int64_t>(this->state.tokens.size())};
+        const silence_limits limits{this->state.limits.first_token_gap, this->state.limits.token_gap};
+        std::vector<hop_plan> plans = plan_hops(through, this->state.cached, given, limits);
+        return {this->state.attempt, std::move(through), this->state.tokens, std::move(plans)};
     }
 
     void give_up(error_code code, std::string message)
     {
-        this->cancel_active();
+        this->cancel_active(false);
         this->state.finished = true;
         const milliseconds retry_after =
             code == error_code::unknown_route ? milliseconds{0} : this->state.limits.retry_after;
@@ -188,6 +243,8 @@
         return "token_gap";
     case attempt_failure::protocol:
         return "protocol";
+    case attempt_failure::cache_missing:
+        return "cache_missing";
     }
     return "unknown";
 }
--- a/src/request/generation.hpp
+++ b/src/request/generation.hpp
@@ -4,9 +4,11 @@
 #include "common/clock.hpp"
 #include "common/ids.hpp"
 #include "request/exposure.hpp"
+#include "request/hop_plan.hpp"
 #include "route/chain.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -32,6 +34,7 @@
     reset,         //!< A connection broke, or a hop reported that the next one broke.
     token_gap,     //!< Nothing arrived for too long.
     protocol,      //!< An answer that breaks the contract, for example a token out of order.
+    cache_missing, //!< A hop no longer holds the KV cache that it was taken to hold; it is not at fault.
 };
 
 //! The name of the failure in logs and metrics.
@@ -50,7 +53,7 @@
 struct attempt_failed {
     attempt_number attempt;
     attempt_failure failure = attempt_failure::reset;
-    //! The target at fault where it is known; else every stage but the healthy ones is suspect.
+    //! The target at fault where it is known; else the first hop, which would have named another.
     std::optional<target_id> culprit;
 };
 struct clock_ticked {};
@@ -65,10 +68,19 @@
     chain through;
     //! Tokens already given to the caller; the attempt goes on after them.
     std::vector<std::string> given;
+    //! One for each hop.
+    std::vector<hop_plan> plans;
 };
 struct cancel_attempt {
     attempt_number attempt;
     chain through;
+    //! Whether a next attempt may use the KV caches; else the hops free them.
+    bool keep_cache = false;
+};
+//! The target failed this request; other requests had better avoid it for a while.
+struct suspect_target {
+    target_id target;
+    attempt_failure failure = attempt_failure::reset;
 };
 struct deliver_token {
     token_count index;
@@ -85,7 +97,7 @@
 
 //! What the adapter is to do.
 using generation_action =
-    std::variant<open_attempt, cancel_attempt, deliver_token, deliver_end, deliver_refusal>;
+    std::variant<open_attempt, cancel_attempt, suspect_target, deliver_token, deliver_end, deliver_refusal>;
 
 //! Bounds of one generation.
 struct generation_limits {
@@ -94,6 +106,8 @@
     //! Longest wait for an attempt's first token, which includes the prefill.
     milliseconds first_token_gap{1500};
     std::int64_t max_attempts = 8;
+    //! How long the request avoids a target that failed it.
+    milliseconds exclusion{2000};
     milliseconds retry_after{1000};
 };
 
@@ -107,14 +121,22 @@
     std::optional<chain> active;
     bool attempt_has_answered = false;
     time_point last_progress;
-    std::set<target_id> excluded;
+    //! Targets that this request avoids, and until when.
+    std::map<target_id, time_point> excluded;
+    cached_positions cached;
+    //! Attempts that ended in silence, with no hop named.
+    std::int64_t silent_attempts = 0;
     //! Answers that were dropped because they did not match the awaited step.
     std::int64_t dropped_answers = 0;
     bool finished = false;
 };
 
+//! Whether targets that failed other requests lately may be used.
+enum class ejected_targets { avoid, use };
+
 //! Chooses a chain that avoids the excluded targets; fails when there is none.
-using chain_source = std::function<absl::StatusOr<chain>(const std::set<target_id>& excluded)>;
+using chain_source =
+    std::function<absl::StatusOr<chain>(const std::set<target_id>& excluded, ejected_targets ejected)>;
 
 //! Advances the generation by one event; after it has finished every event is ignored.
 std::vector<generation_action> advance(generation_state& state, const generation_event& event,
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_server.hpp"
 #include "common/json.hpp"
 #include "engine_batch.hpp"
+#include "engine_step.hpp"
 #include "fake_model.hpp"
 #include "faults.hpp"
 
@@ -16,55 +17,9 @@
 namespace dandelionstep::standins {
 namespace {
 
-constexpr milliseconds hop_timeout{300};
+constexpr std::int64_t default_wait_ms = 300;
 constexpr std::size_t max_ledger_entries = 500'000;
 
-// One token's way through this engine's layers and the hops after it.
-struct step_work {
-    std::string request;
-    std::int64_t attempt = 0;
-    std::int64_t index = 0;
-    std::int64_t next_layer = 0;
-    std::uint64_t activation = 0;
-    //! Tokens whose KV must be rebuilt first; 0 for an ordinary step.
-    std::int64_t prefill_tokens = 0;
-    json hops = json::array();
-};
-
-struct step_result {
-    bool ok = false;
-    std::string token;
-    //! When not ok: the target at fault and why.
-    std::string culprit;
-    std::string reason;
-};
-
-using step_callback = std::function<void(const step_result&)>;
-
-json step_json(const step_work& work)
-{
-    return {{"request", work.request},
-            {"attempt", work.attempt},
-            {"index", work.index},
-            {"next_layer", work.next_layer},
-            {"activation", work.activation},
-            {"prefill_tokens", work.prefill_tokens},
-            {"hops", work.hops}};
-}
-
-step_work parse_step(const json& body)
-{
-    step_work work;
-    work.request = string_or(body, "request", "");
-    work.attempt = integer_or(body, "attempt", 0);
-    work.index = integer_or(body, "index", 0);
-    work.next_layer = integer_or(body, "next_layer", 0);
-    work.activation = body.value("activation", std::uint64_t{0});
-    work.prefill_tokens = integer_or(body, "prefill_tokens", 0);
-    work.hops = body.value("hops", json::array());
-    return work;
-}
-
 // An answer that this engine, as the first hop, streams to its caller.
 struct generation {
     std::string request;
@@ -73,7 +28,7 @@
     std::vector<std::string> tokens;
     std::int64_t length = 0;
     json hops;
-    bool needs_prefill = true;
+    bool first = true;
     bool cancelled = false;
     std::shared_ptr<http_reply> reply;
 };
@@ -82,6 +37,7 @@
 public:
     explicit engine_standin(const engine_options& options)
         : options(options), http(loop), batch(loop, {options.step_ms}, options.max_batch),
+          cache(options.begin_layer, options.end_layer),
           server(loop, [this](const received_request& request, const std::shared_ptr<http_reply>& reply) {
               this->receive(request, reply);
           })
@@ -103,7 +59,12 @@
     void receive(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
         if (this->faults.handle(request, reply)) {
-            this->batch.set_slow_factor(this->faults.number("slow_factor", 1));
+            this->apply_faults();
+            return;
+        }
+        if (this->faults.on("cut")) {
+            // A network that is cut swallows requests: nothing is answered and nothing is closed.
+            this->swallowed.push_back(reply);
             return;
         }
         if (request.path == "/ledger") {
@@ -137,6 +98,14 @@
         }
     }
 
+    void apply_faults()
+    {
+        this->batch.set_slow_factor(this->faults.number("slow_factor", 1));
+        if (!this->faults.on("cut")) {
+            this->swallowed.clear();
+        }
+    }
+
     void report_load(const std::shared_ptr<http_reply>& reply)
     {
         reply->send(200, dump({{"incarnation", this->incarnation},
@@ -165,9 +134,6 @@
         work->tokens = body.value("given", std::vector<std::string>{});
         work->length = answer_length(work->prompt, integer_or(body, "max_tokens", 0));
         work->hops = body.value("hops", json::array());
-        if (!work->hops.empty()) {
-            work->hops.erase(work->hops.begin());
-        }
         work->reply = reply;
         const std::string deadly = this->faults.text("die_on_text");
         if (!deadly.empty() && work->prompt.find(deadly) != std::string::npos) {
@@ -177,7 +143,7 @@
         this->generations[work->request] = work;
         reply->on_gone([this, watch = std::weak_ptr(work)] {
             if (const auto gone = watch.lock()) {
-                this->forget(gone->request, gone->attempt);
+                this->end_attempt(gone->request, gone->attempt, true);
             }
         });
         reply->start_stream(200, "application/x-ndjson");
@@ -193,24 +159,33 @@
             this->finish(work);
             return;
         }
-        step_work step;
-        step.request = work->request;
-        step.attempt = work->attempt;
-        step.index = static_cast<std::int64_t>(work->tokens.size());
-        step.activation =
-            first_activation(this->options.model, this->options.version, work->prompt, work->tokens);
-        step.hops = work->hops;
-        if (work->needs_prefill) {
-            constexpr std::int64_t bytes_per_token = 4;
-            step.prefill_tokens =
-                static_cast<std::int64_t>(work->prompt.size()) / bytes_per_token + step.index + 1;
-            work->needs_prefill = false;
-        }
+        const step_work step = this->step_of(*work);
+        work->first = false;
         this->run_step(step, [this, work, index = step.index](const step_result& result) {
             this->take_token(work, index, result);
         });
     }
 
+    [[nodiscard]] step_work step_of(const generation& work) const
+    {
+        constexpr std::int64_t bytes_per_token = 4;
+        step_work step;
+        step.request = work.request;
+        step.attempt = work.attempt;
+        step.index = static_cast<std::int64_t>(work.tokens.size());
+        step.next_layer = 0;
+        step.first = work.first;
+        const std::int64_t held = work.hops.empty() ? 0 : integer_or(work.hops.front(), "prefill_from", 0);
+        step.first_index = work.first ? held : step.index;
+        step.prompt_tokens = static_cast<std::int64_t>(work.prompt.size()) / bytes_per_token + 1;
+        step.hops = work.hops;
+        for (std::int64_t position = step.first_index; position <= step.index; ++position) {
+            step.activations.push_back(embed(this->options.model, this->options.version, work.prompt,
+                                             work.tokens, static_cast<std::size_t>(position)));
+        }
+        return step;
+    }
+
     void take_token(const std::shared_ptr<generation>& work, std::int64_t index, const step_result& result)
     {
         if (work->cancelled) {
@@ -223,25 +198,42 @@
                                      {"target", result.culprit}}) +
                                "\n");
             work->reply->end_stream();
-            this->forget(work->request, work->attempt);
+            this->end_attempt(work->request, work->attempt, true);
             return;
         }
         if (this->faults.take("drop_streams")) {
             work->reply->drop();
-            this->forget(work->request, work->attempt);
+            this->end_attempt(work->request, work->attempt, true);
             return;
         }
         work->tokens.push_back(result.token);
-        const std::string request = this->faults.take("cross_answers") ? "another-request" : work->request;
-        json line{
-            {"request", request}, {"attempt", work->attempt}, {"index", index}, {"token", result.token}};
-        work->reply->write(dump(line) + "\n");
+        const std::string line = dump({{"request", work->request},
+                                       {"attempt", work->attempt},
+                                       {"index", index},
+                                       {"token", result.token}}) +
+                                 "\n";
+        this->write_line(*work, line);
         if (this->faults.take("double_tokens")) {
-            work->reply->write(dump(line) + "\n");
+            work->reply->write(line);
         }
         this->next_token(work);
     }
 
+    // A crossed answer goes into another caller's stream and is missing in its own.
+    void write_line(const generation& work, const std::string& line)
+    {
+        if (this->faults.number("cross_answers") > 0) {
+            for (const auto& [request, other] : this->generations) {
+                if (request != work.request) {
+                    this->faults.take("cross_answers");
+                    other->reply->write(line);
+                    return;
+                }
+            }
+        }
+        work.reply->write(line);
+    }
+
     void finish(const std::shared_ptr<generation>& work)
     {
         work->reply->write(dump({{"request", work->request},
@@ -250,44 +242,44 @@
                                  {"count", work->length}}) +
                            "\n");
         work->reply->end_stream();
-        this->forget(work->request, work->attempt);
+        this->end_attempt(work->request, work->attempt, false);
     }
 
     // Runs this engine's layers for one token, then hands the activation to the next hop.
     void run_step(const step_work& work, const step_callback& done)
     {
-        if (work.next_layer != this->options.begin_layer) {
-            done({false, "", this->options.name, "layer_mismatch"});
+        if (const std::string reason = this->cache.refusal(work); !reason.empty()) {
+            done({false, "", this->options.name, reason});
             return;
         }
-        std::int64_t& cached = this->kv[work.request];
-        if (work.prefill_tokens == 0 && cached != work.index) {
-            done({false, "", this->options.name, "kv_missing"});
-            return;
-        }
-        const std::int64_t batches = 1 + work.prefill_tokens / this->options.prefill_tokens_per_step;
+        const std::int64_t batches = 1 + prefill_tokens(work) / this->options.prefill_tokens_per_step;
         this->batch.submit(batches, [this, work, done] {
             if (this->faults.number("die_at_step") > 0 && this->faults.take("die_at_step") &&
                 this->faults.number("die_at_step") == 0) {
                 _exit(1);
             }
-            this->kv[work.request] = work.index + 1;
+            // The attempt may have been cancelled or followed by another while it waited.
+            if (const std::string reason = this->cache.refusal(work); !reason.empty()) {
+                done({false, "", this->options.name, reason});
+                return;
+            }
             this->record_step(work);
-            step_work next = work;
-            next.activation = run_layers(work.activation, this->options.begin_layer, this->options.end_layer);
-            next.next_layer = this->options.end_layer;
-            this->hand_on(next, done);
+            this->hand_on(this->cache.run(work), done);
         });
     }
 
     void hand_on(step_work next, const step_callback& done)
     {
-        if (next.hops.empty()) {
-            done({true, sample_token(next.activation), "", ""});
+        if (next.hops.size() <= 1) {
+            done({true, sample_token(next.activations.back()), "", ""});
             return;
         }
-        const json hop = next.hops.front();
+        const json own = next.hops.front();
         next.hops.erase(next.hops.begin());
+        const json hop = next.hops.front();
+        if (next.first) {
+            skip_held_positions(next, integer_or(hop, "prefill_from", 0));
+        }
         const std::string hop_name = string_or(hop, "target", "");
         const auto address = parse_endpoint(string_or(hop, "address", ""));
         if (!address.ok()) {
@@ -296,7 +288,7 @@
         }
         http_request request{.method = "POST", .path = "/v1/step"};
         request.body = dump(step_json(next));
-        request.timeout = hop_timeout;
+        request.timeout = {integer_or(own, next.first ? "first_wait_ms" : "wait_ms", default_wait_ms)};
         this->http.send(*address, std::move(request), [hop_name, done](const http_result& result) {
             const auto body = parse_json(result.body);
             if (!result.answered() || !body.ok()) {
@@ -310,6 +302,16 @@
         });
     }
 
+    // The next hop's cache holds the positions before `from`.
+    static void skip_held_positions(step_work& step, std::int64_t from)
+    {
+        const std::int64_t skipped = from - step.first_index;
+        if (skipped > 0 && skipped < static_cast<std::int64_t>(step.activations.size())) {
+            step.activations.erase(step.activations.begin(), step.activations.begin() + skipped);
+            step.first_index = from;
+        }
+    }
+
     void answer_step(const json& body, const std::shared_ptr<http_reply>& reply)
     {
         this->run_step(parse_step(body), [this, reply](const step_result& result) {
@@ -341,25 +343,26 @@
                                     {"index", work.index},
                                     {"begin", this->options.begin_layer},
                                     {"end", this->options.end_layer},
-                                    {"prefill", work.prefill_tokens > 0}});
+                                    {"first_index", work.first_index}});
         }
     }
 
     void cancel(const json& body, const std::shared_ptr<http_reply>& reply)
     {
         ++this->cancels;
-        this->forget(string_or(body, "request", ""), integer_or(body, "attempt", 0));
+        this->end_attempt(string_or(body, "request", ""), integer_or(body, "attempt", 0),
+                          boolean_or(body, "keep_cache", false));
         reply->send(200, "{}");
     }
 
-    void forget(const std::string& request, std::int64_t attempt)
+    void end_attempt(const std::string& request, std::int64_t attempt, bool keep_cache)
     {
         const auto found = this->generations.find(request);
         if (found != this->generations.end() && found->second->attempt == attempt) {
             found->second->cancelled = true;
             this->generations.erase(found);
         }
-        this->kv.erase(request);
+        this->cache.cancel(request, attempt, keep_cache);
     }
 
     void take_order(const json& body, const std::shared_ptr<http_reply>& reply)
@@ -377,18 +380,17 @@
 
     void export_kv(const json& body, const std::shared_ptr<http_reply>& reply)
     {
-        const auto found = this->kv.find(string_or(body, "request", ""));
-        if (found == this->kv.end()) {
-            reply->send(404, R"({"error":"kv_missing"})");
+        const std::string request = string_or(body, "request", "");
+        if (!this->cache.holds(request)) {
+            reply->send(404, R"({"error":"cache_missing"})");
         } else {
-            reply->send(200, dump({{"kv", {{"tokens", found->second}}}}));
+            reply->send(200, dump({{"layers", this->cache.export_layers(request)}}));
         }
     }
 
     void import_kv(const json& body, const std::shared_ptr<http_reply>& reply)
     {
-        const json kv_state = body.value("kv", json::object());
-        this->kv[string_or(body, "request", "")] = integer_or(kv_state, "tokens", 0);
+        this->cache.import_layers(string_or(body, "request", ""), body.value("layers", json::array()));
         reply->send(200, "{}");
     }
 
@@ -420,10 +422,11 @@
     event_loop loop;
     http_client http;
     engine_batch batch;
+    engine_cache cache;
     fault_switches faults;
     http_server server;
     std::map<std::string, std::shared_ptr<generation>> generations;
-    std::map<std::string, std::int64_t> kv;
+    std::vector<std::shared_ptr<http_reply>> swallowed;
     std::vector<json> ledger;
     std::vector<json> orders;
     std::vector<json> cache_events;
--- a/tests/standins/fake_model.cpp
+++ b/tests/standins/fake_model.cpp
@@ -8,24 +8,35 @@
 
 namespace dandelionstep::standins {
 
-std::uint64_t first_activation(const std::string& model, const std::string& version,
-                               const std::string& prompt, const std::vector<std::string>& given)
+std::uint64_t embed(const std::string& model, const std::string& version, const std::string& prompt,
+                    const std::vector<std::string>& tokens, std::size_t position)
 {
-    std::uint64_t activation = hash_of(absl::StrCat(model, "\n", version, "\n", prompt));
-    for (const std::string& token : given) {
-        activation = hash_of(token, activation);
+    if (position == 0) {
+        return hash_of(absl::StrCat(model, "\n", version, "\n", prompt));
     }
-    return activation;
+    return hash_of(tokens[position - 1]);
 }
 
-std::uint64_t run_layers(std::uint64_t activation, std::int64_t begin, std::int64_t end)
+std::uint64_t run_layers(layer_cache& cache, std::int64_t begin, std::int64_t end, std::size_t position,
+                         std::uint64_t activation)
 {
+    cache.resize(static_cast<std::size_t>(end - begin));
     for (std::int64_t layer = begin; layer < end; ++layer) {
-        activation = hash_of(absl::StrCat("layer ", layer), activation);
+        std::vector<std::uint64_t>& entries = cache[static_cast<std::size_t>(layer - begin)];
+        entries.resize(position);
+        const std::uint64_t before = entries.empty() ? 0 : entries.back();
+        const std::array<std::uint64_t, 3> input{static_cast<std::uint64_t>(layer), before, activation};
+        activation = hash_of({reinterpret_cast<const char*>(input.data()), sizeof(input)});
+        entries.push_back(activation);
     }
     return activation;
 }
 
+std::size_t positions_in(const layer_cache& cache)
+{
+    return cache.empty() ? 0 : cache.front().size();
+}
+
 std::string sample_token(std::uint64_t activation)
 {
     static constexpr std::array<std::string_view, 16> words{
@@ -55,9 +66,11 @@
 {
     std::vector<std::string> tokens;
     const std::int64_t length = answer_length(prompt, max_tokens);
+    layer_cache cache;
     for (std::int64_t index = 0; index < length; ++index) {
-        tokens.push_back(
-            sample_token(run_layers(first_activation(model, version, prompt, tokens), 0, layers)));
+        const auto position = static_cast<std::size_t>(index);
+        const std::uint64_t input = embed(model, version, prompt, tokens, position);
+        tokens.push_back(sample_token(run_layers(cache, 0, layers, position, input)));
     }
     return tokens;
 }
