Prove layers once, stage failures, whole answers and giving up at the decisions

Not caught by the differential test, only by tables: doubled tokens accepted as a fault of the hop, chain construction, waits.

--- /dev/null
+++ b/tests/request/layers_once_differential_proof_test.cpp
@@ -0,0 +1,295 @@
+#include "common/hash.hpp"
+#include "support/engine_pool.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr milliseconds tick{20};
+constexpr time_point last_start{500};
+
+std::string join(const std::vector<std::string>& tokens)
+{
+    std::string text;
+    for (const std::string& token : tokens) {
+        text += token;
+    }
+    return text;
+}
+
+struct delivered_token {
+    std::int64_t attempt = 0;
+    std::string text;
+};
+
+// One caller's request and all that its caller was given.
+struct asked {
+    generation_state state;
+    std::vector<delivered_token> given;
+    std::optional<deliver_end> end;
+    std::optional<refusal> refused;
+    time_point answered{0};
+    int answers = 0;
+};
+
+// A random cluster under random faults, driven by the same decisions as the daemon.
+class scenario {
+public:
+    explicit scenario(std::uint64_t seed) : pool(loop, seed), layers(2 + this->pool.draw(12))
+    {
+        this->pool.faults = {static_cast<int>(this->pool.draw(30)), static_cast<int>(this->pool.draw(8)),
+                             static_cast<int>(this->pool.draw(8)), static_cast<int>(this->pool.draw(8))};
+        const std::int64_t splits = 1 + this->pool.draw(3);
+        for (std::int64_t i = 0; i < splits; ++i) {
+            this->add_split("1");
+        }
+        this->add_split("2");
+        const std::int64_t requests_asked = 1 + this->pool.draw(5);
+        for (std::int64_t i = 0; i < requests_asked; ++i) {
+            this->add_request(i);
+        }
+        const std::int64_t fault_count = this->pool.draw(12);
+        for (std::int64_t i = 0; i < fault_count; ++i) {
+            this->loop.at({this->pool.draw(2500)}, [this] { this->strike(); });
+        }
+    }
+
+    void run() { this->loop.run_until({60'000}); }
+
+    std::vector<std::unique_ptr<asked>> requests;
+    virtual_loop loop;
+    engine_pool pool;
+    std::int64_t layers;
+
+private:
+    // One way to split the layers into ranges, each held by one to three engines.
+    void add_split(const std::string& version)
+    {
+        std::int64_t begin = 0;
+        while (begin < this->layers) {
+            const std::int64_t end = std::min(this->layers, begin + 1 + this->pool.draw(this->layers));
+            for (std::int64_t replica = this->pool.draw(3); replica >= 0; --replica) {
+                this->add_engine(version, begin, end);
+            }
+            begin = end;
+        }
+    }
+
+    void add_engine(const std::string& version, std::int64_t begin, std::int64_t end)
+    {
+        target added;
+        added.id = target_id(absl::StrCat("engine", this->engines.size()));
+        added.engine = engine_spec{
+            .variant = {model_id("assistant"), version, {}}, .layers = {{begin}, {end}}, .accelerator = {}};
+        this->engines.push_back(added);
+        this->pool.add(added);
+    }
+
+    void add_request(std::int64_t number)
+    {
+        auto each = std::make_unique<asked>();
+        generation_request& request = each->state.request;
+        request.id = request_id(absl::StrCat("request", number));
+        request.model = model_id("assistant");
+        request.prompt = absl::StrCat("question ", number, " [", 1 + this->pool.draw(30), "]");
+        request.max_tokens = {64};
+        const time_point start{this->pool.draw(last_start.count)};
+        request.deadline = start + milliseconds{1000 + this->pool.draw(20'000)};
+        asked& known = *each;
+        this->requests.push_back(std::move(each));
+        this->loop.at(start, [this, &known] { this->handle(known, generation_started{}); });
+        this->loop.at(start, [this, &known] { this->tick_on(known); });
+    }
+
+    void tick_on(asked& each)
+    {
+        this->handle(each, clock_ticked{});
+        if (!each.state.finished) {
+            this->loop.after(tick, [this, &each] { this->tick_on(each); });
+        }
+    }
+
+    // One fault or change: a death, with or without a new start, a freeze, an engine that joins or leaves.
+    void strike()
+    {
+        const auto count = static_cast<std::int64_t>(this->engines.size());
+        const target_id victim = this->engines[static_cast<std::size_t>(this->pool.draw(count))].id;
+        switch (this->pool.draw(5)) {
+        case 0:
+            this->pool.kill(victim);
+            break;
+        case 1:
+            this->pool.kill(victim);
+            this->loop.after({this->pool.draw(1000)}, [this, victim] { this->pool.restart(victim); });
+            break;
+        case 2:
+            this->pool.freeze(victim, {this->pool.draw(3000)});
+            break;
+        case 3:
+            this->add_split("1");
+            break;
+        default:
+            this->left.insert(victim);
+        }
+    }
+
+    std::vector<const target*> engines_from(layer_index begin, const std::set<target_id>& excluded) const
+    {
+        std::vector<const target*> fitting;
+        for (const target& each : this->engines) {
+            if (each.engine->variant.version == "1" && each.engine->layers.begin == begin &&
+                !excluded.contains(each.id) && !this->left.contains(each.id)) {
+                fitting.push_back(&each);
+            }
+        }
+        return fitting;
+    }
+
+    // Any chain of version 1 that tiles the layers, by random walks.
+    absl::StatusOr<chain> any_chain(const std::set<target_id>& excluded)
+    {
+        constexpr int tries = 40;
+        for (int i = 0; i < tries; ++i) {
+            std::vector<target> stages;
+            layer_index next{0};
+            while (next.value < this->layers) {
+                const std::vector<const target*> fitting = this->engines_from(next, excluded);
+                if (fitting.empty()) {
+                    break;
+                }
+                const auto count = static_cast<std::int64_t>(fitting.size());
+                stages.push_back(*fitting[static_cast<std::size_t>(this->pool.draw(count))]);
+                next = stages.back().engine->layers.end;
+            }
+            auto built = chain::make({model_id("assistant"), "1", {}}, {this->layers}, stages);
+            if (built.ok()) {
+                return built;
+            }
+        }
+        return absl::UnavailableError("no chain");
+    }
+
+    void handle(asked& each, const generation_event& event)
+    {
+        const chain_source chains = [this](const std::set<target_id>& excluded, ejected_targets /*ejected*/) {
+            return this->any_chain(excluded);
+        };
+        for (const generation_action& action : advance(each.state, event, chains, this->loop.now())) {
+            std::visit([&](const auto& one) { this->perform(each, one); }, action);
+        }
+    }
+
+    void perform(asked& each, const open_attempt& action)
+    {
+        this->pool.open(each.state.request, action,
+                        [this, &each](const generation_event& event) { this->handle(each, event); });
+    }
+    void perform(asked& each, const cancel_attempt& action)
+    {
+        this->pool.cancel(each.state.request.id, action);
+    }
+    void perform(asked& /*each*/, const suspect_target& /*action*/) {}
+    void perform(asked& each, const deliver_token& action)
+    {
+        REQUIRE(action.index.value == static_cast<std::int64_t>(each.given.size()));
+        each.given.push_back({each.state.attempt.value, action.text});
+    }
+    void perform(asked& each, const deliver_end& action)
+    {
+        each.end = action;
+        this->answer(each);
+    }
+    void perform(asked& each, const deliver_refusal& action)
+    {
+        each.refused = action.why;
+        this->answer(each);
+    }
+    void answer(asked& each)
+    {
+        ++each.answers;
+        each.answered = this->loop.now();
+    }
+
+    std::vector<target> engines;
+    std::set<target_id> left;
+};
+
+// The layers that ran for one token in one attempt, in the order in which they ran.
+std::vector<layer_range> executions(const scenario& run, const std::string& request, std::int64_t attempt,
+                                    std::int64_t index)
+{
+    std::vector<layer_range> ranges;
+    for (const executed_step& step : run.pool.ledger) {
+        if (step.request == request && step.attempt == attempt && step.index == index) {
+            ranges.push_back(step.layers);
+        }
+    }
+    return ranges;
+}
+
+bool tiles(const std::vector<layer_range>& ranges, std::int64_t layers)
+{
+    layer_index next{0};
+    for (const layer_range& range : ranges) {
+        if (range.begin != next) {
+            return false;
+        }
+        next = range.end;
+    }
+    return next.value == layers;
+}
+
+void check_answer(const scenario& run, const asked& each)
+{
+    const generation_request& request = each.state.request;
+    const std::vector<std::string> naive =
+        standins::naive_answer("assistant", "1", request.prompt, run.layers, request.max_tokens.value);
+    REQUIRE(each.given.size() <= naive.size());
+    for (std::size_t i = 0; i < each.given.size(); ++i) {
+        REQUIRE(each.given[i].text == naive[i]);
+        REQUIRE(tiles(executions(run, request.id.value, each.given[i].attempt, static_cast<std::int64_t>(i)),
+                      run.layers));
+    }
+    REQUIRE(each.answers == 1);
+    REQUIRE(each.answered <= request.deadline + tick);
+    if (each.end) {
+        REQUIRE(each.given.size() == naive.size());
+        REQUIRE(each.end->digest == sha256_hex(join(naive)));
+    } else if (each.refused->result == outcome::not_run) {
+        REQUIRE(std::ranges::none_of(
+            run.pool.ledger, [&](const executed_step& step) { return step.request == request.id.value; }));
+    }
+}
+
+} // namespace
+
+TEST_CASE("every answer equals the single machine's, and each of its tokens ran every layer once, in order")
+{
+    constexpr std::uint64_t seeds = 4000;
+    std::int64_t whole = 0;
+    std::int64_t resumed = 0;
+    std::int64_t refused = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        scenario run(seed);
+        run.run();
+        for (const auto& each : run.requests) {
+            CAPTURE(each->state.request.id.value);
+            check_answer(run, *each);
+            whole += each->end ? 1 : 0;
+            resumed += each->end && each->state.attempt.value > 1 ? 1 : 0;
+            refused += each->refused ? 1 : 0;
+        }
+    }
+    // The runs reach every kind of end, so that none of the checks above is empty.
+    CHECK(whole > 1000);
+    CHECK(resumed > 500);
+    CHECK(refused > 100);
+    MESSAGE("whole=" << whole << " resumed=" << resumed << " refused=" << refused);
+}
--- /dev/null
+++ b/tests/request/stage_failure_proof_test.cpp
@@ -0,0 +1,119 @@
+#include "support/generation_bench.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+TEST_CASE("an answer goes on through another replica of the stage at fault and keeps the others")
+{
+    struct row {
+        std::string name;
+        attempt_failure failure;
+        const char* culprit;
+        const char* suspected;
+        const char* next_chain;
+    };
+    const std::vector<row> rows{
+        {"the first hop was reset", attempt_failure::reset, "0a", "0a", "0b 1a 2a"},
+        {"the first hop refused the connection", attempt_failure::not_connected, "0a", "0a", "0b 1a 2a"},
+        {"the first hop refused the request", attempt_failure::refused, "0a", "0a", "0b 1a 2a"},
+        {"a middle hop was named", attempt_failure::reset, "1a", "1a", "0a 1b 2a"},
+        {"the last hop was named", attempt_failure::reset, "2a", "2a", "0a 1a 2b"},
+        {"no hop was named", attempt_failure::protocol, "", "0a", "0b 1a 2a"},
+        {"a target outside the chain was named", attempt_failure::reset, "2b", "0a", "0b 1a 2a"},
+    };
+    for (const row& each : rows) {
+        for (const std::int64_t tokens : {0, 1, 7}) {
+            CAPTURE(each.name);
+            CAPTURE(tokens);
+            generation_bench bench;
+            bench.answer_tokens(tokens);
+            const auto actions = bench.fail(each.failure, each.culprit);
+            CHECK(generation_bench::suspected(actions) == each.suspected);
+            CHECK(generation_bench::opened(actions) == each.next_chain);
+            CHECK(generation_bench::opening(actions)->given == bench.state.tokens);
+            CHECK(generation_bench::opening(actions)->attempt.value == 2);
+            CHECK(generation_bench::cancelled(actions)->keep_cache);
+        }
+    }
+}
+
+TEST_CASE("a silent chain is noticed by the gap between tokens")
+{
+    generation_bench bench;
+    bench.answer_tokens(2);
+
+    SUBCASE("not before the gap")
+    {
+        bench.now = bench.now + bench.state.limits.token_gap - milliseconds{1};
+        CHECK(bench.on(clock_ticked{}).empty());
+    }
+    SUBCASE("the first hop is at fault, as it names any other hop before the gap is over")
+    {
+        bench.now = bench.now + bench.state.limits.token_gap;
+        const auto actions = bench.on(clock_ticked{});
+        CHECK(generation_bench::suspected(actions) == "0a");
+        CHECK(generation_bench::opened(actions) == "0b 1a 2a");
+    }
+    SUBCASE("a second silence, of engines that name nobody, avoids the whole chain")
+    {
+        generation_bench more("abc");
+        more.answer_tokens(2);
+        more.now = more.now + more.state.limits.token_gap;
+        more.on(clock_ticked{});
+        more.now = more.now + more.state.limits.first_token_gap;
+        const auto actions = more.on(clock_ticked{});
+        CHECK(generation_bench::suspected(actions) == "0b");
+        CHECK(generation_bench::opened(actions) == "0c 1b 2b");
+    }
+}
+
+TEST_CASE("each hop waits less than the one before it, and all less than the router")
+{
+    generation_bench bench;
+    const auto actions = bench.on(generation_started{});
+    milliseconds first = bench.state.limits.first_token_gap;
+    milliseconds next = bench.state.limits.token_gap;
+    for (const hop_plan& plan : generation_bench::opening(actions)->plans) {
+        CHECK(plan.first_wait < first);
+        CHECK(plan.next_wait < next);
+        CHECK(plan.next_wait.count > 0);
+        first = plan.first_wait;
+        next = plan.next_wait;
+    }
+}
+
+TEST_CASE("further failures during the recovery are met in the same way")
+{
+    generation_bench bench("abc");
+    bench.answer_tokens(4);
+
+    SUBCASE("two stages at once")
+    {
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1a")) == "0a 1b 2a");
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "2a")) == "0a 1b 2b");
+    }
+    SUBCASE("the replacement too")
+    {
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1a")) == "0a 1b 2a");
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1b")) == "0a 1c 2a");
+    }
+    SUBCASE("a stage that failed long ago may be used again")
+    {
+        bench.fail(attempt_failure::reset, "1a");
+        bench.token(4);
+        bench.now = bench.now + bench.state.limits.exclusion;
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1b")) == "0a 1a 2a");
+    }
+    SUBCASE("a target that has joined meanwhile is used, one that has left is not")
+    {
+        bench.gone = {"1a", "1b"};
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "0a")) == "0b 1c 2a");
+    }
+    SUBCASE("an answer that has begun may use what others suspect, as the last resort")
+    {
+        bench.dead = {"1b", "1c"};
+        CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1a")) == "0a 1b 2a");
+    }
+}
--- /dev/null
+++ b/tests/request/whole_answer_proof_test.cpp
@@ -0,0 +1,145 @@
+#include "adapters/engine_client.hpp"
+#include "adapters/http_server.hpp"
+#include "common/hash.hpp"
+#include "support/generation_bench.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+TEST_CASE("the end of an answer carries its count and digest, and only a whole one has it")
+{
+    generation_bench bench;
+    bench.answer_tokens(3);
+
+    SUBCASE("whole")
+    {
+        const auto actions = bench.on(stream_ended{bench.state.attempt, {3}});
+        REQUIRE(actions.size() == 1);
+        const auto& end = std::get<deliver_end>(actions.front());
+        CHECK(end.count.value == 3);
+        CHECK(end.digest == sha256_hex("t0 t1 t2 "));
+    }
+    SUBCASE("truncated: more tokens were sent than came")
+    {
+        const auto actions = bench.on(stream_ended{bench.state.attempt, {4}});
+        CHECK(generation_bench::opening(actions) != nullptr);
+        CHECK_FALSE(bench.state.finished);
+    }
+    SUBCASE("fewer tokens were sent than came")
+    {
+        CHECK(generation_bench::opening(bench.on(stream_ended{bench.state.attempt, {2}})) != nullptr);
+    }
+}
+
+TEST_CASE("a caller that goes away cancels its attempt and frees the caches")
+{
+    generation_bench bench;
+    bench.answer_tokens(3);
+    const auto actions = bench.on(caller_gone{});
+    REQUIRE(actions.size() == 1);
+    CHECK_FALSE(generation_bench::cancelled(actions)->keep_cache);
+    CHECK(bench.token(3).empty());
+}
+
+namespace {
+
+// What an engine's stream of raw bytes is read as.
+std::vector<generation_event> read_stream(const std::string& lines, bool broken)
+{
+    // A reader that cancels closes its side while the rest is written.
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    http_client http(loop);
+    engine_client engines(http);
+    std::shared_ptr<http_reply> kept;
+    event_loop::timer ending;
+    http_server server(
+        loop, [&](const received_request& /*request*/, const std::shared_ptr<http_reply>& reply) {
+            reply->start_stream(200, "application/x-ndjson");
+            reply->write(lines);
+            kept = reply;
+            // Later, so that what was written has left.
+            constexpr milliseconds written{50};
+            ending = loop.run_after(written, [&] { broken ? kept->drop() : kept->end_stream(); });
+        });
+    const std::uint16_t port = *server.listen({"127.0.0.1", 0});
+    target engine = engine_of("e", 0, 12);
+    engine.address = {"127.0.0.1", port};
+    const chain through = *chain::make({model_id("assistant"), "1", {}}, {12}, {engine});
+    generation_request request;
+    request.id = request_id("r1");
+    std::vector<generation_event> events;
+    const auto deadline = loop.run_after({5000}, [&] { loop.stop(); });
+    engines.open(request, {{1}, through, {}, std::vector<hop_plan>(1)}, {2000},
+                 [&](const generation_event& event) {
+                     events.push_back(event);
+                     if (!std::holds_alternative<token_received>(event)) {
+                         loop.stop();
+                     }
+                 });
+    loop.run();
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("the lines of an engine's stream are read as what they are, and as nothing else")
+{
+    const std::string token = R"({"request":"r1","attempt":1,"index":0,"token":"a "})"
+                              "\n";
+    const std::string end = R"({"request":"r1","attempt":1,"done":true,"count":1})"
+                            "\n";
+    struct row {
+        std::string name;
+        std::string lines;
+        bool broken;
+        std::size_t tokens;
+        std::optional<attempt_failure> failure;
+    };
+    const std::vector<row> rows{
+        {"whole", token + end, false, 1, std::nullopt},
+        {"lines after the end", token + end + token + end, false, 1, std::nullopt},
+        {"no end", token, false, 1, attempt_failure::reset},
+        {"broken off", token, true, 1, attempt_failure::reset},
+        {"half a line", token + R"({"request":"r1","att)", false, 1, attempt_failure::reset},
+        {"another request's line",
+         R"({"request":"r2","attempt":1,"index":0,"token":"b "})"
+         "\n",
+         false, 0, attempt_failure::protocol},
+        {"another attempt's line",
+         R"({"request":"r1","attempt":2,"index":0,"token":"b "})"
+         "\n",
+         false, 0, attempt_failure::protocol},
+        {"another request's end",
+         R"({"request":"r2","attempt":1,"done":true,"count":0})"
+         "\n",
+         false, 0, attempt_failure::protocol},
+        {"no JSON", "<html>\n", false, 0, attempt_failure::protocol},
+        {"a token without an index",
+         R"({"request":"r1","attempt":1,"token":"b "})"
+         "\n",
+         false, 1, attempt_failure::reset},
+        {"a lost cache",
+         R"({"request":"r1","attempt":1,"error":"cache_missing","target":"e"})"
+         "\n",
+         false, 0, attempt_failure::cache_missing},
+        {"a failed hop",
+         R"({"request":"r1","attempt":1,"error":"hop_failed","target":"e"})"
+         "\n",
+         false, 0, attempt_failure::reset},
+    };
+    for (const row& each : rows) {
+        CAPTURE(each.name);
+        const std::vector<generation_event> events = read_stream(each.lines, each.broken);
+        REQUIRE(events.size() == each.tokens + 1);
+        if (each.failure) {
+            REQUIRE(std::holds_alternative<attempt_failed>(events.back()));
+            CHECK(to_string(std::get<attempt_failed>(events.back()).failure) == to_string(*each.failure));
+        } else {
+            CHECK(std::holds_alternative<stream_ended>(events.back()));
+        }
+    }
+}
--- a/tests/standins/engine_step.cpp
+++ b/tests/standins/engine_step.cpp
@@ -46,17 +46,30 @@
     if (static_cast<std::int64_t>(work.activations.size()) != work.index - work.first_index + 1) {
         return "bad_step";
     }
+    this->evict();
     entry& known = this->entries[work.request];
     if (work.attempt < known.attempt || work.attempt <= known.cancelled) {
         return "stale_attempt";
     }
     known.attempt = work.attempt;
+    known.used = ++this->uses;
     if (static_cast<std::int64_t>(positions_in(known.layers)) < work.first_index) {
         return "cache_missing";
     }
     return "";
 }
 
+// Memory is limited: the request that was used least lately loses its cache.
+void engine_cache::evict()
+{
+    constexpr std::size_t max_requests = 4096;
+    if (this->entries.size() < max_requests) {
+        return;
+    }
+    this->entries.erase(
+        std::ranges::min_element(this->entries, {}, [](const auto& held) { return held.second.used; }));
+}
+
 step_work engine_cache::run(const step_work& work)
 {
     layer_cache& layers = this->entries[work.request].layers;
--- a/tests/standins/engine_step.hpp
+++ b/tests/standins/engine_step.hpp
@@ -64,11 +64,15 @@
     struct entry {
         std::int64_t attempt = 0;
         std::int64_t cancelled = 0;
+        std::int64_t used = 0;
         layer_cache layers;
     };
 
+    void evict();
+
     std::int64_t begin_layer;
     std::int64_t end_layer;
+    std::int64_t uses = 0;
     std::map<std::string, entry> entries;
 };
 
