Streams that hiccup on every replica of a stage are not given up on

Cause: a process test of 300 streams over engines that cross, double and drop lines lost 15 of them as no_capacity: one broken stream at each of two replicas excluded both, and ejected both for new requests. What a broken stream or a wrong line leaves open is whether the target lives, and a connection tells at once. Engines therefore say hop_unreachable, hop_silent or hop_reset; only the first two, and our own failed connections and silences, shut a target out for the request when nothing else is left. A request without any token tries targets that failed once, not those that failed again and again. Failures of one burst count once in a target's health.

--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -16,10 +16,12 @@
 constexpr std::string_view kind = "generation";
 
 // Leaving targets stay left alone; those that only failed may be tried again.
-health_map without_ejections(health_map health)
+health_map without_ejections(health_map health, ejected_targets ejected)
 {
     for (auto& [id, state] : health) {
-        state.ejected_until = time_point{INT64_MIN / 2};
+        if (ejected == ejected_targets::use || state.consecutive_failures <= 1) {
+            state.ejected_until = time_point{INT64_MIN / 2};
+        }
     }
     return health;
 }
@@ -81,9 +83,9 @@
         const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
                                 hash_of(state.request.id.value)};
         const declarations& declared = this->context.configuration.declared;
-        return ejected == ejected_targets::use
-                   ? choose_chain(declared, without_ejections(this->context.health), query, now)
-                   : choose_chain(declared, this->context.health, query, now);
+        return ejected == ejected_targets::avoid
+                   ? choose_chain(declared, this->context.health, query, now)
+                   : choose_chain(declared, without_ejections(this->context.health, ejected), query, now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -139,27 +139,31 @@
     {
         const bool known = named && this->state.active->contains(*named);
         const target_id culprit = known ? *named : this->state.active->hops().front().target;
-        this->exclude(culprit);
+        // A broken stream may be all that is broken; a connection tells at once, and costs nothing more.
+        const bool may_be_alive = failure == attempt_failure::reset || failure == attempt_failure::protocol;
+        this->exclude(culprit, may_be_alive);
         this->result.emplace_back(suspect_target{culprit, failure});
         if (failure == attempt_failure::token_gap && !known && ++this->state.silent_attempts > 1) {
             // Engines that don't report a silent hop leave us guessing; avoid the whole chain.
             for (const hop& stage : this->state.active->hops()) {
-                this->exclude(stage.target);
+                this->exclude(stage.target, stage.target != culprit);
             }
         }
     }
 
-    void exclude(const target_id& target)
+    void exclude(const target_id& target, bool may_be_alive)
     {
-        this->state.excluded[target] = this->now + this->state.limits.exclusion;
+        this->state.excluded[target] = {this->now + this->state.limits.exclusion, may_be_alive};
         this->state.cached.erase(target);
     }
 
-    std::set<target_id> excluded_now() const
+    enum class excluded_kind { all, surely_down };
+
+    std::set<target_id> excluded_now(excluded_kind kind) const
     {
         std::set<target_id> targets;
-        for (const auto& [target, until] : this->state.excluded) {
-            if (until > this->now) {
+        for (const auto& [target, why] : this->state.excluded) {
+            if (why.until > this->now && (kind == excluded_kind::all || !why.may_be_alive)) {
                 targets.insert(target);
             }
         }
@@ -168,14 +172,16 @@
 
     absl::StatusOr<chain> choose_next_chain() const
     {
-        const std::set<target_id> excluded = this->excluded_now();
-        absl::StatusOr<chain> through = this->chains(excluded, ejected_targets::avoid);
-        // An answer that has begun is better served by a target that failed others than cut off. A request
-        // that has nothing yet is refused at once, so that its caller can come back.
-        if (absl::IsUnavailable(through.status()) && !this->state.tokens.empty()) {
-            through = this->chains(excluded, ejected_targets::use);
+        absl::StatusOr<chain> through =
+            this->chains(this->excluded_now(excluded_kind::all), ejected_targets::avoid);
+        if (!absl::IsUnavailable(through.status())) {
+            return through;
         }
-        return through;
+        // A doubtful target is better than none. But a request that has nothing yet is not kept waiting on
+        // targets that failed again and again: it is refused at once, so that its caller can come back.
+        const ejected_targets last_resort =
+            this->state.tokens.empty() ? ejected_targets::use_failed_once : ejected_targets::use;
+        return this->chains(this->excluded_now(excluded_kind::surely_down), last_resort);
     }
 
     void open_next_attempt()
@@ -239,6 +245,8 @@
         return "refused";
     case attempt_failure::reset:
         return "reset";
+    case attempt_failure::unreachable:
+        return "unreachable";
     case attempt_failure::token_gap:
         return "token_gap";
     case attempt_failure::protocol:
@@ -249,6 +257,17 @@
     return "unknown";
 }
 
+attempt_failure failure_named(std::string_view error)
+{
+    if (error == "cache_missing") {
+        return attempt_failure::cache_missing;
+    }
+    if (error == "hop_unreachable") {
+        return attempt_failure::unreachable;
+    }
+    return error == "hop_silent" ? attempt_failure::token_gap : attempt_failure::reset;
+}
+
 std::vector<generation_action> advance(generation_state& state, const generation_event& event,
                                        const chain_source& chains, time_point now)
 {
--- a/src/request/generation.hpp
+++ b/src/request/generation.hpp
@@ -32,7 +32,8 @@
     not_connected, //!< The first hop was never reached; no byte left.
     refused,       //!< The first hop refused under a contract that says refusals did not run.
     reset,         //!< A connection broke, or a hop reported that the next one broke.
-    token_gap,     //!< Nothing arrived for too long.
+    unreachable,   //!< A hop reported that the next one can't be connected to.
+    token_gap,     //!< Nothing arrived for too long, here or at a hop that reported it.
     protocol,      //!< An answer that breaks the contract, for example a token out of order.
     cache_missing, //!< A hop no longer holds the KV cache that it was taken to hold; it is not at fault.
 };
@@ -40,6 +41,9 @@
 //! The name of the failure in logs and metrics.
 std::string_view to_string(attempt_failure failure);
 
+//! The failure that an engine's error code stands for.
+attempt_failure failure_named(std::string_view error);
+
 struct generation_started {};
 struct token_received {
     attempt_number attempt;
@@ -111,6 +115,13 @@
     milliseconds retry_after{1000};
 };
 
+//! Why a request avoids a target, and until when.
+struct exclusion {
+    time_point until;
+    //! Whether the target may well be alive, so that trying it again is better than giving up.
+    bool may_be_alive = false;
+};
+
 //! The progress of one generation.
 struct generation_state {
     generation_request request;
@@ -121,8 +132,7 @@
     std::optional<chain> active;
     bool attempt_has_answered = false;
     time_point last_progress;
-    //! Targets that this request avoids, and until when.
-    std::map<target_id, time_point> excluded;
+    std::map<target_id, exclusion> excluded;
     cached_positions cached;
     //! Attempts that ended in silence, with no hop named.
     std::int64_t silent_attempts = 0;
@@ -131,8 +141,12 @@
     bool finished = false;
 };
 
-//! Whether targets that failed other requests lately may be used.
-enum class ejected_targets { avoid, use };
+//! Which targets may be used that failed other requests lately.
+enum class ejected_targets {
+    avoid,           //!< None.
+    use_failed_once, //!< Those that have failed once and not again.
+    use,             //!< All.
+};
 
 //! Chooses a chain that avoids the excluded targets; fails when there is none.
 using chain_source =
--- a/src/target/health.cpp
+++ b/src/target/health.cpp
@@ -29,6 +29,10 @@
 
 void record_failure(target_health& state, time_point now)
 {
+    // What fails together, as all streams through a dead target do, counts once.
+    if (state.ejected_until > now) {
+        return;
+    }
     const int doublings = std::min(state.consecutive_failures, max_ejection_doublings);
     ++state.consecutive_failures;
     state.ejected_until =
--- a/tests/support/generation_bench.hpp
+++ b/tests/support/generation_bench.hpp
@@ -13,7 +13,8 @@
 target engine_of(const std::string& name, std::int64_t begin_layer, std::int64_t end_layer);
 
 //! One generation over replicas "<stage><letter>" of three stages of four layers, with its chains chosen in
-//! the order of the letters; a target in `dead` is ejected, one in `gone` is not declared.
+//! the order of the letters; a target in `dead` is ejected after one failure, in `long_dead` after
+//! several; one in `gone` is not declared.
 class generation_bench {
 public:
     explicit generation_bench(const std::string& letters = "ab");
@@ -35,6 +36,7 @@
     generation_state state;
     time_point now{1000};
     std::set<std::string> dead;
+    std::set<std::string> long_dead;
     std::set<std::string> gone;
 
 private:
