--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -16,6 +16,17 @@
 constexpr milliseconds tick_interval{20};
 constexpr std::string_view kind = "generation";
 
+// Leaving targets stay left alone; those that only failed may be tried again.
+health_map without_ejections(health_map health, ejected_targets ejected)
+{
+    for (auto& [id, state] : health) {
+        if (ejected == ejected_targets::use || state.consecutive_failures <= 1) {
+            state.ejected_until = time_point{INT64_MIN / 2};
+        }
+    }
+    return health;
+}
+
 } // namespace
 
 struct generation_runner::running_generation {
@@ -78,7 +89,6 @@
         return;
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-        this->note_failure(*failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -86,9 +96,12 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded) {
-        return choose_chain(this->context.current_routes(), this->context.health,
-                            chain_query_for(this->context, state.request, excluded), now);
+    const chain_source chains = [&](const std::set<target_id>& excluded, ejected_targets ejected) {
+        const route_index& routes = this->context.current_routes();
+        const chain_query query = chain_query_for(this->context, state.request, excluded);
+        return ejected == ejected_targets::avoid
+                   ? choose_chain(routes, this->context.health, query, now)
+                   : choose_chain(routes, without_ejections(this->context.health, ejected), query, now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -129,6 +142,15 @@
     this->context.engines.cancel(generation->stream, generation->state.request.id, action);
 }
 
+void generation_runner::perform(const running_ptr& generation, const suspect_target& action)
+{
+    ++this->context.counters.attempts_failed;
+    record_failure(this->context.health[action.target], event_loop::now());
+    log_event("target_suspected", {{"request", generation->state.request.id.value},
+                                   {"target", action.target.value},
+                                   {"failure", to_string(action.failure)}});
+}
+
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
     if (action.index.value == 0) {
@@ -187,14 +209,6 @@
     generation.counted.reset();
 }
 
-void generation_runner::note_failure(const attempt_failed& failure)
-{
-    ++this->context.counters.attempts_failed;
-    if (failure.culprit) {
-        record_failure(this->context.health[*failure.culprit], event_loop::now());
-    }
-}
-
 void generation_runner::note_success(const chain& through)
 {
     for (const hop& stage : through.hops()) {
--- a/src/tool/orders_command.cpp
+++ b/src/tool/orders_command.cpp
@@ -1,6 +1,6 @@
 #include "tool/orders_command.hpp"
 
-#include "tool/operator_client.hpp"
+#include "tool/call_any.hpp"
 
 #include <CLI/CLI.hpp>
 #include <iostream>
@@ -21,35 +21,15 @@
     bool did_not_run = false;
 };
 
-// Asks the daemons in turn until one is reached.
-absl::StatusOr<operator_answer> ask(const tool_options& options, const std::string& method,
-                                    const std::string& path, const std::string& body)
-{
-    absl::StatusOr<operator_answer> answer = absl::InvalidArgumentError("no daemon was named; use --daemon");
-    for (const std::string& daemon : options.daemons) {
-        answer = call_daemon(options, daemon, method, path, body);
-        if (!absl::IsUnavailable(answer.status())) {
-            return answer;
-        }
-    }
-    return answer;
-}
-
 // The exit status of a call that failed or was refused; prints why.
 int report_failure(const absl::StatusOr<operator_answer>& answer)
 {
     if (!answer.ok()) {
         std::cerr << answer.status().message() << "\n";
-        if (absl::IsUnavailable(answer.status())) {
-            return exit_unreachable;
-        }
-        return absl::IsDeadlineExceeded(answer.status()) ? exit_unknown : exit_bad_usage;
+        return exit_for(answer.status());
     }
-    const json error =
-        answer->body.is_object() ? answer->body.value("error", json::object()) : json::object();
-    std::cerr << string_or(error, "code", "error") << ": " << string_or(error, "message", "no reason given")
-              << "\n";
-    return answer->outcome == "unknown" ? exit_unknown : exit_refused;
+    print_error(*answer);
+    return exit_for(*answer);
 }
 
 bool succeeded(const absl::StatusOr<operator_answer>& answer)
@@ -82,7 +62,7 @@
     json all = json::array();
     std::string after;
     do {
-        const auto page = ask(options, "GET", query_of(phase, after), "");
+        const auto page = call_any(options, "GET", query_of(phase, after), "");
         if (!succeeded(page)) {
             return report_failure(page);
         }
@@ -112,7 +92,7 @@
                     {"key", settle.key},
                     {"ran", settle.ran},
                     {"note", settle.note}};
-    const auto answer = ask(options, "POST", "/v1/orders/settle", dump(body));
+    const auto answer = call_any(options, "POST", "/v1/orders/settle", dump(body));
     if (!succeeded(answer)) {
         return report_failure(answer);
     }
