--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -78,6 +78,8 @@
         this->apply(request, reply);
     } else if (request.method == "GET" && request.path == "/v1/report/burn") {
         this->report_burn(request, reply);
+    } else if (request.method == "POST" && request.path == "/v1/report/write") {
+        this->reports.write([reply](bool stored) { reply->send(200, dump({{"stored", stored}})); });
     } else if (!handle_order_operation(this->context, request, reply)) {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
--- a/src/daemon/report_store.cpp
+++ b/src/daemon/report_store.cpp
@@ -60,15 +60,16 @@
                         this->context.started.value);
 }
 
-void report_store::write()
+void report_store::write(std::function<void(bool stored)> done)
 {
-    if (this->context.burn.empty()) {
-        return;
-    }
     const json value{{"vm", this->context.configured.vm.value},
                      {"written_at_ms", event_loop::wall_now().count},
                      {"counts", to_json(this->context.burn)}};
-    this->context.platform.put_object(this->own_name(), dump(value), [](bool) {});
+    this->context.platform.put_object(this->own_name(), dump(value), [done = std::move(done)](bool stored) {
+        if (done) {
+            done(stored);
+        }
+    });
 }
 
 void report_store::read_all(const std::vector<vm_id>& known_vms, std::function<void(const burn_report&)> done)
--- a/src/daemon/report_store.hpp
+++ b/src/daemon/report_store.hpp
@@ -15,8 +15,8 @@
 
     //! Merges the counts of all daemons that wrote them; `done` is called once.
     void read_all(const std::vector<vm_id>& known_vms, std::function<void(const burn_report&)> done);
-    //! Writes the daemon's counts now, for example before it stops.
-    void write();
+    //! Writes the daemon's counts now, for example before it stops; `done` learns whether they were stored.
+    void write(std::function<void(bool stored)> done = nullptr);
 
 private:
     struct reading;
--- a/src/programs/dandelionstep.cpp
+++ b/src/programs/dandelionstep.cpp
@@ -8,6 +8,10 @@
     app.require_subcommand(1);
     dandelionstep::tool_options options;
     dandelionstep::add_commands(app, options);
-    CLI11_PARSE(app, argument_count, arguments);
+    try {
+        app.parse(argument_count, arguments);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? dandelionstep::exit_ok : dandelionstep::exit_bad_usage;
+    }
     return options.exit_status;
 }
--- a/src/programs/dandelionstepd.cpp
+++ b/src/programs/dandelionstepd.cpp
@@ -37,7 +37,11 @@
     app.add_option("settings", settings_path, "The settings file (TOML)");
     app.add_flag("--check", check, "Check the settings file and exit");
     app.add_flag("--print-defaults", print_defaults, "Print every key with its default and exit");
-    CLI11_PARSE(app, argument_count, arguments);
+    try {
+        app.parse(argument_count, arguments);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? exit_ok : exit_bad_settings;
+    }
 
     if (print_defaults) {
         std::cout << dandelionstep::default_settings();
--- a/src/tool/report_command.cpp
+++ b/src/tool/report_command.cpp
@@ -10,6 +10,11 @@
 
 int show_burn(const tool_options& options, const std::string& format)
 {
+    // Daemons write their counts once a minute; asked to, they write now. The report names those that did
+    // not.
+    for (const std::string& daemon : options.daemons) {
+        (void)call_daemon(options, daemon, "POST", "/v1/report/write", "");
+    }
     const auto answer = call_any(options, "GET", "/v1/report/burn?format=" + format, "");
     if (!answer.ok()) {
         std::cerr << answer.status().message() << "\n";
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -95,6 +95,17 @@
     return line;
 }
 
+std::string child_process::read_rest()
+{
+    std::string rest;
+    std::array<char, 4096> part{};
+    ssize_t count = 0;
+    while ((count = read(this->output, part.data(), part.size())) > 0) {
+        rest.append(part.data(), static_cast<std::size_t>(count));
+    }
+    return rest;
+}
+
 void child_process::signal(int number) const
 {
     if (this->pid > 0) {
@@ -140,9 +151,7 @@
     const scratch_folder folder;
     child_process child(program, arguments, folder.path("errors"));
     finished_program finished;
-    for (std::string line = child.read_line(); !line.empty(); line = child.read_line()) {
-        finished.output += line + "\n";
-    }
+    finished.output = child.read_rest();
     finished.exit_status = child.wait();
     finished.errors = read_file(folder.path("errors"));
     return finished;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -21,6 +21,8 @@
 
     //! The next line of its standard output; empty at the end.
     std::string read_line();
+    //! The rest of its standard output, up to the end.
+    std::string read_rest();
     void signal(int number) const;
     //! Waits for the end; returns the exit status, or 128 and the signal's number.
     int wait();
