--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -1,7 +1,6 @@
 #include "daemon/group.hpp"
 
 #include <peer.pb.h>
-#include <set>
 
 namespace dandelionstep {
 namespace {
@@ -88,6 +87,9 @@
     for (const auto& [vm, each] : this->known) {
         *message.add_members() = to_wire(each);
     }
+    for (const shared_kind& kind : this->kinds) {
+        kind.fill(message);
+    }
     const applied_configuration& applied = this->context.configuration;
     message.set_configuration_revision(applied.number.value);
     if (receiver_revision >= applied.number) {
@@ -126,6 +128,9 @@
     for (const wire::Member& each : message.members()) {
         learn(each);
     }
+    for (const shared_kind& kind : this->kinds) {
+        kind.take(message);
+    }
     this->revision_of[vm_id(message.sender().vm())] = revision{message.configuration_revision()};
     for (const wire::Change& change : message.changes()) {
         this->configuration.take(read_change(change));
