Leaving targets: marks by incarnation, from four signs, pushed to every daemon

Cause: only the target's own load report was heeded, each daemon by itself, and a later report could clear it. Now the target's report, the list of VMs and a refusal with "leaving": true mark the target's incarnation; marks merge by the greatest incarnation, are kept up to 16384 and travel in every exchange, at once when they are news. The operator's record travels with the configuration.

The list of VMs lags, so an entry without an incarnation marks only an incarnation that was met before the list was true; one first met later is avoided, not marked. The stand-in gave the time since the list was set as its age, which is not how late the list is; it now gives the lag.

--- a/src/adapters/engine_client.cpp
+++ b/src/adapters/engine_client.cpp
@@ -142,7 +142,12 @@
     return this->http.stream(
         attempt.through.hops().front().address, std::move(message),
         [reader](std::string_view part) { reader->take(part); },
-        [reader](const http_result& result) { reader->finish(result); });
+        [this, reader, first = attempt.through.hops().front().target](const http_result& result) {
+            if (result.status == unavailable_status && this->on_refusal) {
+                this->on_refusal(first, result.body);
+            }
+            reader->finish(result);
+        });
 }
 
 void engine_client::cancel(const http_client::handle& stream, const request_id& request,
--- a/src/adapters/engine_client.hpp
+++ b/src/adapters/engine_client.hpp
@@ -33,6 +33,9 @@
     void read_load(const endpoint& target, milliseconds timeout,
                    std::function<void(const std::optional<load_report>&)> done);
 
+    //! Receives the body of every 503, which may say that the target is leaving.
+    std::function<void(const target_id&, std::string_view body)> on_refusal;
+
 private:
     http_client& http;
 };
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -9,6 +9,8 @@
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
+#include <functional>
+
 namespace dandelionstep {
 
 //! What all parts of one daemon share; touched by the loop alone.
@@ -20,6 +22,9 @@
     engine_client& engines;
     applied_configuration configuration;
     health_map health;
+    leaving_marks leaving;
+    //! Called when there is something that peers should hear soon.
+    std::function<void()> on_news = [] {};
     request_counters counters;
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon/configuration_sync.hpp"
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
+#include "daemon/leaving_watch.hpp"
 #include "daemon/operator_port.hpp"
 #include "daemon/target_observer.hpp"
 
@@ -37,19 +38,26 @@
                                  .engines = engines,
                                  .configuration = {},
                                  .health = {},
+                                 .leaving = {},
                                  .counters = {},
                                  .requests_in_flight = 0,
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context),
+          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context, peers),
           routes(context, generations, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
                   })
-    {}
+    {
+        this->context.on_news = [this] { this->peers.spread_soon(); };
+        this->context.engines.on_refusal = [this](const target_id& target, std::string_view body) {
+            note_refusal(this->context, target, body);
+        };
+        this->peers.share(share_leaving_marks(this->context));
+    }
 
     absl::Status run()
     {
--- a/src/daemon/lookup_runner.cpp
+++ b/src/daemon/lookup_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/leaving_watch.hpp"
 #include "route/choose_replica.hpp"
 
 namespace dandelionstep {
@@ -68,6 +69,7 @@
         [this, lookup, attempt = action.attempt, target = action.to.id](const http_result& result) {
             target_health& health = this->context.health[target];
             --health.in_flight;
+            note_answer(this->context, target, result);
             if (!result.answered()) {
                 record_failure(health, event_loop::now());
                 this->handle(lookup, lookup_attempt_failed{attempt, !result.bytes_sent});
--- a/src/daemon/order_runner.cpp
+++ b/src/daemon/order_runner.cpp
@@ -4,6 +4,7 @@
 #include "adapters/random.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/leaving_watch.hpp"
 #include "route/choose_replica.hpp"
 
 #include <algorithm>
@@ -124,6 +125,7 @@
         [this, order, target = action.to.id](const http_result& result) {
             target_health& health = this->context.health[target];
             --health.in_flight;
+            note_answer(this->context, target, result);
             const auto& services = this->context.configuration.declared.services;
             const auto service = services.find(order->call.service);
             const bool trusted = service != services.end() && service->second.refusals_did_not_run;
--- a/src/target/health.cpp
+++ b/src/target/health.cpp
@@ -13,7 +13,11 @@
 bool is_eligible(const health_map& health, const target_id& target, time_point now)
 {
     const auto found = health.find(target);
-    return found == health.end() || (!found->second.leaving && found->second.ejected_until <= now);
+    if (found == health.end()) {
+        return true;
+    }
+    const target_health& state = found->second;
+    return !state.leaving && !state.listed_leaving && state.ejected_until <= now;
 }
 
 std::int64_t estimated_load(const health_map& health, const target_id& target)
@@ -27,6 +31,31 @@
     return std::max({corrected, state.in_flight, std::int64_t{0}});
 }
 
+bool observe_incarnation(target_health& state, const leaving_marks& marks, const target_id& target,
+                         incarnation started, time_point now)
+{
+    if (started < state.started) {
+        return false;
+    }
+    if (started > state.started) {
+        state.replaced_older = state.started != incarnation{};
+        state.started = started;
+        state.first_seen = now;
+        state.listed_leaving = state.listed_leaving && !state.replaced_older;
+        record_success(state);
+    }
+    state.leaving = is_marked(marks, target, state.started);
+    return true;
+}
+
+void refresh_leaving(health_map& health, const leaving_marks& marks)
+{
+    for (const auto& [target, leaving] : marks) {
+        target_health& state = health[target];
+        state.leaving = leaving >= state.started;
+    }
+}
+
 void record_failure(target_health& state, time_point now)
 {
     const int doublings = std::min(state.consecutive_failures, max_ejection_doublings);
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -149,8 +149,10 @@
 
     void generate(const json& body, const std::shared_ptr<http_reply>& reply)
     {
-        if (this->faults.take("refuse") || this->faults.on("leaving")) {
-            reply->send(503, R"({"error":"refused"})");
+        const bool leaving = this->faults.on("leaving") || this->faults.take("refuse_leaving");
+        if (leaving || this->faults.take("refuse")) {
+            reply->send(
+                503, dump({{"error", "refused"}, {"leaving", leaving}, {"incarnation", this->incarnation}}));
             return;
         }
         if (string_or(body, "model", "") != this->options.model ||
--- a/tests/standins/engine_standin.hpp
+++ b/tests/standins/engine_standin.hpp
@@ -26,7 +26,7 @@
 
 //! Runs an engine that holds a range of a fake model's layers and batches continuously.
 //! Faults: die_at_step (counts down), die_on_text, slow_factor, late_ms, drop_streams, cross_answers,
-//! double_tokens, refuse, leaving, load_lag_ms.
+//! double_tokens, refuse, refuse_leaving, leaving, load_lag_ms.
 absl::Status run_engine(const engine_options& options);
 
 } // namespace dandelionstep::standins
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -238,14 +238,12 @@
     {
         const time_point visible = event_loop::now() - milliseconds{this->options.vm_list_lag_ms};
         json list = json::array();
-        std::int64_t age = 0;
         for (const auto& [since, vms] : this->vm_history) {
             if (since <= visible) {
                 list = vms;
-                age = (event_loop::now() - since).count;
             }
         }
-        reply->send(200, dump({{"vms", list}, {"age_ms", age}}));
+        reply->send(200, dump({{"vms", list}, {"age_ms", this->options.vm_list_lag_ms}}));
     }
 
     platform_options options;
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -204,6 +204,12 @@
     }
 }
 
+json cluster::faults_of(const std::string& name)
+{
+    const auto body = parse_json(call(this->addresses.at(name), {.method = "GET", .path = "/faults"}).body);
+    return body.ok() ? *body : json();
+}
+
 json cluster::ledger(const std::string& target)
 {
     const auto body = parse_json(call(this->addresses.at(target), {.method = "GET", .path = "/ledger"}).body);
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -73,6 +73,12 @@
 
     //! Sets fault switches of a stand-in: "platform", or a target's name.
     void set_faults(const std::string& name, const json& faults);
+    //! The fault switches of a stand-in as they are now.
+    json faults_of(const std::string& name);
+    [[nodiscard]] const endpoint& address_of(const std::string& standin) const
+    {
+        return this->addresses.at(standin);
+    }
     //! What a target's stand-in ran.
     json ledger(const std::string& target);
 
