--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -141,6 +141,13 @@
     caller_limits limits;
     handler handle;
     int connections = 0;
+    int unfinished = 0;
+
+    // Ties one request to its reply until the last byte of the answer has left.
+    struct held_reply {
+        state& server;
+        std::shared_ptr<caller_reply> reply;
+    };
 
     static evhtp_res on_connect(evhtp_connection_t* connection, void* argument)
     {
@@ -162,9 +169,9 @@
 
     static evhtp_res on_request_end(evhtp_request_t* /*request*/, void* argument)
     {
-        const std::unique_ptr<std::shared_ptr<caller_reply>> held(
-            static_cast<std::shared_ptr<caller_reply>*>(argument));
-        caller_reply& reply = **held;
+        const std::unique_ptr<held_reply> held(static_cast<held_reply*>(argument));
+        --held->server.unfinished;
+        caller_reply& reply = *held->reply;
         const bool unanswered = std::exchange(reply.raw, nullptr) != nullptr;
         if (const std::function<void()> run = std::move(reply.when_gone); unanswered && run) {
             run();
@@ -177,7 +184,8 @@
         auto* server = static_cast<state*>(argument);
         const auto reply = std::make_shared<caller_reply>(raw);
         // The request's end hook owns this reference and releases it.
-        auto held = std::make_unique<std::shared_ptr<caller_reply>>(reply);
+        auto held = std::unique_ptr<held_reply>(new held_reply{*server, reply});
+        ++server->unfinished;
         evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, reinterpret_cast<evhtp_hook>(on_request_end),
                                held.release());
         // A caller that waits for its answer sends nothing, which must not count against it.
@@ -224,6 +232,11 @@
     return absl::OkStatus();
 }
 
+int caller_server::unfinished() const
+{
+    return this->self->unfinished;
+}
+
 int caller_server::connections() const
 {
     return this->self->connections;
--- a/src/adapters/caller_server.hpp
+++ b/src/adapters/caller_server.hpp
@@ -65,6 +65,8 @@
     caller_server& operator=(caller_server&&) = delete;
 
     absl::Status listen(const endpoint& at);
+    //! Requests whose answers have not left whole.
+    [[nodiscard]] int unfinished() const;
     //! Callers connected now.
     [[nodiscard]] int connections() const;
 
--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -52,6 +52,7 @@
         return;
     }
     if (this->context.stopping) {
+        reply->add_header("Connection", "close");
         refuse(*reply, error_code::stopping, "this daemon is stopping", refusal_retry_after);
         return;
     }
@@ -122,6 +123,7 @@
     generation.max_tokens = parsed->max_tokens;
     generation.deadline = event_loop::now() + model->second.answer_window;
     reply->add_header("X-Request-Id", generation.id.value);
+    this->context.open.add(generation.id, reply);
     this->generations.start(std::move(generation), parsed->streamed, reply);
 }
 
@@ -149,6 +151,7 @@
     call.body = request.body;
     call.timeout = service->second.call_timeout;
     reply->add_header("X-Request-Id", call.id.value);
+    this->context.open.add(call.id, reply);
     if (request.method == "GET" || service->second.idempotent_paths.contains(path)) {
         this->lookups.start(std::move(call), reply);
         return;
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -5,6 +5,7 @@
 #include "adapters/http_client.hpp"
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
+#include "daemon/open_requests.hpp"
 #include "report/request_counters.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
@@ -28,6 +29,7 @@
     request_counters counters;
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
+    open_requests open;
     //! Set by a planned stop: new requests are refused, running ones finish.
     bool stopping = false;
     incarnation started;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/leaving_watch.hpp"
 #include "daemon/operator_port.hpp"
 #include "daemon/target_observer.hpp"
+#include "vm/planned_stop.hpp"
 
 #include <csignal>
 
@@ -41,6 +42,7 @@
                                  .leaving = {},
                                  .counters = {},
                                  .requests_in_flight = 0,
+                                 .open = {},
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
@@ -74,31 +76,54 @@
                               {"peers", to_string(this->configured.peers)},
                               {"data_centre", this->configured.data_centre.value}});
         this->loop.run();
-        log_event("stopped", {{"requests_cut_off", this->context.requests_in_flight}});
+        log_event("stopped", {{"requests_cut_off", this->requests_cut_off}});
         return absl::OkStatus();
     }
 
 private:
-    // First signal: finish what runs. Second signal: stop now.
+    // First signal: finish what runs. Second signal: stop as soon as what runs was answered.
     void stop()
     {
         if (this->context.stopping) {
-            this->loop.stop();
+            this->hurry = true;
             return;
         }
         this->context.stopping = true;
-        this->stop_began = event_loop::now();
+        this->stopping.began = event_loop::now();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
+        this->context.on_news();
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
     }
 
     void check_stopped()
     {
-        const milliseconds waited = event_loop::now() - this->stop_began;
-        const bool idle = this->context.requests_in_flight == 0 && this->orders.unwritten() == 0;
-        if ((idle && waited >= this->configured.balancer_notice) || waited >= this->configured.drain_limit) {
+        const stop_work left{.requests_in_flight = this->context.requests_in_flight,
+                             .unwritten_orders = this->orders.unwritten(),
+                             .unsent_answers = this->callers.unfinished()};
+        const stop_limits limits{.balancer_notice = this->configured.balancer_notice,
+                                 .drain_limit = this->configured.drain_limit};
+        switch (advance(this->stopping, left, limits, this->hurry, event_loop::now())) {
+        case stop_step::wait:
+            return;
+        case stop_step::give_up:
+            this->give_up();
+            return;
+        case stop_step::exit:
             this->loop.stop();
+            return;
+        }
+    }
+
+    void give_up()
+    {
+        for (const request_id& id : this->context.open.names()) {
+            log_event("request_cut_off", {{"request", id.value}});
+            ++this->requests_cut_off;
+        }
+        if (this->orders.unwritten() > 0) {
+            log_event("order_answers_not_kept", {{"count", this->orders.unwritten()}});
         }
+        this->context.open.give_up();
     }
 
     const settings& configured;
@@ -119,7 +144,9 @@
     event_loop::timer terminate;
     event_loop::timer interrupt;
     event_loop::timer stop_check;
-    time_point stop_began;
+    stop_state stopping;
+    bool hurry = false;
+    std::int64_t requests_cut_off = 0;
 };
 
 } // namespace
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -15,6 +15,7 @@
     out.set_vm(value.vm.value);
     out.set_data_centre(value.data_centre.value);
     out.set_peer_address(to_string(value.peer_address));
+    out.set_operator_address(to_string(value.operator_address));
     out.set_incarnation(value.started.value);
     out.set_state(static_cast<wire::MemberState>(value.state));
     return out;
@@ -30,6 +31,7 @@
                   .data_centre = data_centre_id(value.data_centre()),
                   .peer_address = *std::move(address),
                   .started = incarnation{value.incarnation()}};
+    parsed.operator_address = parse_endpoint(value.operator_address()).value_or(endpoint{});
     parsed.state = static_cast<member_state>(value.state());
     return parsed;
 }
@@ -82,8 +84,9 @@
 {
     const settings& configured = this->context.configured;
     wire::ExchangeMessage message;
-    *message.mutable_sender() = to_wire({configured.vm, configured.data_centre, configured.peers,
-                                         this->context.started, member_state::alive});
+    *message.mutable_sender() =
+        to_wire({configured.vm, configured.data_centre, configured.peers, configured.operators,
+                 this->context.started, this->context.stopping ? member_state::left : member_state::alive});
     for (const auto& [vm, each] : this->known) {
         *message.add_members() = to_wire(each);
     }
@@ -120,7 +123,8 @@
             return;
         }
         const auto found = this->known.find(parsed->vm);
-        if (found == this->known.end() || parsed->started > found->second.started) {
+        if (found == this->known.end() || parsed->started > found->second.started ||
+            (parsed->started == found->second.started && parsed->state > found->second.state)) {
             this->known[parsed->vm] = *parsed;
         }
     };
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -6,6 +6,7 @@
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
 #include "daemon/configuration_apply.hpp"
+#include "daemon/drain_operations.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -72,6 +73,8 @@
                exposure{}.refuse(error_code::unauthorised, "the operators' token is missing or wrong", {}));
     } else if (request.method == "GET" && request.path == "/v1/status") {
         reply->send(200, dump(this->status()));
+    } else if (answer_in_flight(this->context, this->peers, request, *reply)) {
+        return;
     } else if (request.method == "POST" && request.path == "/v1/configuration/apply") {
         this->apply(request, reply);
     } else {
@@ -107,8 +110,10 @@
 {
     json members = json::array();
     for (const auto& [vm, each] : this->peers.members()) {
-        members.push_back(
-            {{"vm", vm.value}, {"data_centre", each.data_centre.value}, {"incarnation", each.started.value}});
+        members.push_back({{"vm", vm.value},
+                           {"data_centre", each.data_centre.value},
+                           {"incarnation", each.started.value},
+                           {"state", std::string(to_string(each.state))}});
     }
     json targets = json::array();
     const time_point now = event_loop::now();
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
+#include "tool/drain_command.hpp"
 #include "tool/operator_client.hpp"
 
 #include <CLI/CLI.hpp>
@@ -200,7 +201,14 @@
 
     CLI::App* drain = app.add_subcommand("drain", "Give a target no new work");
     drain->add_option("target", *target, "The target")->required();
-    drain->callback([&options, target] { options.exit_status = set_draining(options, *target, true); });
+    const auto wait = std::make_shared<drain_wait>();
+    add_wait_options(*drain, *wait);
+    drain->callback([&options, target, wait] {
+        options.exit_status = set_draining(options, *target, true);
+        if (wait->wanted && options.exit_status == exit_ok) {
+            options.exit_status = await_drained(options, *target, *wait);
+        }
+    });
 
     CLI::App* undrain = app.add_subcommand("undrain", "Give a drained target work again");
     undrain->add_option("target", *target, "The target")->required();
--- /dev/null
+++ b/src/vm/planned_stop.cpp
@@ -0,0 +1,32 @@
+#include "vm/planned_stop.hpp"
+
+namespace dandelionstep {
+namespace {
+
+bool is_idle(const stop_work& left)
+{
+    return left.requests_in_flight == 0 && left.unwritten_orders == 0 && left.unsent_answers == 0;
+}
+
+} // namespace
+
+stop_step advance(stop_state& state, const stop_work& left, const stop_limits& limits, bool hurry,
+                  time_point now)
+{
+    const milliseconds waited = now - state.began;
+    if (state.gave_up) {
+        return now - state.gave_up_at >= limits.farewell ? stop_step::exit : stop_step::wait;
+    }
+    // Callers that the balancer still sends within the notice get a refusal instead of a closed port.
+    if (is_idle(left) && (hurry || waited >= limits.balancer_notice)) {
+        return stop_step::exit;
+    }
+    if (hurry || waited >= limits.drain_limit) {
+        state.gave_up = true;
+        state.gave_up_at = now;
+        return stop_step::give_up;
+    }
+    return stop_step::wait;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/tests/process/stop_limit_proof_test.cpp
@@ -0,0 +1,146 @@
+#include "support/cluster.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr std::int64_t long_answer = 3000;
+
+std::string log_of(const cluster& running, const std::string& process)
+{
+    std::ifstream file(running.folder.path(process + ".log"));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// The value of `key` in the first line that holds the event.
+std::string logged(const std::string& log, const std::string& event, const std::string& key)
+{
+    const std::size_t at = log.find(event);
+    const std::size_t from = at == std::string::npos ? at : log.find(key + "=", at);
+    if (from == std::string::npos) {
+        return "";
+    }
+    const std::size_t begin = from + key.size() + 1;
+    return log.substr(begin, log.find_first_of(" \n", begin) - begin);
+}
+
+cluster_plan one_daemon(const std::string& extra_settings)
+{
+    return {.daemons = {"nashua"},
+            .engines = three_stages("nashua"),
+            .services = {},
+            .extra_settings = extra_settings,
+            .service_settings = {}};
+}
+
+// A caller whose answer would outlast the stop.
+struct waiting_caller {
+    http_result result;
+    std::thread thread;
+
+    waiting_caller(cluster& running, bool streamed)
+        : thread([this, &running, streamed] {
+              this->result =
+                  running.ask(0, "labels [" + std::to_string(long_answer) + "]", streamed, long_answer);
+          })
+    {}
+};
+
+void await_open_attempt(const cluster& running)
+{
+    CHECK(eventually([&] { return log_of(running, "daemon0").find("attempt_opened") != std::string::npos; }));
+}
+
+void check_named_and_answered(const cluster& running, const waiting_caller& caller)
+{
+    const std::string log = log_of(running, "daemon0");
+    CHECK(logged(log, "request_cut_off", "request") == logged(log, "attempt_opened", "request"));
+    CHECK(logged(log, "stopped", "requests_cut_off") == "1");
+    CHECK(cluster::answer_text(caller.result).empty());
+    CHECK(caller.result.answered());
+    CHECK(caller.result.body.find(R"("outcome":"unknown")") != std::string::npos);
+    CHECK(caller.result.body.find("[DONE]") == std::string::npos);
+}
+
+} // namespace
+
+TEST_CASE("at the limit of a planned stop what is left is answered as unknown and named in the log")
+{
+    for (const bool streamed : {true, false}) {
+        CAPTURE(streamed);
+        cluster running(one_daemon("[limits]\ndrain_limit_ms = 1500\n"));
+        waiting_caller caller(running, streamed);
+        await_open_attempt(running);
+        child_process& daemon = running.processes.at("daemon0");
+        daemon.signal(SIGTERM);
+        CHECK(daemon.wait() == 0);
+        caller.thread.join();
+        check_named_and_answered(running, caller);
+    }
+}
+
+TEST_CASE("a second SIGTERM ends the wait, and what is left is answered and named")
+{
+    cluster running(one_daemon(""));
+    waiting_caller caller(running, true);
+    await_open_attempt(running);
+    child_process& daemon = running.processes.at("daemon0");
+    daemon.signal(SIGTERM);
+    CHECK(eventually([&] { return log_of(running, "daemon0").find("stopping") != std::string::npos; }));
+    CHECK(daemon.running());
+    daemon.signal(SIGTERM);
+    CHECK(daemon.wait() == 0);
+    caller.thread.join();
+    check_named_and_answered(running, caller);
+}
+
+TEST_CASE(
+    "a stopping daemon fails the balancer's check, refuses new requests as not run and finishes its streams")
+{
+    cluster running(one_daemon(""));
+    const std::string prompt = "labels [200]";
+    http_result streamed;
+    std::thread caller([&] { streamed = running.ask(0, prompt, true, 200); });
+    await_open_attempt(running);
+    child_process& daemon = running.processes.at("daemon0");
+    daemon.signal(SIGTERM);
+    CHECK(eventually([&] {
+        const http_result check = call(running.callers_of(0), {.method = "GET", .path = "/readyz"});
+        return check.status == 503;
+    }));
+    const http_result refused = running.ask(0, "another");
+    CHECK(refused.status == 503);
+    CHECK(refused.header("Outcome") == "not_run");
+    CHECK(refused.header("Retry-After") == "1");
+    CHECK(call(running.callers_of(0), {.method = "GET", .path = "/healthz"}).status == 200);
+    CHECK(daemon.wait() == 0);
+    caller.join();
+    CHECK(cluster::answer_text(streamed) == cluster::expected_answer(prompt, 200));
+    CHECK(logged(log_of(running, "daemon0"), "stopped", "requests_cut_off") == "0");
+}
+
+TEST_CASE("peers hear that a daemon leaves")
+{
+    cluster running({.daemons = {"nashua", "nashua"},
+                     .engines = {},
+                     .services = {},
+                     .extra_settings = {},
+                     .service_settings = {}});
+    running.processes.at("daemon1").signal(SIGTERM);
+    CHECK(running.processes.at("daemon1").wait() == 0);
+    const finished_program status = running.tool({"--output", "json", "status"});
+    const auto body = parse_json(status.output);
+    REQUIRE(body.ok());
+    const json members = body->at(0).value("members", json::array());
+    REQUIRE(members.size() == 1);
+    CHECK(string_or(members[0], "state", "") == "left");
+}
--- /dev/null
+++ b/tests/target/drain_proof_test.cpp
@@ -0,0 +1,100 @@
+#include "target/drain.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace dandelionstep;
+
+namespace {
+
+asked_daemon answered(const char* vm, std::int64_t in_flight, bool gives_new_work = false,
+                      member_state state = member_state::alive)
+{
+    return {vm_id(vm), state, drain_word{gives_new_work, in_flight}, false};
+}
+
+asked_daemon silent(const char* vm, member_state state, bool refused_connection = false)
+{
+    return {vm_id(vm), state, std::nullopt, refused_connection};
+}
+
+std::string missing_of(const drain_progress& progress)
+{
+    std::string text;
+    for (const missing_daemon& each : progress.missing) {
+        text += each.vm.value + ":" + std::string(to_string(each.gap)) + " ";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a target is safe to stop only when every daemon that may hold work has confirmed that it holds none")
+{
+    using enum member_state;
+    struct row {
+        const char* name;
+        std::vector<asked_daemon> asked;
+        std::set<vm_id> without;
+        bool safe;
+        const char* missing;
+    };
+    const std::vector<row> rows{
+        {"nobody known", {}, {}, false, ""},
+        {"all confirm", {answered("a", 0), answered("b", 0)}, {}, true, ""},
+        {"one has work in flight", {answered("a", 0), answered("b", 2)}, {}, false, "b:in_flight "},
+        {"one has not heard of the drain",
+         {answered("a", 0), answered("b", 0, true)},
+         {},
+         false,
+         "b:gives_new_work "},
+        {"one is frozen", {answered("a", 0), silent("b", alive)}, {}, false, "b:no_answer "},
+        {"one is suspected", {answered("a", 0), silent("b", suspect)}, {}, false, "b:no_answer "},
+        {"one is believed dead but may be frozen",
+         {answered("a", 0), silent("b", dead)},
+         {},
+         false,
+         "b:no_answer "},
+        {"one crashed, its port refuses",
+         {answered("a", 0), silent("b", alive, true)},
+         {},
+         false,
+         "b:no_answer "},
+        {"one left and has exited", {answered("a", 0), silent("b", left, true)}, {}, true, ""},
+        {"one left and is silent", {answered("a", 0), silent("b", left)}, {}, false, "b:no_answer "},
+        {"one leaves and still finishes streams",
+         {answered("a", 0), answered("b", 1, false, left)},
+         {},
+         false,
+         "b:in_flight "},
+        {"the operator knows that one is gone",
+         {answered("a", 0), silent("b", dead)},
+         {vm_id("b")},
+         true,
+         ""},
+        {"only daemons that need not confirm", {silent("b", dead)}, {vm_id("b")}, false, ""},
+    };
+    for (const row& each : rows) {
+        CAPTURE(each.name);
+        const drain_progress progress = assess(each.asked, each.without);
+        CHECK(progress.safe_to_stop() == each.safe);
+        CHECK(missing_of(progress) == each.missing);
+    }
+}
+
+TEST_CASE("what several daemons know of one is merged by incarnation, then by state")
+{
+    using enum member_state;
+    std::map<vm_id, known_daemon> known;
+    const vm_id a("a");
+    learn(known, a, {{"127.0.0.1", 1}, incarnation{5}, left});
+    learn(known, a, {{"127.0.0.1", 1}, incarnation{5}, alive});
+    CHECK(known[a].state == left);
+    learn(known, a, {{"127.0.0.1", 2}, incarnation{6}, alive});
+    CHECK(known[a].state == alive);
+    CHECK(known[a].operators.port == 2);
+    learn(known, a, {{"127.0.0.1", 1}, incarnation{5}, dead});
+    CHECK(known[a].state == alive);
+}
--- /dev/null
+++ b/tests/vm/stop_proof_test.cpp
@@ -0,0 +1,45 @@
+#include "vm/planned_stop.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+
+TEST_CASE("a planned stop ends when all is done, or at its limit")
+{
+    using enum stop_step;
+    const stop_limits limits{.balancer_notice = {1000}, .drain_limit = {5000}, .farewell = {200}};
+    struct row {
+        const char* name;
+        stop_work left;
+        bool hurry;
+        std::int64_t waited_ms;
+        stop_step next;
+    };
+    const std::vector<row> rows{
+        {"idle, the balancer may not know yet", {0, 0, 0}, false, 999, wait},
+        {"idle after the notice", {0, 0, 0}, false, 1000, exit},
+        {"a request runs", {1, 0, 0}, false, 4999, wait},
+        {"an order's answer is not kept yet", {0, 1, 0}, false, 4999, wait},
+        {"a caller has not received all", {0, 0, 1}, false, 4999, wait},
+        {"a request runs at the limit", {1, 0, 0}, false, 5000, give_up},
+        {"a second signal while a request runs", {1, 0, 0}, true, 10, give_up},
+        {"a second signal while idle", {0, 0, 0}, true, 10, exit},
+    };
+    for (const row& each : rows) {
+        CAPTURE(each.name);
+        stop_state state{.began = {100}, .gave_up = false, .gave_up_at = {}};
+        CHECK(advance(state, each.left, limits, each.hurry, {100 + each.waited_ms}) == each.next);
+    }
+}
+
+TEST_CASE("what is left is given up once, and the last answers get time to leave")
+{
+    const stop_limits limits{.balancer_notice = {1000}, .drain_limit = {5000}, .farewell = {200}};
+    stop_state state{.began = {0}, .gave_up = false, .gave_up_at = {}};
+    const stop_work left{.requests_in_flight = 2, .unwritten_orders = 0, .unsent_answers = 2};
+    CHECK(advance(state, left, limits, false, {5000}) == stop_step::give_up);
+    CHECK(advance(state, left, limits, false, {5199}) == stop_step::wait);
+    CHECK(advance(state, left, limits, true, {5199}) == stop_step::wait);
+    CHECK(advance(state, left, limits, false, {5200}) == stop_step::exit);
+}
