--- a/src/common/outcome.hpp
+++ b/src/common/outcome.hpp
@@ -35,6 +35,8 @@
     target_failed,
     unsettled,
     suspected_crasher,
+    answer_not_kept,
+    settled_by_operator,
 };
 
 //! The stable code in error bodies, for example "no_capacity".
@@ -43,6 +45,9 @@
 //! The HTTP status that carries the code.
 int http_status(error_code code);
 
+//! Whether the code blames the caller's own request rather than the system.
+bool is_callers_fault(error_code code);
+
 //! An answer that says why a request was not served.
 struct refusal {
     outcome result = outcome::not_run;
--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -150,6 +150,7 @@
     call.content_type = request.header("Content-Type");
     call.body = request.body;
     call.timeout = service->second.call_timeout;
+    call.began = event_loop::now();
     reply->add_header("X-Request-Id", call.id.value);
     this->context.open.add(call.id, reply);
     if (request.method == "GET" || service->second.idempotent_paths.contains(path)) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/group.hpp"
 #include "daemon/leaving_watch.hpp"
 #include "daemon/operator_port.hpp"
+#include "daemon/report_store.hpp"
 #include "daemon/target_observer.hpp"
 #include "vm/planned_stop.hpp"
 
@@ -41,14 +42,15 @@
                                  .health = {},
                                  .leaving = {},
                                  .counters = {},
+                                 .burn = {},
                                  .requests_in_flight = 0,
                                  .open = {},
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context, peers),
-          routes(context, generations, lookups, orders),
+          reports(context), operators(context, peers, reports, [this] { this->configuration.poll_soon(); }),
+          observer(context, peers), routes(context, generations, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
@@ -63,6 +65,11 @@
 
     absl::Status run()
     {
+        if (this->configured.tls) {
+            if (absl::Status status = this->callers.use_tls(*this->configured.tls); !status.ok()) {
+                return status;
+            }
+        }
         for (const absl::Status& status :
              {this->peers.start(), this->operators.start(), this->callers.listen(this->configured.callers)}) {
             if (!status.ok()) {
@@ -72,6 +79,7 @@
         this->configuration.start();
         this->terminate = this->loop.on_signal(SIGTERM, [this] { this->stop(); });
         this->interrupt = this->loop.on_signal(SIGINT, [this] { this->stop(); });
+        this->hang_up = this->loop.on_signal(SIGHUP, [this] { this->reload_key(); });
         log_event("started", {{"callers", to_string(this->configured.callers)},
                               {"peers", to_string(this->configured.peers)},
                               {"data_centre", this->configured.data_centre.value}});
@@ -81,6 +89,18 @@
     }
 
 private:
+    // The peers' side watches its files by itself.
+    void reload_key()
+    {
+        if (!this->configured.tls) {
+            log_event("key_not_reloaded", {{"reason", "TLS is off"}});
+            return;
+        }
+        const absl::Status status = this->callers.use_tls(*this->configured.tls);
+        log_event(status.ok() ? "key_reloaded" : "key_not_reloaded",
+                  {{"reason", std::string(status.message())}});
+    }
+
     // First signal: finish what runs. Second signal: stop as soon as what runs was answered.
     void stop()
     {
@@ -90,6 +110,7 @@
         }
         this->context.stopping = true;
         this->stopping.began = event_loop::now();
+        this->reports.write();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
         this->context.on_news();
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
@@ -137,12 +158,14 @@
     order_runner orders;
     configuration_sync configuration;
     group peers;
+    report_store reports;
     operator_port operators;
     target_observer observer;
     caller_routes routes;
     caller_server callers;
     event_loop::timer terminate;
     event_loop::timer interrupt;
+    event_loop::timer hang_up;
     event_loop::timer stop_check;
     stop_state stopping;
     bool hurry = false;
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -7,6 +7,7 @@
 #include "daemon/answers.hpp"
 #include "daemon/configuration_apply.hpp"
 #include "daemon/drain_operations.hpp"
+#include "daemon/order_operations.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -46,8 +47,9 @@
 
 } // namespace
 
-operator_port::operator_port(daemon_context& context, group& peers, std::function<void()> on_change)
-    : context(context), peers(peers), on_change(std::move(on_change)),
+operator_port::operator_port(daemon_context& context, group& peers, report_store& reports,
+                             std::function<void()> on_change)
+    : context(context), peers(peers), reports(reports), on_change(std::move(on_change)),
       server(context.loop, [this](const received_request& request, const std::shared_ptr<http_reply>& reply) {
           this->handle(request, reply);
       })
@@ -77,7 +79,9 @@
         return;
     } else if (request.method == "POST" && request.path == "/v1/configuration/apply") {
         this->apply(request, reply);
-    } else {
+    } else if (request.method == "GET" && request.path == "/v1/report/burn") {
+        this->report_burn(request, reply);
+    } else if (!handle_order_operation(this->context, request, reply)) {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
                                  absl::StrCat("no operation ", request.method, " ", request.path), {}));
@@ -106,6 +110,23 @@
         });
 }
 
+void operator_port::report_burn(const received_request& request, const std::shared_ptr<http_reply>& reply)
+{
+    std::vector<vm_id> vms;
+    for (const auto& [vm, each] : this->peers.members()) {
+        vms.push_back(vm);
+    }
+    this->reports.read_all(vms, [reply, format = request.parameter("format")](const burn_report& report) {
+        if (format == "html") {
+            reply->send(200, to_html(report), "text/html; charset=utf-8");
+        } else if (format == "text") {
+            reply->send(200, to_text(report), "text/plain; charset=utf-8");
+        } else {
+            reply->send(200, dump(to_json(report)));
+        }
+    });
+}
+
 json operator_port::status() const
 {
     json members = json::array();
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -2,82 +2,22 @@
 
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
+#include "tool/call_any.hpp"
+#include "tool/declaration_files.hpp"
 #include "tool/drain_command.hpp"
-#include "tool/operator_client.hpp"
+#include "tool/orders_command.hpp"
+#include "tool/plan_command.hpp"
+#include "tool/report_command.hpp"
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 namespace dandelionstep {
 namespace {
 
 constexpr int ok_status = 200;
 
-absl::StatusOr<std::vector<configuration_record>> read_declarations(const std::vector<std::string>& paths)
-{
-    std::vector<configuration_record> all;
-    for (const std::string& path : paths) {
-        std::ifstream file(path);
-        if (!file) {
-            return absl::NotFoundError(path + ": cannot be read");
-        }
-        std::ostringstream text;
-        text << file.rdbuf();
-        auto records = parse_declarations(text.str(), path);
-        if (!records.ok()) {
-            return records.status();
-        }
-        for (configuration_record& record : *records) {
-            if (const absl::Status status = validate(record); !status.ok()) {
-                return absl::InvalidArgumentError(path + ": " + std::string(status.message()));
-            }
-            all.push_back(std::move(record));
-        }
-    }
-    return all;
-}
-
-// Asks the daemons in turn until one answers; a call that may have been executed is not repeated.
-absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
-                                         const std::string& path, const std::string& body)
-{
-    absl::Status last = absl::InvalidArgumentError("no daemon was named; use --daemon");
-    for (const std::string& daemon : options.daemons) {
-        auto answer = call_daemon(options, daemon, method, path, body);
-        if (answer.ok() || !absl::IsUnavailable(answer.status())) {
-            return answer;
-        }
-        last = answer.status();
-    }
-    return last;
-}
-
-int exit_for(const absl::Status& status)
-{
-    if (absl::IsUnavailable(status)) {
-        return exit_unreachable;
-    }
-    return absl::IsDeadlineExceeded(status) ? exit_unknown : exit_bad_usage;
-}
-
-int exit_for(const operator_answer& answer)
-{
-    if (answer.status == ok_status) {
-        return exit_ok;
-    }
-    return answer.outcome == "unknown" ? exit_unknown : exit_refused;
-}
-
-void print_error(const operator_answer& answer)
-{
-    const json error = answer.body.is_object() ? answer.body.value("error", json::object()) : json::object();
-    std::cerr << string_or(error, "code", "error") << ": " << string_or(error, "message", "no reason given")
-              << "\n";
-}
-
 int send_change(const tool_options& options, const std::vector<configuration_record>& records)
 {
     json list = json::array();
@@ -196,6 +136,8 @@
     check->add_option("files", *paths, "Declaration files (TOML)")->required();
     check->callback([&options, paths] { options.exit_status = check_files(*paths); });
 
+    add_plan_command(app, options);
+
     CLI::App* status = app.add_subcommand("status", "Show daemons and targets");
     status->callback([&options] { options.exit_status = show_status(options); });
 
@@ -214,6 +156,8 @@
     undrain->add_option("target", *target, "The target")->required();
     undrain->callback([&options, target] { options.exit_status = set_draining(options, *target, false); });
 
+    add_report_command(app, options);
+    add_order_commands(app, options);
     app.add_subcommand("version", "Show the version")->callback([] { std::cout << "dandelionstep 0.1.0\n"; });
 }
 
