--- a/src/adapters/caller_server.hpp
+++ b/src/adapters/caller_server.hpp
@@ -69,6 +69,8 @@
     //! InvalidArgument: the files do not hold a certificate and its key; what was in use stays.
     absl::Status use_tls(const tls_files& files);
     absl::Status listen(const endpoint& at);
+    //! Requests whose answers have not left whole.
+    [[nodiscard]] int unfinished() const;
     //! Callers connected now.
     [[nodiscard]] int connections() const;
 
