--- a/src/programs/dandelionstep.cpp
+++ b/src/programs/dandelionstep.cpp
@@ -1,6 +1,24 @@
 #include "tool/commands.hpp"
+#include "vm/nearest_name.hpp"
 
 #include <CLI/CLI.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+std::string suggestion(const CLI::App& app, const std::string& word)
+{
+    std::vector<std::string> known;
+    for (const CLI::App* command : app.get_subcommands([](const CLI::App*) { return true; })) {
+        known.push_back(command->get_name());
+    }
+    const std::string nearest = dandelionstep::nearest_name(word, known);
+    return nearest.empty() ? "" : "; did you mean \"" + nearest + "\"?";
+}
+
+} // namespace
 
 int main(int argument_count, char** arguments)
 {
@@ -11,6 +29,9 @@
     try {
         app.parse(argument_count, arguments);
     } catch (const CLI::ParseError& error) {
+        for (const std::string& word : app.remaining()) {
+            std::cerr << "\"" << word << "\" is not known here" << suggestion(app, word) << "\n";
+        }
         return app.exit(error) == 0 ? dandelionstep::exit_ok : dandelionstep::exit_bad_usage;
     }
     return options.exit_status;
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -62,8 +62,6 @@
 
     //! Starts a daemon again after it was stopped.
     void start_daemon(std::size_t index);
-    [[nodiscard]] endpoint address_of(const std::string& standin) const { return this->addresses.at(standin); }
-
     //! What the daemon says of itself to operators; null when it does not answer.
     [[nodiscard]] json status(std::size_t index) const;
     //! Waits until the daemon has the configuration.
