--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -4,7 +4,9 @@
 #include "adapters/log.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
+#include "request/repair_chain.hpp"
 #include "route/choose_chain.hpp"
 
 #include <vector>
@@ -33,8 +35,23 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    time_point began;
+    time_point first_token;
     //! The chain whose targets count this request as in flight.
     std::optional<chain> counted;
+
+    [[nodiscard]] finished_request finished(outcome result, std::optional<error_code> refused) const
+    {
+        const generation_request& request = this->state.request;
+        return {kind,
+                request.id,
+                request.organisation,
+                request.model.value,
+                result,
+                refused,
+                {this->first_token - this->began, event_loop::now() - this->began,
+                 static_cast<std::int64_t>(this->state.tokens.size())}};
+    }
 };
 
 generation_runner::generation_runner(daemon_context& context) : context(context)
@@ -53,6 +70,7 @@
     generation->state.limits.max_attempts = this->context.configured.max_attempts;
     generation->state.request = std::move(request);
     generation->reply = reply;
+    generation->began = event_loop::now();
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
@@ -79,13 +97,11 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded, ejected_targets ejected) {
-        const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
-                                hash_of(state.request.id.value)};
-        const declarations& declared = this->context.configuration.declared;
-        return ejected == ejected_targets::avoid
-                   ? choose_chain(declared, this->context.health, query, now)
-                   : choose_chain(declared, without_ejections(this->context.health, ejected), query, now);
+    const chain_source chains = [&](const chain_wish& wish) {
+        return wish.ejected == ejected_targets::avoid
+                   ? this->choose(state.request, wish, this->context.health, now)
+                   : this->choose(state.request, wish, without_ejections(this->context.health, wish.ejected),
+                                  now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -99,6 +115,20 @@
     }
 }
 
+absl::StatusOr<chain> generation_runner::choose(const generation_request& request, const chain_wish& wish,
+                                                const health_map& health, time_point now)
+{
+    const chain_query query = chain_query_for(this->context, request, wish.excluded);
+    const route_index& routes = this->context.current_routes();
+    if (wish.broken) {
+        auto repaired = repair_chain(routes, health, *wish.broken, wish.excluded, query.seed, now);
+        if (repaired.ok()) {
+            return repaired;
+        }
+    }
+    return choose_chain(routes, health, query, now);
+}
+
 void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
 {
     this->release_chain(*generation);
@@ -137,6 +167,9 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
+    if (action.index.value == 0) {
+        generation->first_token = event_loop::now();
+    }
     if (!generation->streamed) {
         return;
     }
@@ -154,7 +187,7 @@
         this->note_success(*generation->counted);
     }
     const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, outcome::completed, "ok");
+    record_finished(this->context, generation->finished(outcome::completed, std::nullopt));
     if (generation->streamed) {
         if (!generation->reply->stream_started()) {
             generation->reply->add_header(outcome_header, "streamed");
@@ -170,9 +203,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_refusal& action)
 {
-    const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, generation->finished(action.why.result, action.why.code));
     if (generation->reply->stream_started()) {
         generation->reply->write(absl::StrCat("data: ", refusal_body(action.why), "\n\n"));
         generation->reply->end_stream();
--- a/tests/request/layers_once_differential_proof_test.cpp
+++ b/tests/request/layers_once_differential_proof_test.cpp
@@ -1,4 +1,5 @@
 #include "common/hash.hpp"
+#include "request/repair_chain.hpp"
 #include "support/engine_pool.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -175,10 +176,34 @@
         return absl::UnavailableError("no chain");
     }
 
+    absl::StatusOr<chain> repaired_chain(const chain_wish& wish)
+    {
+        declarations declared;
+        model assistant;
+        assistant.id = model_id("assistant");
+        assistant.version = "1";
+        assistant.layer_count = {this->layers};
+        declared.models.emplace(assistant.id, assistant);
+        for (const target& engine : this->engines) {
+            if (!this->left.contains(engine.id)) {
+                declared.targets.emplace(engine.id, engine);
+            }
+        }
+        const auto seed = static_cast<std::uint64_t>(this->pool.draw(1000));
+        return repair_chain(build_route_index(declared), {}, *wish.broken, wish.excluded, seed,
+                            this->loop.now());
+    }
+
     void handle(asked& each, const generation_event& event)
     {
-        const chain_source chains = [this](const std::set<target_id>& excluded, ejected_targets /*ejected*/) {
-            return this->any_chain(excluded);
+        const chain_source chains = [this](const chain_wish& wish) {
+            if (wish.broken && this->pool.draw(2) == 0) {
+                auto repaired = this->repaired_chain(wish);
+                if (repaired.ok()) {
+                    return repaired;
+                }
+            }
+            return this->any_chain(wish.excluded);
         };
         for (const generation_action& action : advance(each.state, event, chains, this->loop.now())) {
             std::visit([&](const auto& one) { this->perform(each, one); }, action);
--- a/tests/request/layers_once_proof_test.cpp
+++ b/tests/request/layers_once_proof_test.cpp
@@ -145,3 +145,22 @@
         }
     }
 }
+
+TEST_CASE("an answer that one version has begun is not finished by another")
+{
+    generation_bench bench;
+    bench.answer_tokens(2);
+    bench.version = "2";
+    const auto actions = bench.fail(attempt_failure::reset, "1a");
+    CHECK(generation_bench::opening(actions) == nullptr);
+    REQUIRE(generation_bench::refused(actions) != nullptr);
+    CHECK(generation_bench::refused(actions)->result == outcome::unknown);
+}
+
+TEST_CASE("an answer that has not begun may start again with another version")
+{
+    generation_bench bench;
+    bench.answer_tokens(0);
+    bench.version = "2";
+    CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1a")) == "0a 1b 2a");
+}
--- a/tests/support/generation_bench.cpp
+++ b/tests/support/generation_bench.cpp
@@ -50,6 +50,7 @@
             if (!avoided && !this->gone.contains(name) && !excluded.contains(target_id(name))) {
                 const std::int64_t begin = stage * layers_per_stage;
                 chosen.push_back(engine_of(name, begin, begin + layers_per_stage));
+                chosen.back().engine->variant.version = this->version;
                 break;
             }
         }
@@ -57,13 +58,13 @@
     if (chosen.size() != stages) {
         return absl::UnavailableError("no eligible targets hold all layers");
     }
-    return chain::make({model_id("assistant"), "1", {}}, {stages * layers_per_stage}, chosen);
+    return chain::make({model_id("assistant"), this->version, {}}, {stages * layers_per_stage}, chosen);
 }
 
 std::vector<generation_action> generation_bench::on(const generation_event& event)
 {
-    const chain_source chains = [this](const std::set<target_id>& excluded, ejected_targets ejected) {
-        return this->choose(excluded, ejected);
+    const chain_source chains = [this](const chain_wish& wish) {
+        return this->choose(wish.excluded, wish.ejected);
     };
     return advance(this->state, event, chains, this->now);
 }
