--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -5,6 +5,7 @@
 #include "fake_model.hpp"
 #include "support/certificates.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <stdexcept>
@@ -26,6 +27,19 @@
     return request;
 }
 
+std::vector<std::string> engine_arguments(const engine_plan& engine)
+{
+    std::vector<std::string> arguments{"engine",
+                                       "--name",
+                                       engine.name,
+                                       "--begin-layer",
+                                       std::to_string(engine.begin_layer),
+                                       "--end-layer",
+                                       std::to_string(engine.end_layer)};
+    arguments.insert(arguments.end(), engine.options.begin(), engine.options.end());
+    return arguments;
+}
+
 } // namespace
 
 std::uint16_t free_port()
@@ -91,15 +105,7 @@
     }
     this->start_standin("platform", {"platform"});
     for (const engine_plan& engine : plan.engines) {
-        std::vector<std::string> arguments{"engine",
-                                           "--name",
-                                           engine.name,
-                                           "--begin-layer",
-                                           std::to_string(engine.begin_layer),
-                                           "--end-layer",
-                                           std::to_string(engine.end_layer)};
-        arguments.insert(arguments.end(), engine.options.begin(), engine.options.end());
-        this->start_standin(engine.name, arguments);
+        this->start_standin(engine.name, engine_arguments(engine));
     }
     for (std::size_t i = 0; i < plan.services.size(); ++i) {
         const std::string name = absl::StrCat("desk", i);
@@ -121,6 +127,15 @@
     }
 }
 
+void cluster::start_engine(const std::string& name)
+{
+    this->processes.at(name).kill();
+    const auto engine = std::ranges::find(this->plan.engines, name, &engine_plan::name);
+    std::vector<std::string> arguments = engine_arguments(*engine);
+    arguments.insert(arguments.begin(), {"--port", std::to_string(this->addresses.at(name).port)});
+    this->start_standin(name, arguments);
+}
+
 void cluster::start_standin(const std::string& name, const std::vector<std::string>& arguments)
 {
     child_process child("dandelionstep-standin", arguments, this->folder.path(name + ".log"));
