Measure the recovery of streams from killed, frozen and cut stages

scripts/measure recovery holds 24 streams of 60 tokens open over nine engine processes and strikes 60 stages in turn; a stream counts for a strike if the daemon's log shows that an attempt of it failed then. Every token is checked against the single machine's. The naive twin asks the whole question again. A first version counted gaps of 60 ms and more and so left out the fast recoveries of killed stages.

--- a/tests/measure/recovery.cpp
+++ b/tests/measure/recovery.cpp
@@ -9,7 +9,6 @@
 #include <fstream>
 #include <iostream>
 #include <map>
-#include <set>
 #include <thread>
 
 using namespace dandelionstep;
@@ -19,9 +18,9 @@
 
 constexpr int streams = 24;
 constexpr std::int64_t tokens = 60;
-constexpr milliseconds heal_after{1500};
+constexpr milliseconds heal_after{1200};
 constexpr milliseconds settle{500};
-constexpr int kills = 54;
+constexpr int kills = 60;
 constexpr int naive_kills = 18;
 
 enum class strike_way { kill, freeze, cut };
@@ -44,6 +43,7 @@
     strike_way way = strike_way::kill;
     std::string victim;
     time_point at;
+    wall_time wall_at;
 };
 
 std::vector<engine_plan> engines()
@@ -62,21 +62,29 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(time.count));
 }
 
-// Requests of which an attempt failed, by the daemon's own log.
-std::set<std::string> requests_with_failures(const std::string& log_path)
+using failure_times = std::map<std::string, std::vector<wall_time>>;
+
+std::string field_of(const std::string& line, const std::string& key)
+{
+    const std::string mark = " " + key + "=";
+    const std::size_t at = (" " + line).find(mark);
+    return at == std::string::npos ? ""
+                                   : line.substr(at + mark.size() - 1,
+                                                 line.find(' ', at + mark.size() - 1) - at - mark.size() + 1);
+}
+
+// When attempts of each request failed, by the daemon's own log.
+failure_times failures_in(const std::string& log_path)
 {
-    std::set<std::string> requests;
+    failure_times failures;
     std::ifstream log(log_path);
     std::string line;
     while (std::getline(log, line)) {
-        constexpr std::string_view mark = " request=";
-        const std::size_t at = line.find(mark);
-        if (line.find("event=target_suspected") != std::string::npos && at != std::string::npos) {
-            const std::size_t begin = at + mark.size();
-            requests.insert(line.substr(begin, line.find(' ', begin) - begin));
+        if (field_of(line, "event") == "target_suspected") {
+            failures[field_of(line, "request")].push_back({std::stoll(field_of(line, "ts_ms"))});
         }
     }
-    return requests;
+    return failures;
 }
 
 // The way of all strikes: each stage in turn, by each way in turn.
@@ -86,7 +94,7 @@
     const std::size_t letter = static_cast<std::size_t>(number) / 9 % 3;
     const strike_way way = ways[static_cast<std::size_t>(number) / 3 % ways.size()];
     const std::string victim = absl::StrCat("stage", stage, std::string(1, "abc"[letter]));
-    const strike_record record{way, victim, event_loop::now()};
+    const strike_record record{way, victim, event_loop::now(), event_loop::wall_now()};
     switch (way) {
     case strike_way::kill:
         running.processes.at(victim).signal(SIGKILL);
@@ -156,10 +164,20 @@
     std::int64_t p95_gap_ms = 0;
 };
 
-measured evaluate(const std::vector<strike_record>& strikes, const std::vector<stream_record>& records,
-                  const std::set<std::string>& failed)
+// Whether an attempt for the stream failed between the strike and the next one.
+bool is_hit(const stream_record& stream, const failure_times& failures, const strike_record& strike,
+            wall_time next)
+{
+    return std::ranges::any_of(stream.requests, [&](const std::string& request) {
+        const auto found = failures.find(request);
+        return found != failures.end() && std::ranges::any_of(found->second, [&](wall_time at) {
+                   return at >= strike.wall_at && at < next;
+               });
+    });
+}
+
+void count_answers(measured& result, const std::vector<stream_record>& records)
 {
-    measured result;
     std::vector<std::int64_t> gaps;
     for (const stream_record& stream : records) {
         ++result.questions;
@@ -170,26 +188,27 @@
         }
     }
     result.p95_gap_ms = percentile(gaps, 95);
+}
+
+measured evaluate(const std::vector<strike_record>& strikes, const std::vector<stream_record>& records,
+                  const failure_times& failures)
+{
+    measured result;
+    count_answers(result, records);
     for (std::size_t i = 0; i < strikes.size(); ++i) {
-        const time_point next = i + 1 < strikes.size() ? strikes[i + 1].at : never;
-        std::size_t hit = 0;
+        const wall_time next = i + 1 < strikes.size() ? strikes[i + 1].wall_at : wall_time{INT64_MAX};
+        const std::size_t before = result.all.size();
         for (const stream_record& stream : records) {
-            const bool concerned = std::ranges::any_of(
-                stream.requests, [&](const std::string& request) { return failed.contains(request); });
-            const bool open = !stream.arrivals.empty() && stream.arrivals.front() < strikes[i].at &&
-                              stream.arrivals.back() > strikes[i].at;
-            const auto recovery = concerned && open ? recovery_of(stream, strikes[i].at) : std::nullopt;
-            // A stream that failed by another strike has no gap at this one.
-            constexpr std::int64_t least_gap = 60;
-            if (recovery && *recovery >= least_gap &&
-                strikes[i].at + milliseconds{*recovery} < next + heal_after) {
+            const auto recovery = is_hit(stream, failures, strikes[i], next)
+                                      ? recovery_of(stream, strikes[i].at)
+                                      : std::nullopt;
+            if (recovery) {
                 result.all.push_back(*recovery);
                 result.by_way[strikes[i].way].push_back(*recovery);
-                ++hit;
             }
         }
         ++result.strikes;
-        result.strikes_without_stream += hit == 0 ? 1 : 0;
+        result.strikes_without_stream += result.all.size() == before ? 1 : 0;
     }
     return result;
 }
@@ -210,7 +229,7 @@
         heal(running, strikes.back());
     }
     load.finish();
-    return evaluate(strikes, load.records(), requests_with_failures(running.folder.path("daemon0.log")));
+    return evaluate(strikes, load.records(), failures_in(running.folder.path("daemon0.log")));
 }
 
 void print(const char* name, const measured& result)
