--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -6,6 +6,7 @@
 #include "daemon/answers.hpp"
 #include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
+#include "request/repair_chain.hpp"
 #include "route/choose_chain.hpp"
 
 #include <vector>
@@ -96,12 +97,11 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded, ejected_targets ejected) {
-        const route_index& routes = this->context.current_routes();
-        const chain_query query = chain_query_for(this->context, state.request, excluded);
-        return ejected == ejected_targets::avoid
-                   ? choose_chain(routes, this->context.health, query, now)
-                   : choose_chain(routes, without_ejections(this->context.health, ejected), query, now);
+    const chain_source chains = [&](const chain_wish& wish) {
+        return wish.ejected == ejected_targets::avoid
+                   ? this->choose(state.request, wish, this->context.health, now)
+                   : this->choose(state.request, wish, without_ejections(this->context.health, wish.ejected),
+                                  now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -115,6 +115,20 @@
     }
 }
 
+absl::StatusOr<chain> generation_runner::choose(const generation_request& request, const chain_wish& wish,
+                                                const health_map& health, time_point now)
+{
+    const chain_query query = chain_query_for(this->context, request, wish.excluded);
+    const route_index& routes = this->context.current_routes();
+    if (wish.broken) {
+        auto repaired = repair_chain(routes, health, *wish.broken, wish.excluded, query.seed, now);
+        if (repaired.ok()) {
+            return repaired;
+        }
+    }
+    return choose_chain(routes, health, query, now);
+}
+
 void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
 {
     this->release_chain(*generation);
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -28,6 +28,8 @@
     using running_ptr = std::shared_ptr<running_generation>;
 
     void handle(const running_ptr& generation, const generation_event& event);
+    absl::StatusOr<chain> choose(const generation_request& request, const chain_wish& wish,
+                                 const health_map& health, time_point now);
     void perform(const running_ptr& generation, const open_attempt& action);
     void perform(const running_ptr& generation, const cancel_attempt& action);
     void perform(const running_ptr& generation, const suspect_target& action);
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -35,6 +35,9 @@
             this->fail_attempt(attempt_failure::protocol, std::nullopt);
             return std::move(this->result);
         }
+        if (!this->state.attempt_has_answered) {
+            this->state.last = this->state.active;
+        }
         this->state.attempt_has_answered = true;
         this->state.last_progress = this->now;
         this->state.tokens.push_back(event.text);
@@ -173,15 +176,25 @@
     absl::StatusOr<chain> choose_next_chain() const
     {
         absl::StatusOr<chain> through =
-            this->chains(this->excluded_now(excluded_kind::all), ejected_targets::avoid);
+            this->chains({this->excluded_now(excluded_kind::all), ejected_targets::avoid, this->state.last});
         if (!absl::IsUnavailable(through.status())) {
-            return through;
+            return this->of_one_variant(std::move(through));
         }
         // A doubtful target is better than none. But a request that has nothing yet is not kept waiting on
         // targets that failed again and again: it is refused at once, so that its caller can come back.
         const ejected_targets last_resort =
             this->state.tokens.empty() ? ejected_targets::use_failed_once : ejected_targets::use;
-        return this->chains(this->excluded_now(excluded_kind::surely_down), last_resort);
+        return this->of_one_variant(
+            this->chains({this->excluded_now(excluded_kind::surely_down), last_resort, this->state.last}));
+    }
+
+    // An answer that one version has begun is not finished by another.
+    absl::StatusOr<chain> of_one_variant(absl::StatusOr<chain> through) const
+    {
+        if (through.ok() && this->state.last && through->variant() != this->state.last->variant()) {
+            return absl::UnavailableError("the version of the model that began the answer is gone");
+        }
+        return through;
     }
 
     void open_next_attempt()
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -62,6 +62,8 @@
 
     //! Starts a daemon again after it was stopped.
     void start_daemon(std::size_t index);
+    //! Starts an engine again, at the same address, after it was killed.
+    void start_engine(const std::string& name);
     //! What the daemon says of itself to operators; null when it does not answer.
     [[nodiscard]] json status(std::size_t index) const;
     //! Waits until the daemon has the configuration.
