--- a/src/common/outcome.hpp
+++ b/src/common/outcome.hpp
@@ -17,6 +17,21 @@
 //! The outcome's name in headers, logs and metrics.
 std::string_view to_string(outcome value);
 
+class exposure;
+
+//! An outcome that only `exposure` can make, so that `not_run` is never said of a request that may have run.
+class proven_outcome {
+public:
+    //! Implicit, so that it is read like the outcome that it holds.
+    operator outcome() const { return this->value; } // NOLINT(google-explicit-constructor)
+
+private:
+    friend class exposure;
+    explicit proven_outcome(outcome value) : value(value) {}
+
+    outcome value;
+};
+
 //! Why a request was answered with an error; each has one stable code.
 enum class error_code {
     bad_request,
@@ -45,9 +60,9 @@
 //! The HTTP status that carries the code.
 int http_status(error_code code);
 
-//! An answer that says why a request was not served.
+//! An answer that says why a request was not served; made by `exposure::refuse`.
 struct refusal {
-    outcome result = outcome::not_run;
+    proven_outcome result;
     error_code code = error_code::bad_request;
     std::string message;
     //! When to come back; zero where repeating the request can't help.
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -100,7 +100,11 @@
                 reply->send(200, dump({{"change_id", id.value}, {"revision", answer.number.value}}));
                 return;
             }
-            refuse(*reply, {answer.result, answer.code, answer.message, {}});
+            exposure change;
+            if (answer.result != outcome::not_run) {
+                change.begin_send();
+            }
+            refuse(*reply, change.refuse(answer.code, answer.message, {}));
         });
 }
 
--- a/src/request/exposure.hpp
+++ b/src/request/exposure.hpp
@@ -22,8 +22,8 @@
     //! The refusal with the outcome that is true now.
     [[nodiscard]] refusal refuse(error_code code, std::string message, milliseconds retry_after) const
     {
-        return {this->may_have_run() ? outcome::unknown : outcome::not_run, code, std::move(message),
-                retry_after};
+        const outcome result = this->may_have_run() ? outcome::unknown : outcome::not_run;
+        return {proven_outcome(result), code, std::move(message), retry_after};
     }
 
 private:
