--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -4,6 +4,7 @@
 #include "adapters/log.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
 #include "route/choose_chain.hpp"
 
@@ -22,8 +23,23 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    time_point began;
+    time_point first_token;
     //! The chain whose targets count this request as in flight.
     std::optional<chain> counted;
+
+    [[nodiscard]] finished_request finished(outcome result, std::optional<error_code> refused) const
+    {
+        const generation_request& request = this->state.request;
+        return {kind,
+                request.id,
+                request.organisation,
+                request.model.value,
+                result,
+                refused,
+                {this->first_token - this->began, event_loop::now() - this->began,
+                 static_cast<std::int64_t>(this->state.tokens.size())}};
+    }
 };
 
 generation_runner::generation_runner(daemon_context& context) : context(context)
@@ -42,6 +58,7 @@
     generation->state.limits.max_attempts = this->context.configured.max_attempts;
     generation->state.request = std::move(request);
     generation->reply = reply;
+    generation->began = event_loop::now();
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
@@ -70,9 +87,8 @@
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
     const chain_source chains = [&](const std::set<target_id>& excluded) {
-        const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
-                                hash_of(state.request.id.value)};
-        return choose_chain(this->context.configuration.declared, this->context.health, query, now);
+        return choose_chain(this->context.current_routes(), this->context.health,
+                            chain_query_for(this->context, state.request, excluded), now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -115,6 +131,9 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
+    if (action.index.value == 0) {
+        generation->first_token = event_loop::now();
+    }
     if (!generation->streamed) {
         return;
     }
@@ -132,7 +151,7 @@
         this->note_success(*generation->counted);
     }
     const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, outcome::completed, "ok");
+    record_finished(this->context, generation->finished(outcome::completed, std::nullopt));
     if (generation->streamed) {
         if (!generation->reply->stream_started()) {
             generation->reply->add_header(outcome_header, "streamed");
@@ -148,9 +167,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_refusal& action)
 {
-    const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, generation->finished(action.why.result, action.why.code));
     if (generation->reply->stream_started()) {
         generation->reply->write(absl::StrCat("data: ", refusal_body(action.why), "\n\n"));
         generation->reply->end_stream();
