Requests that crash their targets: suspects, a guard for generations, refusal

A request aboard a target that died (confirmed by asking the target) is suspected, looks for a place of its own, and is refused with suspected_crasher after three deaths at one token, or six at any. One whole answer clears it.

--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -8,6 +8,7 @@
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
 #include "route/route_index.hpp"
+#include "request/suspects.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
@@ -24,6 +25,8 @@
     health_map health;
     request_counters counters;
     burn_table burn;
+    //! Requests that were aboard targets that died, here or at other daemons.
+    suspect_table suspects{};
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
     //! Set by a planned stop: new requests are refused, running ones finish.
--- /dev/null
+++ b/src/daemon/crash_guard.cpp
@@ -0,0 +1,150 @@
+#include "daemon/crash_guard.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "adapters/log.hpp"
+
+namespace dandelionstep {
+namespace {
+
+constexpr milliseconds probe_timeout{1000};
+
+bool may_be_a_death(attempt_failure failure)
+{
+    return failure != attempt_failure::refused && failure != attempt_failure::not_connected &&
+           failure != attempt_failure::protocol && failure != attempt_failure::token_gap;
+}
+
+} // namespace
+
+request_fingerprint fingerprint_of(const generation_request& request)
+{
+    return fingerprint_of(request.model, request.prompt);
+}
+
+absl::StatusOr<chain> crash_guard::choose(const generation_request& request,
+                                          const std::set<target_id>& excluded, const chain_picker& pick) const
+{
+    const suspect_table& table = this->context.suspects;
+    if (table.suspects.empty() && this->probing.empty()) {
+        return pick(excluded);
+    }
+    const time_point now = event_loop::now();
+    const request_fingerprint fingerprint = fingerprint_of(request);
+    const suspect_standing standing = standing_of(table, fingerprint, this->unconfirmed(fingerprint), now);
+    if (standing == suspect_standing::condemned) {
+        return absl::PermissionDeniedError(
+            absl::StrCat("targets died each time they ran this request; it is refused for ",
+                         lapses_in(table, fingerprint, now).count, " ms more"));
+    }
+    absl::StatusOr<chain> picked = absl::UnavailableError("");
+    for (const std::set<target_id>& avoided :
+         avoidance(standing, excluded, this->busy_targets(), this->running_suspects(request.id))) {
+        picked = pick(avoided);
+        if (picked.ok()) {
+            break;
+        }
+    }
+    return picked;
+}
+
+struct crash_guard::possible_death {
+    request_fingerprint request;
+    token_count given;
+    target_id target;
+    incarnation known;
+};
+
+void crash_guard::note_failure(const generation_state& state, const attempt_failed& failure)
+{
+    if (!failure.culprit || !may_be_a_death(failure.failure)) {
+        return;
+    }
+    const auto& targets = this->context.configuration.declared.targets;
+    const auto target = targets.find(*failure.culprit);
+    if (target == targets.end()) {
+        return;
+    }
+    const possible_death death{fingerprint_of(state.request),
+                               token_count{static_cast<std::int64_t>(state.tokens.size())}, *failure.culprit,
+                               this->context.health[*failure.culprit].started};
+    this->probing.insert(death.request);
+    this->context.engines.read_load(target->second.address, probe_timeout,
+                                    [this, death](const std::optional<load_report>& report) {
+                                        this->probing.erase(this->probing.find(death.request));
+                                        this->take_probe(death, report);
+                                    });
+}
+
+void crash_guard::take_probe(const possible_death& death, const std::optional<load_report>& report)
+{
+    // A target that answers as the one it was lost a connection only; one never met before can't be told
+    // apart.
+    const bool never_met = death.known == incarnation{};
+    if (report && (never_met || report->started == death.known)) {
+        return;
+    }
+    suspect_table& table = this->context.suspects;
+    note_takedown(table, death.request, takedown_of(death.target, death.known), death.given,
+                  event_loop::now());
+    log_event("request_suspected",
+              {{"fingerprint", death.request.value},
+               {"target", death.target.value},
+               {"given_tokens", death.given.value},
+               {"takedowns", static_cast<std::int64_t>(table.suspects[death.request].takedowns.size())}});
+}
+
+void crash_guard::note_progress(const generation_state& state)
+{
+    if (state.finished || !state.active) {
+        this->suspects_at.erase(state.request.id);
+        return;
+    }
+    const request_fingerprint fingerprint = fingerprint_of(state.request);
+    const suspect_standing standing =
+        standing_of(this->context.suspects, fingerprint, this->unconfirmed(fingerprint), event_loop::now());
+    if (standing == suspect_standing::clear) {
+        this->suspects_at.erase(state.request.id);
+        return;
+    }
+    std::set<target_id>& at = this->suspects_at[state.request.id];
+    at.clear();
+    for (const hop& stage : state.active->hops()) {
+        at.insert(stage.target);
+    }
+}
+
+void crash_guard::note_answered(const generation_request& request)
+{
+    if (!this->context.suspects.suspects.empty()) {
+        note_finished(this->context.suspects, fingerprint_of(request));
+    }
+}
+
+std::size_t crash_guard::unconfirmed(request_fingerprint request) const
+{
+    return this->probing.count(request);
+}
+
+std::set<target_id> crash_guard::running_suspects(const request_id& but) const
+{
+    std::set<target_id> targets;
+    for (const auto& [request, at] : this->suspects_at) {
+        if (request != but) {
+            targets.insert(at.begin(), at.end());
+        }
+    }
+    return targets;
+}
+
+std::set<target_id> crash_guard::busy_targets() const
+{
+    std::set<target_id> busy;
+    for (const auto& [id, health] : this->context.health) {
+        if (estimated_load(this->context.health, id) > 0) {
+            busy.insert(id);
+        }
+    }
+    return busy;
+}
+
+} // namespace dandelionstep
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -79,6 +79,7 @@
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
         this->note_failure(*failure);
+        this->guard.note_failure(state, *failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -87,14 +88,17 @@
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
     const chain_source chains = [&](const std::set<target_id>& excluded) {
-        return choose_chain(this->context.current_routes(), this->context.health,
-                            chain_query_for(this->context, state.request, excluded), now);
+        return this->guard.choose(state.request, excluded, [&](const std::set<target_id>& avoided) {
+            return choose_chain(this->context.current_routes(), this->context.health,
+                                chain_query_for(this->context, state.request, avoided), now);
+        });
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
     for (const generation_action& action : actions) {
         std::visit([&](const auto& each) { this->perform(generation, each); }, action);
     }
+    this->guard.note_progress(state);
     if (state.finished) {
         this->release_chain(*generation);
         this->generations.erase(state.request.id.value);
@@ -147,6 +151,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_end& action)
 {
+    this->guard.note_answered(generation->state.request);
     if (generation->counted) {
         this->note_success(*generation->counted);
     }
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/caller_server.hpp"
 #include "daemon/context.hpp"
+#include "daemon/crash_guard.hpp"
 #include "request/generation.hpp"
 
 #include <memory>
@@ -39,6 +40,7 @@
     void tick();
 
     daemon_context& context;
+    crash_guard guard{this->context};
     std::unordered_map<std::string, running_ptr> generations;
     event_loop::timer ticker;
 };
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -8,6 +8,14 @@
 
 using actions = std::vector<generation_action>;
 
+error_code code_without_chain(const absl::Status& status)
+{
+    if (absl::IsNotFound(status)) {
+        return error_code::unknown_route;
+    }
+    return absl::IsPermissionDenied(status) ? error_code::suspected_crasher : error_code::no_capacity;
+}
+
 class generation_step {
 public:
     generation_step(generation_state& state, const chain_source& chains, time_point now)
@@ -144,9 +152,7 @@
             through = this->chains(this->state.excluded);
         }
         if (!through.ok()) {
-            const bool unknown = absl::IsNotFound(through.status());
-            this->give_up(unknown ? error_code::unknown_route : error_code::no_capacity,
-                          std::string(through.status().message()));
+            this->give_up(code_without_chain(through.status()), std::string(through.status().message()));
             return;
         }
         this->state.attempt = this->state.attempt + attempt_number{1};
--- /dev/null
+++ b/src/request/suspects.cpp
@@ -0,0 +1,201 @@
+#include "request/suspects.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "common/hash.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace dandelionstep {
+namespace {
+
+// A digest that nobody can aim at another's request; 60 bits keep the number positive.
+std::int64_t digest_of(const std::string& text)
+{
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t digits = 15;
+    return std::stoll(sha256_hex(text).substr(0, digits), nullptr, hexadecimal);
+}
+
+// The smallest ids stay, so that unions come out alike in any order.
+void keep_within(std::map<takedown_id, token_count>& takedowns, std::size_t bound)
+{
+    while (takedowns.size() > bound) {
+        takedowns.erase(std::prev(takedowns.end()));
+    }
+}
+
+// Two requests with one fingerprint may have died on one target; the earlier place is kept.
+void add_takedown(suspect& to, takedown_id target, token_count given)
+{
+    const auto [entry, added] = to.takedowns.emplace(target, given);
+    entry->second = std::min(entry->second, given);
+}
+
+// The most deaths at one place of the answer: a request that crashes its targets does not get past it.
+std::size_t deaths_at_one_token(const suspect& each)
+{
+    std::map<token_count, std::size_t> deaths;
+    std::size_t most = 0;
+    for (const auto& [target, given] : each.takedowns) {
+        most = std::max(most, ++deaths[given]);
+    }
+    return most;
+}
+
+bool has_lapsed(const suspect_table& table, const suspect& each, time_point now)
+{
+    return now - each.last >= table.limits.lapse;
+}
+
+bool less_suspicious(const suspect& a, const suspect& b)
+{
+    if (a.takedowns.size() != b.takedowns.size()) {
+        return a.takedowns.size() < b.takedowns.size();
+    }
+    return a.last < b.last;
+}
+
+const suspect* find_suspect(const suspect_table& table, request_fingerprint request, time_point now)
+{
+    const auto found = table.suspects.find(request);
+    const bool known = found != table.suspects.end() && !has_lapsed(table, found->second, now);
+    return known ? &found->second : nullptr;
+}
+
+bool merge_one(suspect_table& table, const suspect_report& report, time_point now)
+{
+    if (report.age >= table.limits.lapse || report.takedowns.empty()) {
+        return false;
+    }
+    suspect& own = table.suspects[report.fingerprint];
+    const std::map<takedown_id, token_count> before = own.takedowns;
+    for (const auto& [target, given] : report.takedowns) {
+        add_takedown(own, target, given);
+    }
+    keep_within(own.takedowns, table.limits.condemned_with_progress_at);
+    const bool finished_before = own.finished;
+    own.finished = own.finished || report.finished;
+    // Only a new takedown renews a suspect: the age loses the time on the way at each hop, and would never
+    // end.
+    if (own.takedowns != before) {
+        own.last = before.empty() ? now - report.age : std::max(own.last, now - report.age);
+    }
+    return own.takedowns != before || own.finished != finished_before;
+}
+
+std::set<target_id> united(std::set<target_id> a, const std::set<target_id>& b)
+{
+    a.insert(b.begin(), b.end());
+    return a;
+}
+
+} // namespace
+
+request_fingerprint fingerprint_of(const model_id& model, std::string_view prompt)
+{
+    return {digest_of(absl::StrCat(model.value, "\n", std::string(prompt)))};
+}
+
+takedown_id takedown_of(const target_id& target, incarnation started)
+{
+    return {digest_of(absl::StrCat(target.value, "\n", started.value))};
+}
+
+void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, token_count given,
+                   time_point now)
+{
+    suspect& found = table.suspects[request];
+    if (has_lapsed(table, found, now)) {
+        found = {};
+    }
+    add_takedown(found, target, given);
+    keep_within(found.takedowns, table.limits.condemned_with_progress_at);
+    found.last = now;
+    expire(table, now);
+}
+
+void note_finished(suspect_table& table, request_fingerprint request)
+{
+    if (const auto found = table.suspects.find(request); found != table.suspects.end()) {
+        found->second.finished = true;
+    }
+}
+
+suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
+                             time_point now)
+{
+    const suspect* found = find_suspect(table, request, now);
+    if (found != nullptr && found->finished) {
+        return suspect_standing::clear;
+    }
+    const std::size_t deaths = unconfirmed + (found == nullptr ? 0 : found->takedowns.size());
+    if (deaths == 0) {
+        return suspect_standing::clear;
+    }
+    const bool condemned = deaths >= table.limits.condemned_with_progress_at ||
+                           (found != nullptr && deaths_at_one_token(*found) >= table.limits.condemned_at);
+    return condemned ? suspect_standing::condemned : suspect_standing::suspected;
+}
+
+milliseconds lapses_in(const suspect_table& table, request_fingerprint request, time_point now)
+{
+    const suspect* found = find_suspect(table, request, now);
+    return found == nullptr ? milliseconds{0} : table.limits.lapse - (now - found->last);
+}
+
+std::vector<suspect_report> reports_of(const suspect_table& table, std::size_t max_reports, time_point now)
+{
+    std::vector<suspect_report> reports;
+    for (const auto& [fingerprint, each] : table.suspects) {
+        if (!has_lapsed(table, each, now)) {
+            reports.push_back({fingerprint,
+                               {each.takedowns.begin(), each.takedowns.end()},
+                               now - each.last,
+                               each.finished});
+        }
+    }
+    std::stable_sort(reports.begin(), reports.end(),
+                     [](const suspect_report& a, const suspect_report& b) { return a.age < b.age; });
+    reports.resize(std::min(reports.size(), max_reports));
+    return reports;
+}
+
+bool merge(suspect_table& table, const std::vector<suspect_report>& reports, time_point now)
+{
+    bool news = false;
+    for (const suspect_report& report : reports) {
+        news = merge_one(table, report, now) || news;
+    }
+    expire(table, now);
+    return news;
+}
+
+void expire(suspect_table& table, time_point now)
+{
+    std::erase_if(table.suspects, [&](const auto& each) { return has_lapsed(table, each.second, now); });
+    while (table.suspects.size() > table.limits.max_suspects) {
+        table.suspects.erase(
+            std::min_element(table.suspects.begin(), table.suspects.end(), [](const auto& a, const auto& b) {
+                return less_suspicious(a.second, b.second);
+            }));
+    }
+}
+
+std::vector<std::set<target_id>> avoidance(suspect_standing standing, const std::set<target_id>& excluded,
+                                           const std::set<target_id>& busy,
+                                           const std::set<target_id>& running_suspects)
+{
+    std::vector<std::set<target_id>> preferences;
+    const std::set<target_id> apart = united(excluded, running_suspects);
+    if (standing == suspect_standing::suspected) {
+        preferences.push_back(united(apart, busy));
+    }
+    if (!running_suspects.empty()) {
+        preferences.push_back(apart);
+    }
+    preferences.push_back(excluded);
+    return preferences;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/request/suspects.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "common/ids.hpp"
+#include "common/strong.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dandelionstep {
+
+//! Names what a request asks, whoever asks it and however often.
+using request_fingerprint = strong_count<struct request_fingerprint_unit>;
+//! Names one target's incarnation that died while it ran a request.
+using takedown_id = strong_count<struct takedown_unit>;
+
+//! The fingerprint of a question to a model; equal on every daemon.
+request_fingerprint fingerprint_of(const model_id& model, std::string_view prompt);
+takedown_id takedown_of(const target_id& target, incarnation started);
+
+//! Bounds of the table of suspects.
+struct suspect_limits {
+    //! A request that was aboard this many targets that died while it stood at the same token is refused.
+    std::size_t condemned_at = 3;
+    //! As above, wherever it stood: it went on in between, so the deaths may have other reasons.
+    std::size_t condemned_with_progress_at = 6;
+    //! A suspect is forgotten this long after the last target that it was aboard.
+    milliseconds lapse{600'000};
+    std::size_t max_suspects = 4096;
+};
+
+//! A request that was in flight on targets that died.
+struct suspect {
+    //! The tokens that the request had given at each; at most condemned_with_progress_at.
+    std::map<takedown_id, token_count> takedowns;
+    time_point last;
+    //! It was once answered whole, so it is not what took the targets down.
+    bool finished = false;
+};
+
+//! What one daemon knows of suspects.
+struct suspect_table {
+    suspect_limits limits;
+    std::map<request_fingerprint, suspect> suspects;
+};
+
+//! A suspect as daemons tell each other of it.
+struct suspect_report {
+    request_fingerprint fingerprint;
+    std::vector<std::pair<takedown_id, token_count>> takedowns;
+    //! The time since its last takedown.
+    milliseconds age;
+    bool finished = false;
+};
+
+enum class suspect_standing {
+    clear,
+    suspected, //!< To be run alone.
+    condemned, //!< Not to be run until it lapses.
+};
+
+//! Records that a target's incarnation died with the request aboard, which had given so many tokens.
+void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, token_count given,
+                   time_point now);
+//! Records that a request was answered whole; one that is no suspect needs no record.
+void note_finished(suspect_table& table, request_fingerprint request);
+
+//! How the request is to be treated; `unconfirmed` counts deaths that are not confirmed yet.
+suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
+                             time_point now);
+//! The time until the request's suspicion lapses; zero for one that is no suspect.
+milliseconds lapses_in(const suspect_table& table, request_fingerprint request, time_point now);
+
+//! What to tell another daemon: the latest suspects first.
+std::vector<suspect_report> reports_of(const suspect_table& table, std::size_t max_reports, time_point now);
+//! Takes over what another daemon told; true if there was news. Order and repeats do not matter.
+bool merge(suspect_table& table, const std::vector<suspect_report>& reports, time_point now);
+//! Forgets what has lapsed, and the least suspicious above the bound.
+void expire(suspect_table& table, time_point now);
+
+//! The sets of targets to avoid for a request, in order of preference: a suspect runs where nothing else
+//! does, if there is such a place; nobody joins a suspect while there is another target.
+std::vector<std::set<target_id>> avoidance(suspect_standing standing, const std::set<target_id>& excluded,
+                                           const std::set<target_id>& busy,
+                                           const std::set<target_id>& running_suspects);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/tests/request/suspects_test.cpp
@@ -0,0 +1,184 @@
+#include "request/suspects.hpp"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr time_point start{10'000'000};
+constexpr request_fingerprint crasher{1};
+constexpr request_fingerprint innocent{2};
+
+constexpr token_count same_place{17};
+
+takedown_id death(std::int64_t number)
+{
+    return takedown_id{number};
+}
+
+suspect_table after_deaths(request_fingerprint request, int deaths)
+{
+    suspect_table table;
+    for (int i = 1; i <= deaths; ++i) {
+        note_takedown(table, request, death(i), same_place, start);
+    }
+    return table;
+}
+
+std::vector<suspect_report> random_reports(std::mt19937_64& random)
+{
+    std::vector<suspect_report> reports;
+    for (int i = 0; i < 20; ++i) {
+        suspect_report report{
+            request_fingerprint{static_cast<std::int64_t>(random() % 6)}, {}, {}, random() % 5 == 0};
+        for (std::uint64_t deaths = 1 + random() % 3; deaths > 0; --deaths) {
+            report.takedowns.emplace_back(death(static_cast<std::int64_t>(random() % 9)),
+                                          token_count{static_cast<std::int64_t>(random() % 3)});
+        }
+        report.age = {static_cast<std::int64_t>(random() % 1000)};
+        reports.push_back(report);
+    }
+    return reports;
+}
+
+// What a table says of its suspects, without the ages.
+std::map<std::int64_t, std::pair<std::map<takedown_id, token_count>, bool>>
+contents(const suspect_table& table)
+{
+    std::map<std::int64_t, std::pair<std::map<takedown_id, token_count>, bool>> all;
+    for (const auto& [fingerprint, each] : table.suspects) {
+        all[fingerprint.value] = {each.takedowns, each.finished};
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a request is suspected from its first takedown and condemned at its third")
+{
+    using standing = suspect_standing;
+    for (const auto& [deaths, expected] : std::map<int, standing>{{0, standing::clear},
+                                                                  {1, standing::suspected},
+                                                                  {2, standing::suspected},
+                                                                  {3, standing::condemned},
+                                                                  {9, standing::condemned}}) {
+        CAPTURE(deaths);
+        CHECK((standing_of(after_deaths(crasher, deaths), crasher, 0, start) == expected));
+    }
+    const suspect_table two = after_deaths(crasher, 2);
+    CHECK((standing_of(two, innocent, 0, start) == standing::clear));
+    CHECK((standing_of(two, innocent, 1, start) == standing::suspected));
+    CHECK((standing_of(two, innocent, 6, start) == standing::condemned));
+}
+
+TEST_CASE("a request that goes on between the deaths of its targets is condemned later")
+{
+    suspect_table table;
+    for (std::int64_t i = 1; i <= 5; ++i) {
+        note_takedown(table, innocent, death(i), token_count{i}, start);
+        CHECK((standing_of(table, innocent, 0, start) == suspect_standing::suspected));
+    }
+    note_takedown(table, innocent, death(6), token_count{6}, start);
+    CHECK((standing_of(table, innocent, 0, start) == suspect_standing::condemned));
+}
+
+TEST_CASE("the same incarnation of a target counts once, its next one again")
+{
+    suspect_table table;
+    const takedown_id first = takedown_of(target_id("stage0a"), incarnation{1});
+    note_takedown(table, crasher, first, same_place, start);
+    note_takedown(table, crasher, first, same_place, start);
+    CHECK(table.suspects.at(crasher).takedowns.size() == 1);
+    note_takedown(table, crasher, takedown_of(target_id("stage0a"), incarnation{2}), same_place, start);
+    CHECK(table.suspects.at(crasher).takedowns.size() == 2);
+}
+
+TEST_CASE("a request that was answered whole is never condemned")
+{
+    suspect_table table = after_deaths(innocent, 2);
+    note_finished(table, innocent);
+    note_takedown(table, innocent, death(7), same_place, start);
+    CHECK((standing_of(table, innocent, 0, start) == suspect_standing::clear));
+}
+
+TEST_CASE("a suspicion lapses")
+{
+    suspect_table table = after_deaths(crasher, 3);
+    const milliseconds lapse = table.limits.lapse;
+    CHECK(lapses_in(table, crasher, start) == lapse);
+    CHECK((standing_of(table, crasher, 0, start + lapse - milliseconds{1}) == suspect_standing::condemned));
+    CHECK((standing_of(table, crasher, 0, start + lapse) == suspect_standing::clear));
+    expire(table, start + lapse);
+    CHECK(table.suspects.empty());
+}
+
+TEST_CASE("merging is commutative, associative and idempotent")
+{
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 500; ++i) {
+        CAPTURE(i);
+        const auto a = random_reports(random);
+        const auto b = random_reports(random);
+        suspect_table ab;
+        merge(ab, a, start);
+        merge(ab, b, start);
+        suspect_table ba;
+        merge(ba, b, start);
+        merge(ba, a, start);
+        CHECK(contents(ab) == contents(ba));
+        suspect_table through_other;
+        merge(through_other, reports_of(ab, 1000, start), start);
+        CHECK(contents(through_other) == contents(ab));
+        CHECK_FALSE(merge(ab, a, start));
+        CHECK_FALSE(merge(ab, b, start));
+    }
+}
+
+TEST_CASE("telling each other of a suspect does not keep it alive")
+{
+    suspect_table here = after_deaths(crasher, 3);
+    suspect_table there;
+    constexpr milliseconds transit{400};
+    time_point now = start;
+    const time_point end = start + here.limits.lapse * 2;
+    while (now < end) {
+        const auto sent = reports_of(here, 10, now);
+        now = now + transit;
+        merge(there, sent, now);
+        const auto back = reports_of(there, 10, now);
+        now = now + transit;
+        merge(here, back, now);
+    }
+    CHECK(here.suspects.empty());
+    CHECK(there.suspects.empty());
+}
+
+TEST_CASE("the table is bounded and keeps the most suspicious")
+{
+    suspect_table table = after_deaths(crasher, 3);
+    table.limits.max_suspects = 10;
+    for (std::int64_t i = 100; i < 1000; ++i) {
+        note_takedown(table, request_fingerprint{i}, death(i), same_place, start);
+    }
+    CHECK(table.suspects.size() == 10);
+    CHECK((standing_of(table, crasher, 0, start) == suspect_standing::condemned));
+    CHECK(reports_of(table, 4, start).size() == 4);
+}
+
+TEST_CASE(
+    "a suspect looks for a place of its own, and nobody joins a running suspect unless there is no other")
+{
+    const std::set<target_id> excluded{target_id("a")};
+    const std::set<target_id> busy{target_id("b")};
+    const std::set<target_id> suspects{target_id("c")};
+    const auto suspected = avoidance(suspect_standing::suspected, excluded, busy, suspects);
+    REQUIRE(suspected.size() == 3);
+    CHECK(suspected[0] == std::set<target_id>{target_id("a"), target_id("b"), target_id("c")});
+    CHECK(suspected[1] == std::set<target_id>{target_id("a"), target_id("c")});
+    CHECK(suspected[2] == excluded);
+    CHECK(avoidance(suspect_standing::clear, excluded, busy, suspects).size() == 2);
+    CHECK(avoidance(suspect_standing::clear, excluded, busy, {}) ==
+          std::vector<std::set<target_id>>{excluded});
+}
