Suspects: a request is explained by another that was aboard the same deaths

Cause: counting three deaths alone refused 95 innocent requests of 90000 at 3 daemons (184 when all daemons were sent the crasher at once), who had been in its batches three times. Now a request is not condemned while another was aboard all of its deaths, and only once the news of the last has spread; six deaths condemn at once unless another had more.

--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -63,6 +63,31 @@
     return known ? &found->second : nullptr;
 }
 
+enum class explanation { by_as_many_deaths, by_more_deaths };
+
+// Whether another request was aboard all the same targets, so that this one may only have been beside it.
+bool is_explained(const suspect_table& table, request_fingerprint request, const suspect& each,
+                  explanation how)
+{
+    const std::size_t least = each.takedowns.size() + (how == explanation::by_more_deaths ? 1 : 0);
+    return std::any_of(table.suspects.begin(), table.suspects.end(), [&](const auto& entry) {
+        const suspect& other = entry.second;
+        if (entry.first == request || other.finished || other.takedowns.size() < least) {
+            return false;
+        }
+        return std::all_of(each.takedowns.begin(), each.takedowns.end(),
+                           [&](const auto& death) { return other.takedowns.contains(death.first); });
+    });
+}
+
+bool is_condemned(const suspect_table& table, request_fingerprint request, const suspect& each,
+                  time_point now)
+{
+    return now - each.last >= table.limits.settled_after &&
+           deaths_at_one_token(each) >= table.limits.condemned_at &&
+           !is_explained(table, request, each, explanation::by_as_many_deaths);
+}
+
 bool merge_one(suspect_table& table, const suspect_report& report, time_point now)
 {
     if (report.age >= table.limits.lapse || report.takedowns.empty()) {
@@ -73,7 +98,7 @@
     for (const auto& [target, given] : report.takedowns) {
         add_takedown(own, target, given);
     }
-    keep_within(own.takedowns, table.limits.condemned_with_progress_at);
+    keep_within(own.takedowns, table.limits.max_takedowns);
     const bool finished_before = own.finished;
     own.finished = own.finished || report.finished;
     // Only a new takedown renews a suspect: the age loses the time on the way at each hop, and would never
@@ -110,7 +135,7 @@
         found = {};
     }
     add_takedown(found, target, given);
-    keep_within(found.takedowns, table.limits.condemned_with_progress_at);
+    keep_within(found.takedowns, table.limits.max_takedowns);
     found.last = now;
     expire(table, now);
 }
@@ -133,8 +158,12 @@
     if (deaths == 0) {
         return suspect_standing::clear;
     }
-    const bool condemned = deaths >= table.limits.condemned_with_progress_at ||
-                           (found != nullptr && deaths_at_one_token(*found) >= table.limits.condemned_at);
+    if (found == nullptr) {
+        return suspect_standing::suspected;
+    }
+    const bool condemned = is_condemned(table, request, *found, now) ||
+                           (deaths >= table.limits.always_condemned_at &&
+                            !is_explained(table, request, *found, explanation::by_more_deaths));
     return condemned ? suspect_standing::condemned : suspect_standing::suspected;
 }
 
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -24,10 +24,15 @@
 
 //! Bounds of the table of suspects.
 struct suspect_limits {
-    //! A request that was aboard this many targets that died while it stood at the same token is refused.
+    //! A request that was aboard this many targets that died while it stood at the same token is refused,
+    //! unless another request was aboard all of them too.
     std::size_t condemned_at = 3;
-    //! As above, wherever it stood: it went on in between, so the deaths may have other reasons.
-    std::size_t condemned_with_progress_at = 6;
+    //! The news of the last death has reached every daemon after this time; before, nobody is refused for it.
+    milliseconds settled_after{100};
+    //! At this many deaths, at whatever token, a request is refused at once, unless another one was aboard
+    //! more.
+    std::size_t always_condemned_at = 6;
+    std::size_t max_takedowns = 16;
     //! A suspect is forgotten this long after the last target that it was aboard.
     milliseconds lapse{600'000};
     std::size_t max_suspects = 4096;
@@ -35,7 +40,7 @@
 
 //! A request that was in flight on targets that died.
 struct suspect {
-    //! The tokens that the request had given at each; at most condemned_with_progress_at.
+    //! The tokens that the request had given at each; at most max_takedowns.
     std::map<takedown_id, token_count> takedowns;
     time_point last;
     //! It was once answered whole, so it is not what took the targets down.
