--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -14,6 +14,17 @@
            failure != attempt_failure::protocol && failure != attempt_failure::token_gap;
 }
 
+crash_place place_of(const generation_state& state, const target_id& target)
+{
+    crash_place place{token_count{static_cast<std::int64_t>(state.tokens.size())}, layer_index{0}};
+    if (state.active) {
+        for (const hop& stage : state.active->hops()) {
+            place.layer = stage.target == target ? stage.layers.begin : place.layer;
+        }
+    }
+    return place;
+}
+
 } // namespace
 
 request_fingerprint fingerprint_of(const generation_request& request)
@@ -49,30 +60,30 @@
 
 struct crash_guard::possible_death {
     request_fingerprint request;
-    token_count given;
+    crash_place place;
     target_id target;
     incarnation known;
 };
 
-void crash_guard::note_failure(const generation_state& state, const attempt_failed& failure)
+milliseconds crash_guard::note_failure(const generation_state& state, const attempt_failed& failure)
 {
     if (!failure.culprit || !may_be_a_death(failure.failure)) {
-        return;
+        return {0};
     }
     const auto& targets = this->context.configuration.declared.targets;
     const auto target = targets.find(*failure.culprit);
     if (target == targets.end()) {
-        return;
+        return {0};
     }
-    const possible_death death{fingerprint_of(state.request),
-                               token_count{static_cast<std::int64_t>(state.tokens.size())}, *failure.culprit,
-                               this->context.health[*failure.culprit].started};
+    const possible_death death{fingerprint_of(state.request), place_of(state, *failure.culprit),
+                               *failure.culprit, this->context.health[*failure.culprit].started};
     this->probing.insert(death.request);
     this->context.engines.read_load(target->second.address, probe_timeout,
                                     [this, death](const std::optional<load_report>& report) {
                                         this->probing.erase(this->probing.find(death.request));
                                         this->take_probe(death, report);
                                     });
+    return pause_after(this->context.suspects, death.request, death.place, event_loop::now());
 }
 
 void crash_guard::take_probe(const possible_death& death, const std::optional<load_report>& report)
@@ -84,12 +95,12 @@
         return;
     }
     suspect_table& table = this->context.suspects;
-    note_takedown(table, death.request, takedown_of(death.target, death.known), death.given,
+    note_takedown(table, death.request, takedown_of(death.target, death.known), death.place,
                   event_loop::now());
     log_event("request_suspected",
               {{"fingerprint", death.request.value},
                {"target", death.target.value},
-               {"given_tokens", death.given.value},
+               {"given_tokens", death.place.given.value},
                {"takedowns", static_cast<std::int64_t>(table.suspects[death.request].takedowns.size())}});
 }
 
--- a/src/daemon/crash_guard.hpp
+++ b/src/daemon/crash_guard.hpp
@@ -20,8 +20,9 @@
     //! Picks a chain with the request's standing in mind. PermissionDenied: the request is condemned.
     absl::StatusOr<chain> choose(const generation_request& request, const std::set<target_id>& excluded,
                                  const chain_picker& pick) const;
-    //! Asks the target at fault whether it lives, and accuses the request if it does not.
-    void note_failure(const generation_state& state, const attempt_failed& failure);
+    //! Asks the target at fault whether it lives, and accuses the request if it does not. Returns how long
+    //! the failure is to be held back, so that the request goes on only when more is known.
+    milliseconds note_failure(const generation_state& state, const attempt_failed& failure);
     //! Remembers where a suspect runs.
     void note_progress(const generation_state& state);
     void note_answered(const generation_request& request);
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -23,6 +23,8 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    //! Runs while a failure is held back for the crash guard.
+    event_loop::timer pause;
     time_point began;
     time_point first_token;
     //! The chain whose targets count this request as in flight.
@@ -71,6 +73,23 @@
     this->handle(generation, generation_started{});
 }
 
+void generation_runner::receive(const running_ptr& generation, const generation_event& event)
+{
+    if (const auto* failure = std::get_if<attempt_failed>(&event)) {
+        const milliseconds pause = this->guard.note_failure(generation->state, *failure);
+        if (pause.count > 0) {
+            generation->pause =
+                this->context.loop.run_after(pause, [this, watch = std::weak_ptr(generation), event] {
+                    if (const running_ptr alive = watch.lock()) {
+                        this->handle(alive, event);
+                    }
+                });
+            return;
+        }
+    }
+    this->handle(generation, event);
+}
+
 void generation_runner::handle(const running_ptr& generation, const generation_event& event)
 {
     generation_state& state = generation->state;
@@ -79,7 +98,6 @@
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
         this->note_failure(*failure);
-        this->guard.note_failure(state, *failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -118,7 +136,7 @@
         this->context.engines.open(generation->state.request, action, left,
                                    [this, watch = std::weak_ptr(generation)](const generation_event& event) {
                                        if (const running_ptr alive = watch.lock()) {
-                                           this->handle(alive, event);
+                                           this->receive(alive, event);
                                        }
                                    });
     log_event("attempt_opened", {{"request", generation->state.request.id.value},
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -28,6 +28,7 @@
     struct running_generation;
     using running_ptr = std::shared_ptr<running_generation>;
 
+    void receive(const running_ptr& generation, const generation_event& event);
     void handle(const running_ptr& generation, const generation_event& event);
     void perform(const running_ptr& generation, const open_attempt& action);
     void perform(const running_ptr& generation, const cancel_attempt& action);
--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -18,7 +18,7 @@
 }
 
 // The smallest ids stay, so that unions come out alike in any order.
-void keep_within(std::map<takedown_id, token_count>& takedowns, std::size_t bound)
+void keep_within(std::map<takedown_id, crash_place>& takedowns, std::size_t bound)
 {
     while (takedowns.size() > bound) {
         takedowns.erase(std::prev(takedowns.end()));
@@ -26,19 +26,19 @@
 }
 
 // Two requests with one fingerprint may have died on one target; the earlier place is kept.
-void add_takedown(suspect& to, takedown_id target, token_count given)
+void add_takedown(suspect& to, takedown_id target, crash_place place)
 {
-    const auto [entry, added] = to.takedowns.emplace(target, given);
-    entry->second = std::min(entry->second, given);
+    const auto [entry, added] = to.takedowns.emplace(target, place);
+    entry->second = std::min(entry->second, place);
 }
 
 // The most deaths at one place of the answer: a request that crashes its targets does not get past it.
-std::size_t deaths_at_one_token(const suspect& each)
+std::size_t deaths_at_one_place(const suspect& each)
 {
-    std::map<token_count, std::size_t> deaths;
+    std::map<crash_place, std::size_t> deaths;
     std::size_t most = 0;
-    for (const auto& [target, given] : each.takedowns) {
-        most = std::max(most, ++deaths[given]);
+    for (const auto& [target, place] : each.takedowns) {
+        most = std::max(most, ++deaths[place]);
     }
     return most;
 }
@@ -84,7 +84,7 @@
                   time_point now)
 {
     return now - each.last >= table.limits.settled_after &&
-           deaths_at_one_token(each) >= table.limits.condemned_at &&
+           deaths_at_one_place(each) >= table.limits.condemned_at &&
            !is_explained(table, request, each, explanation::by_as_many_deaths);
 }
 
@@ -94,9 +94,9 @@
         return false;
     }
     suspect& own = table.suspects[report.fingerprint];
-    const std::map<takedown_id, token_count> before = own.takedowns;
-    for (const auto& [target, given] : report.takedowns) {
-        add_takedown(own, target, given);
+    const std::map<takedown_id, crash_place> before = own.takedowns;
+    for (const auto& [target, place] : report.takedowns) {
+        add_takedown(own, target, place);
     }
     keep_within(own.takedowns, table.limits.max_takedowns);
     const bool finished_before = own.finished;
@@ -127,14 +127,14 @@
     return {digest_of(absl::StrCat(target.value, "\n", started.value))};
 }
 
-void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, token_count given,
+void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, crash_place place,
                    time_point now)
 {
     suspect& found = table.suspects[request];
     if (has_lapsed(table, found, now)) {
         found = {};
     }
-    add_takedown(found, target, given);
+    add_takedown(found, target, place);
     keep_within(found.takedowns, table.limits.max_takedowns);
     found.last = now;
     expire(table, now);
@@ -173,6 +173,18 @@
     return found == nullptr ? milliseconds{0} : table.limits.lapse - (now - found->last);
 }
 
+milliseconds pause_after(const suspect_table& table, request_fingerprint request, crash_place place,
+                         time_point now)
+{
+    const suspect* found = find_suspect(table, request, now);
+    if (found == nullptr || found->finished) {
+        return {0};
+    }
+    const bool stuck = std::any_of(found->takedowns.begin(), found->takedowns.end(),
+                                   [&](const auto& death) { return death.second == place; });
+    return stuck ? table.limits.settled_after * 2 : milliseconds{0};
+}
+
 std::vector<suspect_report> reports_of(const suspect_table& table, std::size_t max_reports, time_point now)
 {
     std::vector<suspect_report> reports;
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -18,18 +18,28 @@
 //! Names one target's incarnation that died while it ran a request.
 using takedown_id = strong_count<struct takedown_unit>;
 
+//! Where a request stood when its target died: a request that crashes its targets does so at the same place
+//! again.
+struct crash_place {
+    token_count given;
+    //! The first layer of the target that died.
+    layer_index layer;
+
+    friend constexpr auto operator<=>(crash_place, crash_place) = default;
+};
+
 //! The fingerprint of a question to a model; equal on every daemon.
 request_fingerprint fingerprint_of(const model_id& model, std::string_view prompt);
 takedown_id takedown_of(const target_id& target, incarnation started);
 
 //! Bounds of the table of suspects.
 struct suspect_limits {
-    //! A request that was aboard this many targets that died while it stood at the same token is refused,
+    //! A request that was aboard this many targets that died at the same place is refused,
     //! unless another request was aboard all of them too.
     std::size_t condemned_at = 3;
     //! The news of the last death has reached every daemon after this time; before, nobody is refused for it.
     milliseconds settled_after{100};
-    //! At this many deaths, at whatever token, a request is refused at once, unless another one was aboard
+    //! At this many deaths, at whatever place, a request is refused at once, unless another one was aboard
     //! more.
     std::size_t always_condemned_at = 6;
     std::size_t max_takedowns = 16;
@@ -40,8 +50,8 @@
 
 //! A request that was in flight on targets that died.
 struct suspect {
-    //! The tokens that the request had given at each; at most max_takedowns.
-    std::map<takedown_id, token_count> takedowns;
+    //! Where the request stood at each; at most max_takedowns.
+    std::map<takedown_id, crash_place> takedowns;
     time_point last;
     //! It was once answered whole, so it is not what took the targets down.
     bool finished = false;
@@ -56,7 +66,7 @@
 //! A suspect as daemons tell each other of it.
 struct suspect_report {
     request_fingerprint fingerprint;
-    std::vector<std::pair<takedown_id, token_count>> takedowns;
+    std::vector<std::pair<takedown_id, crash_place>> takedowns;
     //! The time since its last takedown.
     milliseconds age;
     bool finished = false;
@@ -68,8 +78,8 @@
     condemned, //!< Not to be run until it lapses.
 };
 
-//! Records that a target's incarnation died with the request aboard, which had given so many tokens.
-void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, token_count given,
+//! Records that a target's incarnation died with the request aboard.
+void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, crash_place place,
                    time_point now);
 //! Records that a request was answered whole; one that is no suspect needs no record.
 void note_finished(suspect_table& table, request_fingerprint request);
@@ -80,6 +90,11 @@
 //! The time until the request's suspicion lapses; zero for one that is no suspect.
 milliseconds lapses_in(const suspect_table& table, request_fingerprint request, time_point now);
 
+//! How long to wait before a request goes on whose target just died: zero, unless another one died at this
+//! token before. Then the news of both is to be everywhere first, so that it is known who is to be refused.
+milliseconds pause_after(const suspect_table& table, request_fingerprint request, crash_place place,
+                         time_point now);
+
 //! What to tell another daemon: the latest suspects first.
 std::vector<suspect_report> reports_of(const suspect_table& table, std::size_t max_reports, time_point now);
 //! Takes over what another daemon told; true if there was news. Order and repeats do not matter.
--- a/tests/request/suspects_test.cpp
+++ b/tests/request/suspects_test.cpp
@@ -12,7 +12,7 @@
 constexpr request_fingerprint crasher{1};
 constexpr request_fingerprint innocent{2};
 
-constexpr token_count same_place{17};
+constexpr crash_place same_place{token_count{17}, layer_index{4}};
 
 takedown_id death(std::int64_t number)
 {
@@ -35,8 +35,9 @@
         suspect_report report{
             request_fingerprint{static_cast<std::int64_t>(random() % 6)}, {}, {}, random() % 5 == 0};
         for (std::uint64_t deaths = 1 + random() % 3; deaths > 0; --deaths) {
-            report.takedowns.emplace_back(death(static_cast<std::int64_t>(random() % 9)),
-                                          token_count{static_cast<std::int64_t>(random() % 3)});
+            report.takedowns.emplace_back(
+                death(static_cast<std::int64_t>(random() % 9)),
+                crash_place{token_count{static_cast<std::int64_t>(random() % 3)}, {}});
         }
         report.age = {static_cast<std::int64_t>(random() % 1000)};
         reports.push_back(report);
@@ -45,10 +46,10 @@
 }
 
 // What a table says of its suspects, without the ages.
-std::map<std::int64_t, std::pair<std::map<takedown_id, token_count>, bool>>
+std::map<std::int64_t, std::pair<std::map<takedown_id, crash_place>, bool>>
 contents(const suspect_table& table)
 {
-    std::map<std::int64_t, std::pair<std::map<takedown_id, token_count>, bool>> all;
+    std::map<std::int64_t, std::pair<std::map<takedown_id, crash_place>, bool>> all;
     for (const auto& [fingerprint, each] : table.suspects) {
         all[fingerprint.value] = {each.takedowns, each.finished};
     }
@@ -117,13 +118,22 @@
 {
     suspect_table table;
     for (std::int64_t i = 1; i <= 5; ++i) {
-        note_takedown(table, innocent, death(i), token_count{i}, start);
+        note_takedown(table, innocent, death(i), {token_count{i}, {}}, start);
         CHECK((standing_of(table, innocent, 0, start) == suspect_standing::suspected));
     }
-    note_takedown(table, innocent, death(6), token_count{6}, start);
+    note_takedown(table, innocent, death(6), {token_count{6}, {}}, start);
     CHECK((standing_of(table, innocent, 0, start) == suspect_standing::condemned));
 }
 
+TEST_CASE("deaths of different stages at one token are different places")
+{
+    suspect_table table;
+    for (std::int64_t i = 1; i <= 3; ++i) {
+        note_takedown(table, innocent, death(i), {same_place.given, layer_index{i}}, start);
+    }
+    CHECK((standing_of(table, innocent, 0, settled) == suspect_standing::suspected));
+}
+
 TEST_CASE("the same incarnation of a target counts once, its next one again")
 {
     suspect_table table;
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -161,7 +161,12 @@
         this->innocents_broken += this->requests[number].crashes ? 0 : 1;
         this->accuse(number, target);
         this->requests[number].excluded.insert(target.id);
-        this->after(probe_ms + 1 + this->draw(5), [this, number] { this->try_next(number); });
+        const request_state& request = this->requests[number];
+        const milliseconds pause =
+            this->plan.naive
+                ? milliseconds{0}
+                : pause_after(this->tables[request.daemon], request.fingerprint, crash_place{}, this->time());
+        this->after(probe_ms + 1 + this->draw(5) + pause.count, [this, number] { this->try_next(number); });
     }
     ++target.started;
     this->after(restart_ms, [this, &target] {
@@ -181,7 +186,7 @@
     const takedown_id death = takedown_of(target.id, incarnation{target.started});
     this->after(probe_ms, [this, number, death] {
         const request_state& request = this->requests[number];
-        note_takedown(this->tables[request.daemon], request.fingerprint, death, token_count{0}, this->time());
+        note_takedown(this->tables[request.daemon], request.fingerprint, death, crash_place{}, this->time());
         this->spread(request.daemon);
     });
 }
