--- a/src/common/outcome.cpp
+++ b/src/common/outcome.cpp
@@ -73,6 +73,8 @@
     case error_code::key_reused:
     case error_code::conflict:
     case error_code::suspected_crasher:
+    case error_code::answer_not_kept:
+    case error_code::settled_by_operator:
         return true;
     default:
         return false;
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -35,6 +35,8 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    //! Runs while a failure is held back for the crash guard.
+    event_loop::timer pause;
     time_point began;
     time_point first_token;
     //! The chain whose targets count this request as in flight.
@@ -83,6 +85,23 @@
     this->handle(generation, generation_started{});
 }
 
+void generation_runner::receive(const running_ptr& generation, const generation_event& event)
+{
+    if (const auto* failure = std::get_if<attempt_failed>(&event)) {
+        const milliseconds pause = this->guard.note_failure(generation->state, *failure);
+        if (pause.count > 0) {
+            generation->pause =
+                this->context.loop.run_after(pause, [this, watch = std::weak_ptr(generation), event] {
+                    if (const running_ptr alive = watch.lock()) {
+                        this->handle(alive, event);
+                    }
+                });
+            return;
+        }
+    }
+    this->handle(generation, event);
+}
+
 void generation_runner::handle(const running_ptr& generation, const generation_event& event)
 {
     generation_state& state = generation->state;
@@ -98,16 +117,18 @@
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
     const chain_source chains = [&](const chain_wish& wish) {
-        return wish.ejected == ejected_targets::avoid
-                   ? this->choose(state.request, wish, this->context.health, now)
-                   : this->choose(state.request, wish, without_ejections(this->context.health, wish.ejected),
-                                  now);
+        return this->guard.choose(state.request, wish.excluded, [&](const std::set<target_id>& avoided) {
+            chain_wish narrowed = wish;
+            narrowed.excluded = avoided;
+            return this->choose(state.request, narrowed, now);
+        });
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
     for (const generation_action& action : actions) {
         std::visit([&](const auto& each) { this->perform(generation, each); }, action);
     }
+    this->guard.note_progress(state);
     if (state.finished) {
         this->release_chain(*generation);
         this->generations.erase(state.request.id.value);
@@ -116,8 +137,12 @@
 }
 
 absl::StatusOr<chain> generation_runner::choose(const generation_request& request, const chain_wish& wish,
-                                                const health_map& health, time_point now)
+                                                time_point now)
 {
+    const bool avoid_ejected = wish.ejected == ejected_targets::avoid;
+    const health_map forgiving =
+        avoid_ejected ? health_map{} : without_ejections(this->context.health, wish.ejected);
+    const health_map& health = avoid_ejected ? this->context.health : forgiving;
     const chain_query query = chain_query_for(this->context, request, wish.excluded);
     const route_index& routes = this->context.current_routes();
     if (wish.broken) {
@@ -141,7 +166,7 @@
         this->context.engines.open(generation->state.request, action, left,
                                    [this, watch = std::weak_ptr(generation)](const generation_event& event) {
                                        if (const running_ptr alive = watch.lock()) {
-                                           this->handle(alive, event);
+                                           this->receive(alive, event);
                                        }
                                    });
     log_event("attempt_opened", {{"request", generation->state.request.id.value},
@@ -183,6 +208,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_end& action)
 {
+    this->guard.note_answered(generation->state.request);
     if (generation->counted) {
         this->note_success(*generation->counted);
     }
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/caller_server.hpp"
 #include "daemon/context.hpp"
+#include "daemon/crash_guard.hpp"
 #include "request/generation.hpp"
 
 #include <memory>
@@ -27,9 +28,9 @@
     struct running_generation;
     using running_ptr = std::shared_ptr<running_generation>;
 
+    void receive(const running_ptr& generation, const generation_event& event);
     void handle(const running_ptr& generation, const generation_event& event);
-    absl::StatusOr<chain> choose(const generation_request& request, const chain_wish& wish,
-                                 const health_map& health, time_point now);
+    absl::StatusOr<chain> choose(const generation_request& request, const chain_wish& wish, time_point now);
     void perform(const running_ptr& generation, const open_attempt& action);
     void perform(const running_ptr& generation, const cancel_attempt& action);
     void perform(const running_ptr& generation, const suspect_target& action);
@@ -41,6 +42,7 @@
     void tick();
 
     daemon_context& context;
+    crash_guard guard{this->context};
     std::unordered_map<std::string, running_ptr> generations;
     event_loop::timer ticker;
 };
