A silent target is no proof of a death; failed streams in tests say how they ended

Cause: the probe after a broken hop took no answer in time for a death, though a busy target is silent too. A refused connection or a new incarnation proves it.

--- a/src/adapters/engine_client.cpp
+++ b/src/adapters/engine_client.cpp
@@ -172,12 +172,13 @@
 }
 
 void engine_client::read_load(const endpoint& target, milliseconds timeout,
-                              std::function<void(const std::optional<load_report>&)> done)
+                              std::function<void(const load_answer&)> done)
 {
     http_request message{.method = "GET", .path = "/v1/load"};
     message.timeout = timeout;
-    this->http.send(target, std::move(message),
-                    [done = std::move(done)](const http_result& result) { done(parse_load(result)); });
+    this->http.send(target, std::move(message), [done = std::move(done)](const http_result& result) {
+        done({parse_load(result), result.failure == http_failure::timed_out});
+    });
 }
 
 } // namespace dandelionstep
--- a/src/adapters/engine_client.hpp
+++ b/src/adapters/engine_client.hpp
@@ -17,6 +17,13 @@
     bool leaving = false;
 };
 
+//! What came of asking a target for its load.
+struct load_answer {
+    std::optional<load_report> report;
+    //! Nothing arrived in time: the target may live.
+    bool silent = false;
+};
+
 //! Speaks the engines' contract (docs/CONTRACTS.md).
 class engine_client {
 public:
@@ -29,9 +36,9 @@
                              milliseconds timeout, event_callback on_event);
     //! Ends an attempt at every hop; engines that are gone are not waited for.
     void cancel(const http_client::handle& stream, const request_id& request, const cancel_attempt& attempt);
-    //! Asks a target for its load; nullopt when it did not answer.
+    //! Asks a target for its load.
     void read_load(const endpoint& target, milliseconds timeout,
-                   std::function<void(const std::optional<load_report>&)> done);
+                   std::function<void(const load_answer&)> done);
 
     //! Receives the body of every 503, which may say that the target is leaving.
     std::function<void(const target_id&, std::string_view body)> on_refusal;
--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -79,15 +79,20 @@
                                *failure.culprit, this->context.health[*failure.culprit].started};
     this->probing.insert(death.request);
     this->context.engines.read_load(target->second.address, probe_timeout,
-                                    [this, death](const std::optional<load_report>& report) {
+                                    [this, death](const load_answer& answer) {
                                         this->probing.erase(this->probing.find(death.request));
-                                        this->take_probe(death, report);
+                                        this->take_probe(death, answer);
                                     });
     return pause_after(this->context.suspects, death.request, death.place, event_loop::now());
 }
 
-void crash_guard::take_probe(const possible_death& death, const std::optional<load_report>& report)
+void crash_guard::take_probe(const possible_death& death, const load_answer& answer)
 {
+    // A busy or frozen target is silent too; only a refusal or a new incarnation proves a death.
+    if (answer.silent) {
+        return;
+    }
+    const std::optional<load_report>& report = answer.report;
     // A target that answers as the one it was lost a connection only; one never met before can't be told
     // apart.
     const bool never_met = death.known == incarnation{};
--- a/src/daemon/crash_guard.hpp
+++ b/src/daemon/crash_guard.hpp
@@ -29,7 +29,7 @@
 
 private:
     struct possible_death;
-    void take_probe(const possible_death& death, const std::optional<load_report>& report);
+    void take_probe(const possible_death& death, const load_answer& answer);
     [[nodiscard]] std::size_t unconfirmed(request_fingerprint request) const;
     [[nodiscard]] std::set<target_id> running_suspects(const request_id& but) const;
     [[nodiscard]] std::set<target_id> busy_targets() const;
--- a/src/daemon/target_observer.cpp
+++ b/src/daemon/target_observer.cpp
@@ -40,7 +40,7 @@
         }
         this->context.engines.read_load(
             each.address, observe_timeout,
-            [this, target = id](const std::optional<load_report>& report) { this->note(target, report); });
+            [this, target = id](const load_answer& answer) { this->note(target, answer.report); });
     }
 }
 
--- a/tests/support/streams.cpp
+++ b/tests/support/streams.cpp
@@ -1,6 +1,17 @@
 #include "support/streams.hpp"
 
+#include <iostream>
+
 namespace dandelionstep::testing {
+namespace {
+
+std::string last_bytes(const std::string& text)
+{
+    constexpr std::size_t shown_bytes = 400;
+    return text.size() <= shown_bytes ? text : text.substr(text.size() - shown_bytes);
+}
+
+} // namespace
 
 running_streams::~running_streams()
 {
@@ -14,7 +25,9 @@
     const std::string whole_prompt = prompt + " [" + std::to_string(tokens) + "]";
     added->expected = cluster::expected_answer(whole_prompt, tokens);
     added->thread = std::thread([&running, daemon, whole_prompt, tokens, into = added.get()] {
-        into->answer = cluster::answer_text(running.ask(daemon, whole_prompt, true, tokens));
+        const http_result result = running.ask(daemon, whole_prompt, true, tokens);
+        into->answer = cluster::answer_text(result);
+        into->ending = std::to_string(result.status) + " " + last_bytes(result.body);
     });
     this->streams.push_back(std::move(added));
 }
@@ -26,7 +39,10 @@
         if (each->thread.joinable()) {
             each->thread.join();
         }
-        failed += each->answer == each->expected ? 0 : 1;
+        if (each->answer != each->expected) {
+            ++failed;
+            std::cerr << "failed stream ended with: " << each->ending << "\n";
+        }
     }
     return failed;
 }
--- a/tests/support/streams.hpp
+++ b/tests/support/streams.hpp
@@ -29,6 +29,8 @@
     struct stream {
         std::string expected;
         std::string answer;
+        //! Status and last bytes, shown when the answer is wrong.
+        std::string ending;
         std::thread thread;
     };
     std::vector<std::unique_ptr<stream>> streams;
