Bound the leaving marks of one message; three readers of the list of VMs

Cause: a message carried every mark, up to 16384 of them, in each round to each peer. Now marks learned in the last 10 s go into every message (at most 2048) and the others take turns by the clock (64 each 500 ms). A turn counted per message was ruled out: with an even number of peers each would hear only every other part.

--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -26,6 +26,7 @@
     applied_configuration configuration;
     health_map health;
     leaving_marks leaving;
+    mark_times leaving_learned;
     //! Called when there is something that peers should hear soon.
     std::function<void()> on_news = [] {};
     request_counters counters;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -41,6 +41,7 @@
                                  .configuration = {},
                                  .health = {},
                                  .leaving = {},
+                                 .leaving_learned = {},
                                  .counters = {},
                                  .burn = {},
                                  .requests_in_flight = 0,
--- a/src/daemon/leaving_watch.cpp
+++ b/src/daemon/leaving_watch.cpp
@@ -19,9 +19,11 @@
     return found == context.health.end() || leaving >= found->second.started;
 }
 
-void fill(const daemon_context& context, wire::ExchangeMessage& message)
+void fill(daemon_context& context, wire::ExchangeMessage& message)
 {
-    for (const auto& [target, leaving] : context.leaving) {
+    const leaving_marks chosen =
+        choose_marks(context.leaving, context.leaving_learned, {}, event_loop::now());
+    for (const auto& [target, leaving] : chosen) {
         if (matters(context, target, leaving)) {
             wire::LeavingMark& mark = *message.add_leaving();
             mark.set_target(target.value);
@@ -46,6 +48,7 @@
     if (!mark_leaving(context.leaving, target, leaving)) {
         return;
     }
+    context.leaving_learned[target] = event_loop::now();
     target_health& state = context.health[target];
     state.leaving = is_marked(context.leaving, target, state.started);
     log_event("target_leaving", {{"target", target.value},
--- a/src/daemon/target_observer.cpp
+++ b/src/daemon/target_observer.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds read_vms_interval{1000};
 constexpr milliseconds read_vms_backstop{10'000};
 constexpr milliseconds read_vms_timeout{800};
-constexpr std::size_t vms_readers = 2;
+constexpr std::size_t vms_readers = 3;
 
 const listed_vm* find_listed(const vm_list& list, const target& wanted)
 {
--- a/src/target/leaving.cpp
+++ b/src/target/leaving.cpp
@@ -1,6 +1,7 @@
 #include "target/leaving.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace dandelionstep {
@@ -56,6 +57,29 @@
     return news;
 }
 
+leaving_marks choose_marks(const leaving_marks& marks, mark_times& learned, const mark_message_limits& limits,
+                           time_point now)
+{
+    std::erase_if(learned, [&](const auto& entry) { return now - entry.second >= limits.fresh_for; });
+    leaving_marks chosen;
+    for (const auto& [target, at] : learned) {
+        const auto mark = marks.find(target);
+        if (mark != marks.end() && chosen.size() < limits.max_fresh) {
+            chosen.insert(*mark);
+        }
+    }
+    if (marks.empty()) {
+        return chosen;
+    }
+    const std::size_t turns = (marks.size() + limits.marks_per_turn - 1) / limits.marks_per_turn;
+    const std::size_t turn = static_cast<std::size_t>(now.count / limits.turn.count) % turns;
+    auto next = std::next(marks.begin(), static_cast<std::ptrdiff_t>(turn * limits.marks_per_turn));
+    for (std::size_t i = 0; i < limits.marks_per_turn && next != marks.end(); ++i, ++next) {
+        chosen.insert(*next);
+    }
+    return chosen;
+}
+
 bool is_marked(const leaving_marks& marks, const target_id& target, incarnation started)
 {
     const auto found = marks.find(target);
--- a/src/target/leaving.hpp
+++ b/src/target/leaving.hpp
@@ -31,6 +31,24 @@
 //! Whether the incarnation of the target, or a newer one, is marked.
 bool is_marked(const leaving_marks& marks, const target_id& target, incarnation started);
 
+//! Bounds of what one message carries.
+struct mark_message_limits {
+    //! Marks learned within this time go into every message.
+    milliseconds fresh_for{10'000};
+    std::size_t max_fresh = 2048;
+    //! The other marks take turns, so many in each turn.
+    milliseconds turn{500};
+    std::size_t marks_per_turn = 64;
+};
+
+//! When marks were learned; only fresh ones are remembered.
+using mark_times = std::map<target_id, time_point>;
+
+//! The marks for a message sent now: all fresh ones up to the limit, and those whose turn it is. Forgets
+//! times that are no longer fresh. The turn follows the clock alone, so that every peer gets every mark.
+leaving_marks choose_marks(const leaving_marks& marks, mark_times& learned, const mark_message_limits& limits,
+                           time_point now);
+
 //! A target as the platform's list of VMs shows it.
 struct listed_target {
     target_id target;
--- a/tests/target/leaving_proof_test.cpp
+++ b/tests/target/leaving_proof_test.cpp
@@ -138,6 +138,48 @@
     CHECK(in_order.contains(signs.back().first) == (signs.back().second > incarnation{25}));
 }
 
+TEST_CASE("a message carries a bounded number of marks, news at once and every other mark in its turn")
+{
+    const mark_message_limits limits{.fresh_for = {1000}, .max_fresh = 4, .turn = {500}, .marks_per_turn = 3};
+    leaving_marks marks;
+    for (int i = 0; i < 20; ++i) {
+        marks[target_id(std::to_string(i))] = incarnation{i + 1};
+    }
+    mark_times learned{{target_id("7"), {9500}}, {target_id("8"), {8000}}};
+
+    SUBCASE("news goes into every message while it is fresh")
+    {
+        for (std::int64_t now = 9500; now < 10'500; now += 100) {
+            CHECK(choose_marks(marks, learned, limits, {now}).contains(target_id("7")));
+        }
+        choose_marks(marks, learned, limits, {10'500});
+        CHECK(learned.empty());
+    }
+    SUBCASE("a peer that hears one message in each turn hears all marks within all turns")
+    {
+        learned.clear();
+        leaving_marks heard;
+        for (std::int64_t now = 0; now < 7 * 500; now += 500) {
+            const leaving_marks chosen = choose_marks(marks, learned, limits, {now});
+            CHECK(chosen.size() <= limits.marks_per_turn);
+            merge(heard, chosen);
+        }
+        CHECK(heard == marks);
+    }
+    SUBCASE("much news is bounded too")
+    {
+        for (const auto& [target, leaving] : marks) {
+            learned[target] = {9900};
+        }
+        CHECK(choose_marks(marks, learned, limits, {10'000}).size() <=
+              limits.max_fresh + limits.marks_per_turn);
+    }
+    SUBCASE("without marks there is nothing to say")
+    {
+        CHECK(choose_marks({}, learned, limits, {10'000}).empty());
+    }
+}
+
 TEST_CASE("the list of VMs marks an incarnation only when it surely speaks of it")
 {
     using enum listed_verdict;
