--- a/src/request/generation.hpp
+++ b/src/request/generation.hpp
@@ -4,9 +4,11 @@
 #include "common/clock.hpp"
 #include "common/ids.hpp"
 #include "request/exposure.hpp"
+#include "request/hop_plan.hpp"
 #include "route/chain.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,13 +32,18 @@
     not_connected, //!< The first hop was never reached; no byte left.
     refused,       //!< The first hop refused under a contract that says refusals did not run.
     reset,         //!< A connection broke, or a hop reported that the next one broke.
-    token_gap,     //!< Nothing arrived for too long.
+    unreachable,   //!< A hop reported that the next one can't be connected to.
+    token_gap,     //!< Nothing arrived for too long, here or at a hop that reported it.
     protocol,      //!< An answer that breaks the contract, for example a token out of order.
+    cache_missing, //!< A hop no longer holds the KV cache that it was taken to hold; it is not at fault.
 };
 
 //! The name of the failure in logs and metrics.
 std::string_view to_string(attempt_failure failure);
 
+//! The failure that an engine's error code stands for.
+attempt_failure failure_named(std::string_view error);
+
 struct generation_started {};
 struct token_received {
     attempt_number attempt;
@@ -50,7 +57,7 @@
 struct attempt_failed {
     attempt_number attempt;
     attempt_failure failure = attempt_failure::reset;
-    //! The target at fault where it is known; else every stage but the healthy ones is suspect.
+    //! The target at fault where it is known; else the first hop, which would have named another.
     std::optional<target_id> culprit;
 };
 struct clock_ticked {};
@@ -65,10 +72,19 @@
     chain through;
     //! Tokens already given to the caller; the attempt goes on after them.
     std::vector<std::string> given;
+    //! One for each hop.
+    std::vector<hop_plan> plans;
 };
 struct cancel_attempt {
     attempt_number attempt;
     chain through;
+    //! Whether a next attempt may use the KV caches; else the hops free them.
+    bool keep_cache = false;
+};
+//! The target failed this request; other requests had better avoid it for a while.
+struct suspect_target {
+    target_id target;
+    attempt_failure failure = attempt_failure::reset;
 };
 struct deliver_token {
     token_count index;
@@ -85,7 +101,7 @@
 
 //! What the adapter is to do.
 using generation_action =
-    std::variant<open_attempt, cancel_attempt, deliver_token, deliver_end, deliver_refusal>;
+    std::variant<open_attempt, cancel_attempt, suspect_target, deliver_token, deliver_end, deliver_refusal>;
 
 //! Bounds of one generation.
 struct generation_limits {
@@ -94,9 +110,18 @@
     //! Longest wait for an attempt's first token, which includes the prefill.
     milliseconds first_token_gap{1500};
     std::int64_t max_attempts = 8;
+    //! How long the request avoids a target that failed it.
+    milliseconds exclusion{2000};
     milliseconds retry_after{1000};
 };
 
+//! Why a request avoids a target, and until when.
+struct exclusion {
+    time_point until;
+    //! Whether the target may well be alive, so that trying it again is better than giving up.
+    bool may_be_alive = false;
+};
+
 //! The progress of one generation.
 struct generation_state {
     generation_request request;
@@ -105,16 +130,36 @@
     std::vector<std::string> tokens;
     attempt_number attempt;
     std::optional<chain> active;
+    //! The chain of the last token.
+    std::optional<chain> last;
     bool attempt_has_answered = false;
     time_point last_progress;
-    std::set<target_id> excluded;
+    std::map<target_id, exclusion> excluded;
+    cached_positions cached;
+    //! Attempts that ended in silence, with no hop named.
+    std::int64_t silent_attempts = 0;
     //! Answers that were dropped because they did not match the awaited step.
     std::int64_t dropped_answers = 0;
     bool finished = false;
 };
 
-//! Chooses a chain that avoids the excluded targets; fails when there is none.
-using chain_source = std::function<absl::StatusOr<chain>(const std::set<target_id>& excluded)>;
+//! Which targets may be used that failed other requests lately.
+enum class ejected_targets {
+    avoid,           //!< None.
+    use_failed_once, //!< Those that have failed once and not again.
+    use,             //!< All.
+};
+
+//! What a generation wants of its next chain.
+struct chain_wish {
+    std::set<target_id> excluded;
+    ejected_targets ejected = ejected_targets::avoid;
+    //! The chain whose hops hold the request's KV caches; better repaired than given up.
+    std::optional<chain> broken;
+};
+
+//! Chooses a chain; Unavailable when there is none now, NotFound when there is no such model.
+using chain_source = std::function<absl::StatusOr<chain>(const chain_wish& wish)>;
 
 //! Advances the generation by one event; after it has finished every event is ignored.
 std::vector<generation_action> advance(generation_state& state, const generation_event& event,
