Configuration that never reverts, commits settled by change id

A record's changed_at may be sent; what another operator wrote in between is a conflict that names the record. Members of a newer schema survive a write by an older one; records that a live daemon can't read are refused by name. A starting daemon is ready once the table and its seeds were asked and it has the highest revision heard.

The process test alone does not show the start check: peers answer before the table there.

--- a/src/daemon/configuration_apply.cpp
+++ b/src/daemon/configuration_apply.cpp
@@ -1,131 +1,139 @@
 #include "daemon/configuration_apply.hpp"
 
 #include "absl/strings/str_cat.h"
-#include "platform/configuration_rows.hpp"
 
 #include <memory>
+#include <set>
 
 namespace dandelionstep {
 namespace {
 
-// One change on its way: read the versions, write, settle what is unsure.
-class change_commit : public std::enable_shared_from_this<change_commit> {
+constexpr std::size_t max_id_bytes = 128;
+constexpr std::size_t max_records = 1000;
+
+// Carries out what change_commit decides.
+class running_commit : public std::enable_shared_from_this<running_commit> {
 public:
-    change_commit(platform_client& platform, proposed_change change,
-                  std::function<void(const change_answer&)> done)
-        : platform(platform), change(std::move(change)), done(std::move(done))
+    running_commit(platform_client& platform, change_commit state,
+                   std::function<void(const change_answer&)> done)
+        : platform(platform), state(std::move(state)), done(std::move(done))
     {}
 
-    void start()
-    {
-        this->platform.read(revision_row, [self = this->shared_from_this()](const read_answer& answer) {
-            if (answer.failed) {
-                self->answer(outcome::not_run, error_code::store_unavailable,
-                             "the platform's table is not reachable");
-                return;
-            }
-            table_condition condition{std::string(revision_row), {}};
-            if (!answer.rows.empty()) {
-                condition.version = answer.rows.front().version;
-                self->number = parse_revision_row(answer.rows.front().value);
-            }
-            self->number = self->number + revision{1};
-            self->transaction.conditions.push_back(std::move(condition));
-            self->read_record(0);
-        });
-    }
+    void begin() { this->carry_out(start(this->state)); }
 
 private:
-    void read_record(std::size_t index)
+    void carry_out(const commit_action& action)
     {
-        if (index == this->change.records.size()) {
-            this->commit();
-            return;
+        if (const auto* wanted = std::get_if<rows_wanted>(&action)) {
+            this->wanted = *wanted;
+            this->found = {};
+            this->read_row(0);
+        } else if (const auto* transaction = std::get_if<table_transaction>(&action)) {
+            this->platform.commit(*transaction,
+                                  [self = this->shared_from_this()](const commit_answer& answer) {
+                                      self->carry_out(on_committed(self->state, answer));
+                                  });
+        } else {
+            this->done(std::get<change_answer>(action));
         }
-        const std::string key = record_row_key(this->change.records[index].key);
-        this->platform.read(key, [self = this->shared_from_this(), index, key](const read_answer& answer) {
-            if (answer.failed) {
-                self->answer(outcome::not_run, error_code::store_unavailable,
-                             "the platform's table is not reachable");
-                return;
-            }
-            const table_version version =
-                answer.rows.empty() ? table_version{0} : answer.rows.front().version;
-            self->transaction.conditions.push_back({key, version});
-            self->read_record(index + 1);
-        });
     }
 
-    void commit()
+    void read_row(std::size_t index)
     {
-        accepted_change accepted{.number = this->number, .records = this->change.records};
-        for (configuration_record& record : accepted.records) {
-            record.changed_at = this->number;
-            this->transaction.writes.push_back({record_row_key(record.key), to_json(record)});
+        if (index == this->wanted.keys.size() || this->found.failed) {
+            this->carry_out(on_rows(this->state, this->found));
+            return;
         }
-        this->transaction.writes.push_back(
-            {change_row_key(this->number), to_json(accepted, this->change.id)});
-        this->transaction.writes.push_back(
-            {std::string(revision_row), json{{"revision", this->number.value}}});
-        this->platform.commit(this->transaction, [self =
-                                                      this->shared_from_this()](const commit_answer& answer) {
-            switch (answer.result) {
-            case commit_result::committed:
-                self->answer(outcome::completed, error_code::bad_request, "accepted");
-                return;
-            case commit_result::conflicted:
-                self->answer(outcome::not_run, error_code::conflict,
-                             "another change was accepted at the same time; look at it, then apply again");
-                return;
-            case commit_result::refused:
-                self->answer(outcome::not_run, error_code::store_unavailable,
-                             "the platform's table is not reachable");
-                return;
-            case commit_result::unsure:
-                self->settle();
-                return;
-            }
-        });
-    }
-
-    // The change's own row tells whether the transaction took effect.
-    void settle()
-    {
-        this->platform.read(
-            change_row_key(this->number), [self = this->shared_from_this()](const read_answer& answer) {
-                const bool ours = !answer.rows.empty() && string_or(answer.rows.front().value, "change_id",
-                                                                    "") == self->change.id.value;
-                if (ours) {
-                    self->answer(outcome::completed, error_code::bad_request, "accepted");
-                } else if (!answer.failed && !answer.rows.empty()) {
-                    self->answer(outcome::not_run, error_code::conflict,
-                                 "another change was accepted in its place");
-                } else {
-                    self->answer(outcome::unknown, error_code::unsettled,
-                                 absl::StrCat("whether change \"", self->change.id.value,
-                                              "\" was accepted is not known"));
-                }
-            });
-    }
-
-    void answer(outcome result, error_code code, std::string message)
-    {
-        this->done({result, code, this->number, std::move(message)});
+        this->platform.read(this->wanted.keys[index],
+                            [self = this->shared_from_this(), index](const read_answer& answer) {
+                                self->found.failed = answer.failed;
+                                for (const table_row& row : answer.rows) {
+                                    self->found.rows.emplace(row.key, row);
+                                }
+                                self->read_row(index + 1);
+                            });
     }
 
     platform_client& platform;
-    proposed_change change;
+    change_commit state;
     std::function<void(const change_answer&)> done;
-    table_transaction transaction;
-    revision number;
+    rows_wanted wanted;
+    rows_found found;
 };
 
+absl::StatusOr<proposed_record> parse_proposed_record(const json& value)
+{
+    auto record = parse_record(value);
+    if (!record.ok()) {
+        return record.status();
+    }
+    // What this build can't read is refused later, by the names of all daemons that can't read it.
+    if (record->schema_version <= newest_schema_version) {
+        if (const absl::Status status = validate(*record); !status.ok()) {
+            return status;
+        }
+    }
+    proposed_record proposed{.record = *std::move(record), .seen = {}};
+    if (value.contains("changed_at")) {
+        proposed.seen = proposed.record.changed_at;
+    }
+    return proposed;
+}
+
+absl::Status check_id(const std::string& id)
+{
+    const bool plain =
+        id.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") ==
+        std::string::npos;
+    if (id.empty() || id.size() > max_id_bytes || !plain) {
+        return absl::InvalidArgumentError("member \"change_id\" takes 1 to 128 letters, digits and ._-");
+    }
+    return absl::OkStatus();
+}
+
 } // namespace
 
-void commit_change(platform_client& platform, const proposed_change& change,
-                   std::function<void(const change_answer&)> done)
+absl::StatusOr<received_change> parse_received_change(const std::string& body, const std::string& fresh_id)
+{
+    auto value = parse_json(body);
+    if (!value.ok()) {
+        return value.status();
+    }
+    received_change received;
+    received.id_given = value->contains("change_id");
+    received.change.id = change_id(string_or(*value, "change_id", fresh_id));
+    if (const absl::Status status = check_id(received.change.id.value); !status.ok()) {
+        return status;
+    }
+    const auto records = value->find("records");
+    if (records == value->end() || !records->is_array() || records->empty() ||
+        records->size() > max_records) {
+        return absl::InvalidArgumentError("member \"records\" must be a list of 1 to 1000 records");
+    }
+    std::set<record_key> keys;
+    for (const json& entry : *records) {
+        auto proposed = parse_proposed_record(entry);
+        if (!proposed.ok()) {
+            return proposed.status();
+        }
+        const record_key& key = proposed->record.key;
+        if (!keys.insert(key).second) {
+            return absl::InvalidArgumentError(
+                absl::StrCat("record \"", key.kind, "/", key.name, "\" stands twice in one change"));
+        }
+        received.change.records.push_back(*std::move(proposed));
+    }
+    return received;
+}
+
+void commit_change(platform_client& platform, const received_change& received,
+                   std::vector<schema_reader> readers, std::function<void(const change_answer&)> done)
 {
-    std::make_shared<change_commit>(platform, change, std::move(done))->start();
+    change_commit state;
+    state.change = received.change;
+    state.readers = std::move(readers);
+    state.unsure = received.id_given;
+    std::make_shared<running_commit>(platform, std::move(state), std::move(done))->begin();
 }
 
 } // namespace dandelionstep
--- a/src/daemon/configuration_apply.hpp
+++ b/src/daemon/configuration_apply.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "absl/status/statusor.h"
 #include "adapters/platform_client.hpp"
-#include "common/outcome.hpp"
-#include "configuration/record.hpp"
+#include "configuration/change_commit.hpp"
 
 #include <functional>
 #include <string>
@@ -10,23 +10,19 @@
 
 namespace dandelionstep {
 
-//! A change that an operator asks for.
-struct proposed_change {
-    change_id id;
-    std::vector<configuration_record> records;
+//! A change as an operator sent it.
+struct received_change {
+    proposed_change change;
+    //! The operator gave the change id, so that it may have been applied before.
+    bool id_given = false;
 };
 
-//! What became of a proposed change; the outcome is `completed` when it was accepted.
-struct change_answer {
-    outcome result = outcome::not_run;
-    error_code code = error_code::bad_request;
-    revision number;
-    std::string message;
-};
+//! Parses an operator's request; the error names the record and the member.
+absl::StatusOr<received_change> parse_received_change(const std::string& body, const std::string& fresh_id);
 
 //! Commits a change in one transaction: its records, its log row and the revision counter, each by
 //! compare-and-set.
-void commit_change(platform_client& platform, const proposed_change& change,
-                   std::function<void(const change_answer&)> done);
+void commit_change(platform_client& platform, const received_change& received,
+                   std::vector<schema_reader> readers, std::function<void(const change_answer&)> done);
 
 } // namespace dandelionstep
--- a/src/daemon/configuration_sync.cpp
+++ b/src/daemon/configuration_sync.cpp
@@ -1,22 +1,17 @@
 #include "daemon/configuration_sync.hpp"
 
-#include "absl/strings/str_cat.h"
 #include "adapters/log.hpp"
 #include "adapters/random.hpp"
-#include "platform/configuration_rows.hpp"
 
 namespace dandelionstep {
 namespace {
 
-constexpr milliseconds poll_interval{1000};
 constexpr std::size_t max_recent_changes = 256;
 constexpr int page_rows = 500;
 
-milliseconds jittered(milliseconds base)
+revision_state counter_of(const read_answer& answer)
 {
-    // Between half and one and a half of the base, so that daemons don't poll together.
-    return base / 2 +
-           milliseconds{static_cast<std::int64_t>(random_seed() % static_cast<std::uint64_t>(base.count))};
+    return answer.rows.empty() ? revision_state{} : parse_revision_row(answer.rows.front().value);
 }
 
 } // namespace
@@ -30,31 +25,75 @@
     this->poll();
 }
 
+void configuration_sync::set_poller(bool poller)
+{
+    if (poller == this->schedule.poller) {
+        return;
+    }
+    this->schedule.poller = poller;
+    if (poller && !this->polling) {
+        this->next =
+            this->context.loop.run_after(next_poll(this->schedule, random_seed()), [this] { this->poll(); });
+    }
+}
+
 void configuration_sync::poll_soon()
 {
-    this->next_poll = {};
-    this->poll();
+    if (!this->polling) {
+        this->next = {};
+        this->poll();
+    }
+}
+
+void configuration_sync::take(const change_answer& answer)
+{
+    // The daemon that accepted a change doesn't wait for a read, which might be an older one.
+    if (!answer.accepted || this->take(*answer.accepted) != apply_result::applied) {
+        this->poll_soon();
+    }
 }
 
-void configuration_sync::take(const accepted_change& change)
+apply_result configuration_sync::take(const accepted_change& change)
 {
     const apply_result result = apply_change(this->context.configuration, change);
     if (result == apply_result::applied) {
         this->recent.push_back(change);
         if (this->recent.size() > max_recent_changes) {
-            this->recent.erase(this->recent.begin());
+            this->recent.pop_front();
         }
     }
     this->note(result);
+    return result;
 }
 
-void configuration_sync::take(const configuration_snapshot& snapshot)
+apply_result configuration_sync::take(const configuration_snapshot& snapshot)
 {
     const apply_result result = apply_snapshot(this->context.configuration, snapshot);
     if (result == apply_result::applied) {
         this->recent.clear();
     }
     this->note(result);
+    return result;
+}
+
+void configuration_sync::hear(revision number)
+{
+    if (!this->context.start.passed) {
+        dandelionstep::hear(this->context.start, number);
+    }
+}
+
+void configuration_sync::peers_were_asked()
+{
+    this->context.start.peers_asked = true;
+    this->check_start();
+}
+
+void configuration_sync::check_start()
+{
+    if (!this->context.start.passed && may_serve(this->context.start, this->context.configuration.number)) {
+        log_event("ready", {{"revision", this->context.configuration.number.value}});
+    }
 }
 
 void configuration_sync::note(apply_result result)
@@ -65,6 +104,7 @@
     log_event("configuration_applied",
               {{"revision", this->context.configuration.number.value},
                {"unreadable", static_cast<std::int64_t>(this->context.configuration.unreadable.size())}});
+    this->check_start();
     this->on_applied();
 }
 
@@ -82,15 +122,14 @@
 
 void configuration_sync::poll()
 {
+    this->polling = true;
     this->context.platform.read(revision_row, [this](const read_answer& answer) {
-        if (answer.failed) {
-            this->finish_poll();
-            return;
+        const revision_state stored = counter_of(answer);
+        if (!answer.failed) {
+            this->hear(stored.number);
         }
-        const revision stored =
-            answer.rows.empty() ? revision{0} : parse_revision_row(answer.rows.front().value);
-        if (stored <= this->context.configuration.number) {
-            this->finish_poll();
+        if (answer.failed || stored.number <= this->context.configuration.number) {
+            this->finish_poll(!answer.failed);
         } else if (this->context.configuration.number.value < 0) {
             this->read_snapshot();
         } else {
@@ -105,40 +144,37 @@
     this->context.platform.scan(change_rows, after, page_rows, [this](const read_answer& answer) {
         for (const table_row& row : answer.rows) {
             const auto change = parse_change(row.value);
-            if (!change.ok()) {
-                log_event("configuration_change_unreadable",
-                          {{"row", row.key}, {"reason", std::string(change.status().message())}});
-                break;
+            const apply_result result = change.ok() ? this->take(*change) : apply_result::torn;
+            // The log has dropped what comes next, or holds what this build can't take.
+            if (result == apply_result::gap || result == apply_result::torn) {
+                log_event("configuration_log_unusable", {{"row", row.key}});
+                this->read_snapshot();
+                return;
             }
-            this->take(*change);
         }
-        this->finish_poll();
+        this->finish_poll(!answer.failed);
     });
 }
 
 void configuration_sync::read_snapshot()
 {
-    // Records may be newer than the revision read here; the log then brings them again, which changes
-    // nothing.
     this->context.platform.read(revision_row, [this](const read_answer& answer) {
         if (answer.failed) {
-            this->finish_poll();
+            this->finish_poll(false);
             return;
         }
-        const revision number =
-            answer.rows.empty() ? revision{0} : parse_revision_row(answer.rows.front().value);
-        this->read_snapshot_page(number, "", {});
+        this->read_snapshot_page(counter_of(answer), std::string(record_rows), {});
     });
 }
 
-void configuration_sync::read_snapshot_page(revision number, const std::string& after,
+void configuration_sync::read_snapshot_page(const revision_state& state, const std::string& after,
                                             std::vector<configuration_record> records)
 {
     this->context.platform.scan(
         record_rows, after, page_rows,
-        [this, number, records = std::move(records)](const read_answer& answer) mutable {
+        [this, state, records = std::move(records)](const read_answer& answer) mutable {
             if (answer.failed) {
-                this->finish_poll();
+                this->finish_poll(false);
                 return;
             }
             for (const table_row& row : answer.rows) {
@@ -147,17 +183,26 @@
                 }
             }
             if (answer.rows.size() == static_cast<std::size_t>(page_rows)) {
-                this->read_snapshot_page(number, answer.rows.back().key, std::move(records));
+                this->read_snapshot_page(state, answer.rows.back().key, std::move(records));
                 return;
             }
-            this->take(configuration_snapshot{number, std::move(records)});
-            this->finish_poll();
+            // A change between the pages, or a stale page, makes the snapshot torn; the next poll reads
+            // again.
+            this->take(configuration_snapshot{state.number, std::move(records), state.digest});
+            this->finish_poll(true);
         });
 }
 
-void configuration_sync::finish_poll()
+void configuration_sync::finish_poll(bool answered)
 {
-    this->next_poll = this->context.loop.run_after(jittered(poll_interval), [this] { this->poll(); });
+    this->polling = false;
+    this->schedule.failures_in_a_row = answered ? 0 : this->schedule.failures_in_a_row + 1;
+    this->context.start.store_asked = true;
+    this->check_start();
+    // A daemon that may not serve yet reads as often as a poller.
+    poll_schedule due = this->schedule;
+    due.poller = due.poller || !this->context.start.passed;
+    this->next = this->context.loop.run_after(next_poll(due, random_seed()), [this] { this->poll(); });
 }
 
 } // namespace dandelionstep
--- a/src/daemon/configuration_sync.hpp
+++ b/src/daemon/configuration_sync.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "configuration/change_commit.hpp"
+#include "configuration/poll_schedule.hpp"
 #include "daemon/context.hpp"
+#include "platform/configuration_rows.hpp"
 
+#include <deque>
 #include <functional>
 
 namespace dandelionstep {
@@ -14,27 +18,37 @@
 
     //! Starts polling the table.
     void start();
-    //! Reads the table at once, for example after a change was accepted here.
-    void poll_soon();
+    //! Whether this daemon is one of those in its data centre that poll often.
+    void set_poller(bool poller);
+    //! Takes a change that was accepted here.
+    void take(const change_answer& answer);
     //! Takes a change or snapshot that a peer sent.
-    void take(const accepted_change& change);
-    void take(const configuration_snapshot& snapshot);
+    apply_result take(const accepted_change& change);
+    apply_result take(const configuration_snapshot& snapshot);
+    //! Takes note that a peer has this revision.
+    void hear(revision number);
+    //! Every peer that was to be met first has answered, or could not be reached.
+    void peers_were_asked();
     //! Changes that directly follow the revision; empty when they are no longer kept.
     [[nodiscard]] std::vector<accepted_change> changes_after(revision known) const;
 
 private:
+    void poll_soon();
     void poll();
     void read_log();
     void read_snapshot();
-    void read_snapshot_page(revision number, const std::string& after,
+    void read_snapshot_page(const revision_state& state, const std::string& after,
                             std::vector<configuration_record> records);
-    void finish_poll();
+    void finish_poll(bool answered);
+    void check_start();
     void note(apply_result result);
 
     daemon_context& context;
     std::function<void()> on_applied;
-    std::vector<accepted_change> recent;
-    event_loop::timer next_poll;
+    std::deque<accepted_change> recent;
+    poll_schedule schedule;
+    bool polling = false;
+    event_loop::timer next;
 };
 
 } // namespace dandelionstep
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -5,6 +5,7 @@
 #include "adapters/http_client.hpp"
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
+#include "configuration/start_check.hpp"
 #include "report/request_counters.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
@@ -19,6 +20,7 @@
     platform_client& platform;
     engine_client& engines;
     applied_configuration configuration;
+    start_check start;
     health_map health;
     request_counters counters;
     //! Requests of callers that are not answered yet.
@@ -28,7 +30,7 @@
     incarnation started;
 
     //! Whether the balancer may send callers here.
-    [[nodiscard]] bool ready() const { return !this->stopping && this->configuration.number.value >= 0; }
+    [[nodiscard]] bool ready() const { return !this->stopping && this->start.passed; }
 };
 
 } // namespace dandelionstep
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -36,6 +36,7 @@
                                  .platform = platform,
                                  .engines = engines,
                                  .configuration = {},
+                                 .start = {},
                                  .health = {},
                                  .counters = {},
                                  .requests_in_flight = 0,
@@ -43,8 +44,9 @@
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context),
-          routes(context, generations, lookups, orders),
+          operators(context, peers,
+                    [this](const change_answer& answer) { this->configuration.take(answer); }),
+          observer(context), routes(context, generations, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -16,6 +16,7 @@
     out.set_data_centre(value.data_centre.value);
     out.set_peer_address(to_string(value.peer_address));
     out.set_incarnation(value.started.value);
+    out.set_newest_schema_version(value.newest_schema_version);
     out.set_state(static_cast<wire::MemberState>(value.state));
     return out;
 }
@@ -30,6 +31,7 @@
                   .data_centre = data_centre_id(value.data_centre()),
                   .peer_address = *std::move(address),
                   .started = incarnation{value.incarnation()}};
+    parsed.newest_schema_version = value.newest_schema_version();
     parsed.state = static_cast<member_state>(value.state());
     return parsed;
 }
@@ -37,6 +39,7 @@
 void fill_change(wire::Change& out, const accepted_change& change)
 {
     out.set_revision(change.number.value);
+    out.set_digest(change.digest);
     for (const configuration_record& record : change.records) {
         out.add_records()->set_json(dump(to_json(record)));
     }
@@ -44,7 +47,7 @@
 
 accepted_change read_change(const wire::Change& change)
 {
-    accepted_change parsed{.number = revision{change.revision()}, .records = {}};
+    accepted_change parsed{.number = revision{change.revision()}, .records = {}, .digest = change.digest()};
     for (const wire::Record& record : change.records()) {
         const auto value = parse_json(record.json());
         if (!value.ok()) {
@@ -68,6 +71,9 @@
 {
     absl::Status status = this->node.listen(this->context.configured.peers);
     if (status.ok()) {
+        this->unmet = {this->context.configured.seeds.begin(), this->context.configured.seeds.end()};
+        this->unmet.erase(this->context.configured.peers);
+        this->note_met({});
         this->exchange_round();
     }
     return status;
@@ -78,12 +84,29 @@
     this->next_round = this->context.loop.run_after(soon, [this] { this->exchange_round(); });
 }
 
+void group::note_met(const endpoint& peer)
+{
+    this->unmet.erase(peer);
+    if (this->unmet.empty()) {
+        this->configuration.peers_were_asked();
+    }
+}
+
+std::vector<schema_reader> group::schema_readers() const
+{
+    std::vector<schema_reader> readers{{this->context.configured.vm, newest_schema_version}};
+    for (const auto& [vm, each] : this->known) {
+        readers.push_back({vm, each.newest_schema_version});
+    }
+    return readers;
+}
+
 wire::ExchangeMessage group::make_message(revision receiver_revision) const
 {
     const settings& configured = this->context.configured;
     wire::ExchangeMessage message;
     *message.mutable_sender() = to_wire({configured.vm, configured.data_centre, configured.peers,
-                                         this->context.started, member_state::alive});
+                                         this->context.started, member_state::alive, newest_schema_version});
     for (const auto& [vm, each] : this->known) {
         *message.add_members() = to_wire(each);
     }
@@ -101,7 +124,7 @@
     }
     if (following.empty()) {
         const configuration_snapshot all = snapshot_of(applied);
-        fill_change(*message.mutable_snapshot(), {all.number, all.records});
+        fill_change(*message.mutable_snapshot(), {all.number, all.records, all.digest});
     }
     return message;
 }
@@ -132,12 +155,13 @@
         kind.take(message);
     }
     this->revision_of[vm_id(message.sender().vm())] = revision{message.configuration_revision()};
+    this->configuration.hear(revision{message.configuration_revision()});
     for (const wire::Change& change : message.changes()) {
         this->configuration.take(read_change(change));
     }
     if (message.has_snapshot()) {
         const accepted_change all = read_change(message.snapshot());
-        this->configuration.take(configuration_snapshot{all.number, all.records});
+        this->configuration.take(configuration_snapshot{all.number, all.records, all.digest});
     }
 }
 
@@ -153,10 +177,11 @@
     receivers.erase(this->context.configured.peers);
     for (const auto& [address, known_revision] : receivers) {
         this->node.exchange(address, this->make_message(known_revision), exchange_timeout,
-                            [this](const wire::ExchangeMessage* reply) {
+                            [this, to = address](const wire::ExchangeMessage* reply) {
                                 if (reply != nullptr) {
                                     this->take(*reply);
                                 }
+                                this->note_met(to);
                             });
     }
     this->next_round = this->context.loop.run_after(round_interval, [this] { this->exchange_round(); });
--- a/src/daemon/group.hpp
+++ b/src/daemon/group.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace dandelionstep {
@@ -30,12 +31,15 @@
     void share(shared_kind kind) { this->kinds.push_back(std::move(kind)); }
     //! Tells peers soon that there is news, for example a newer configuration.
     void spread_soon();
+    //! What each daemon that may be alive can read.
+    [[nodiscard]] std::vector<schema_reader> schema_readers() const;
     [[nodiscard]] const std::map<vm_id, member>& members() const { return this->known; }
 
 private:
     wire::ExchangeMessage answer(const wire::ExchangeMessage& question);
     [[nodiscard]] wire::ExchangeMessage make_message(revision receiver_revision) const;
     void take(const wire::ExchangeMessage& message);
+    void note_met(const endpoint& peer);
     void exchange_round();
 
     daemon_context& context;
@@ -44,6 +48,8 @@
     std::vector<shared_kind> kinds;
     std::map<vm_id, member> known;
     std::map<vm_id, revision> revision_of;
+    //! Peers that were to be met first and did not answer or fail yet.
+    std::set<endpoint> unmet;
     event_loop::timer next_round;
 };
 
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -5,7 +5,6 @@
 #include "adapters/random.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
-#include "daemon/configuration_apply.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -18,34 +17,10 @@
     reply.send(http_status(why.code), refusal_body(why));
 }
 
-absl::StatusOr<proposed_change> parse_proposal(const std::string& body)
-{
-    auto value = parse_json(body);
-    if (!value.ok()) {
-        return value.status();
-    }
-    proposed_change change;
-    change.id = change_id(string_or(*value, "change_id", random_id()));
-    const auto records = value->find("records");
-    if (records == value->end() || !records->is_array() || records->empty()) {
-        return absl::InvalidArgumentError("member \"records\" must be a list with at least one record");
-    }
-    for (const json& entry : *records) {
-        auto record = parse_record(entry);
-        if (!record.ok()) {
-            return record.status();
-        }
-        if (const absl::Status status = validate(*record); !status.ok()) {
-            return status;
-        }
-        change.records.push_back(*std::move(record));
-    }
-    return change;
-}
-
 } // namespace
 
-operator_port::operator_port(daemon_context& context, group& peers, std::function<void()> on_change)
+operator_port::operator_port(daemon_context& context, group& peers,
+                             std::function<void(const change_answer&)> on_change)
     : context(context), peers(peers), on_change(std::move(on_change)),
       server(context.loop, [this](const received_request& request, const std::shared_ptr<http_reply>& reply) {
           this->handle(request, reply);
@@ -83,19 +58,20 @@
 
 void operator_port::apply(const received_request& request, const std::shared_ptr<http_reply>& reply)
 {
-    const auto change = parse_proposal(request.body);
+    const auto change = parse_received_change(request.body, random_id());
     if (!change.ok()) {
         refuse(*reply,
                exposure{}.refuse(error_code::bad_request, std::string(change.status().message()), {}));
         return;
     }
     commit_change(
-        this->context.platform, *change, [this, reply, id = change->id](const change_answer& answer) {
+        this->context.platform, *change, this->peers.schema_readers(),
+        [this, reply, id = change->change.id](const change_answer& answer) {
             log_event("change_answered", {{"change", id.value},
                                           {"outcome", to_string(answer.result)},
                                           {"revision", answer.number.value}});
             if (answer.result == outcome::completed) {
-                this->on_change();
+                this->on_change(answer);
                 reply->send(200, dump({{"change_id", id.value}, {"revision", answer.number.value}}));
                 return;
             }
--- a/src/daemon/operator_port.hpp
+++ b/src/daemon/operator_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http_server.hpp"
+#include "daemon/configuration_apply.hpp"
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
 
@@ -9,7 +10,7 @@
 //! The operators' HTTP port: status and changes of configuration; every call needs the operators' token.
 class operator_port {
 public:
-    operator_port(daemon_context& context, group& peers, std::function<void()> on_change);
+    operator_port(daemon_context& context, group& peers, std::function<void(const change_answer&)> on_change);
 
     absl::Status start();
 
@@ -21,7 +22,7 @@
 
     daemon_context& context;
     group& peers;
-    std::function<void()> on_change;
+    std::function<void(const change_answer&)> on_change;
     http_server server;
 };
 
--- a/src/platform/configuration_rows.cpp
+++ b/src/platform/configuration_rows.cpp
@@ -1,9 +1,20 @@
 #include "platform/configuration_rows.hpp"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
 namespace dandelionstep {
+namespace {
+
+records_digest read_digest(const json& value)
+{
+    records_digest digest = 0;
+    const bool read = absl::SimpleAtoi(string_or(value, "digest", "0"), &digest);
+    return read ? digest : 0;
+}
+
+} // namespace
 
 std::string record_row_key(const record_key& key)
 {
@@ -21,7 +32,10 @@
     for (const configuration_record& record : change.records) {
         records.push_back(to_json(record));
     }
-    return {{"revision", change.number.value}, {"change_id", id.value}, {"records", std::move(records)}};
+    return {{"revision", change.number.value},
+            {"change_id", id.value},
+            {"records", std::move(records)},
+            {"digest", std::to_string(change.digest)}};
 }
 
 absl::StatusOr<accepted_change> parse_change(const json& value)
@@ -30,7 +44,7 @@
     if (!number.ok()) {
         return number.status();
     }
-    accepted_change change{.number = revision{*number}, .records = {}};
+    accepted_change change{.number = revision{*number}, .records = {}, .digest = read_digest(value)};
     const auto records = value.find("records");
     if (records == value.end() || !records->is_array()) {
         return absl::InvalidArgumentError("member \"records\" must be a list");
@@ -45,9 +59,30 @@
     return change;
 }
 
-revision parse_revision_row(const json& value)
+std::string change_id_row_key(const change_id& id)
+{
+    return absl::StrCat(std::string(change_id_rows), id.value);
+}
+
+// JSON numbers are signed here, so digests travel as text.
+json to_json(const revision_state& state)
+{
+    return {{"revision", state.number.value}, {"digest", std::to_string(state.digest)}};
+}
+
+revision_state parse_revision_row(const json& value)
+{
+    return {revision{integer_or(value, "revision", 0)}, read_digest(value)};
+}
+
+json to_json(const settled_change& settled)
+{
+    return {{"revision", settled.number.value}, {"content", settled.content}};
+}
+
+settled_change parse_settled_change(const json& value)
 {
-    return revision{integer_or(value, "revision", 0)};
+    return {revision{integer_or(value, "revision", 0)}, string_or(value, "content", "")};
 }
 
 } // namespace dandelionstep
--- a/src/vm/member.hpp
+++ b/src/vm/member.hpp
@@ -3,6 +3,8 @@
 #include "common/ids.hpp"
 #include "target/endpoint.hpp"
 
+#include <cstdint>
+
 namespace dandelionstep {
 
 //! What a daemon believes of another one.
@@ -15,6 +17,8 @@
     endpoint peer_address;
     incarnation started;
     member_state state = member_state::alive;
+    //! The newest schema version of records that it reads.
+    std::int64_t newest_schema_version = 1;
 };
 
 } // namespace dandelionstep
--- /dev/null
+++ b/tests/configuration/fake_table.hpp
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "configuration/change_commit.hpp"
+#include "platform/configuration_rows.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace dandelionstep::testing {
+
+//! How a transaction or read goes wrong.
+enum class table_fault {
+    none,
+    refused,        //!< Certainly not executed.
+    lost_request,   //!< Not executed, and the caller does not know.
+    lost_answer,    //!< Executed, and the caller does not know.
+    late_execution, //!< The caller does not know, and it is executed later, against the rows of that time.
+    stale,          //!< A read of an older state.
+};
+
+//! The platform's table in memory, with every state that it ever had.
+struct fake_table {
+    using rows_by_key = std::map<std::string, table_row>;
+
+    std::vector<rows_by_key> history{{}};
+    std::vector<table_transaction> late;
+    std::int64_t version = 0;
+
+    [[nodiscard]] const rows_by_key& rows() const { return this->history.back(); }
+
+    commit_answer execute(const table_transaction& transaction)
+    {
+        for (const table_condition& condition : transaction.conditions) {
+            const auto found = this->rows().find(condition.key);
+            const table_version current =
+                found == this->rows().end() ? table_version{0} : found->second.version;
+            if (current != condition.version) {
+                commit_answer answer{.result = commit_result::conflicted, .version = {}, .conflict = {}};
+                if (found != this->rows().end()) {
+                    answer.conflict = found->second;
+                }
+                return answer;
+            }
+        }
+        rows_by_key next = this->rows();
+        ++this->version;
+        for (const table_write& write : transaction.writes) {
+            if (write.value) {
+                next[write.key] = {write.key, table_version{this->version}, *write.value};
+            } else {
+                next.erase(write.key);
+            }
+        }
+        this->history.push_back(std::move(next));
+        return {commit_result::committed, table_version{this->version}, {}};
+    }
+
+    commit_answer commit(const table_transaction& transaction, table_fault fault)
+    {
+        const commit_answer unsure{.result = commit_result::unsure, .version = {}, .conflict = {}};
+        switch (fault) {
+        case table_fault::refused:
+            return {.result = commit_result::refused, .version = {}, .conflict = {}};
+        case table_fault::lost_request:
+            return unsure;
+        case table_fault::lost_answer:
+            this->execute(transaction);
+            return unsure;
+        case table_fault::late_execution:
+            this->late.push_back(transaction);
+            return unsure;
+        default:
+            return this->execute(transaction);
+        }
+    }
+
+    void execute_late()
+    {
+        for (const table_transaction& transaction : this->late) {
+            this->execute(transaction);
+        }
+        this->late.clear();
+    }
+
+    rows_found read(const rows_wanted& wanted, table_fault fault, std::size_t age = 0)
+    {
+        rows_found found{.failed = fault == table_fault::refused, .rows = {}};
+        const std::size_t back = fault == table_fault::stale ? age % this->history.size() : 0;
+        const rows_by_key& seen = this->history[this->history.size() - 1 - back];
+        for (const std::string& key : wanted.keys) {
+            if (const auto row = seen.find(key); row != seen.end() && !found.failed) {
+                found.rows.emplace(*row);
+            }
+        }
+        return found;
+    }
+
+    //! Every change in the log whose id it is.
+    [[nodiscard]] int times_accepted(const change_id& id) const
+    {
+        int times = 0;
+        for (const auto& [key, row] : this->rows()) {
+            times +=
+                key.starts_with(change_rows) && string_or(row.value, "change_id", "") == id.value ? 1 : 0;
+        }
+        return times;
+    }
+
+    [[nodiscard]] revision_state counter() const
+    {
+        const auto row = this->rows().find(std::string(revision_row));
+        return row == this->rows().end() ? revision_state{} : parse_revision_row(row->second.value);
+    }
+
+    [[nodiscard]] std::optional<configuration_record> record(const record_key& key) const
+    {
+        const auto row = this->rows().find(record_row_key(key));
+        if (row == this->rows().end()) {
+            return std::nullopt;
+        }
+        return *parse_record(row->second.value);
+    }
+};
+
+//! A record of a kind that every build reads.
+inline configuration_record drain_record(const std::string& name)
+{
+    configuration_record record;
+    record.key = {"drain", name};
+    return record;
+}
+
+inline proposed_change one_record(const std::string& id, configuration_record record,
+                                  std::optional<revision> seen = {})
+{
+    return {change_id(id), {{std::move(record), seen}}};
+}
+
+//! A running commit and what it does next.
+struct operator_session {
+    change_commit state;
+    commit_action next;
+};
+
+inline operator_session begin(proposed_change change, bool id_given = false,
+                              std::vector<schema_reader> readers = {})
+{
+    operator_session session;
+    session.state.change = std::move(change);
+    session.state.unsure = id_given;
+    session.state.readers = std::move(readers);
+    session.next = start(session.state);
+    return session;
+}
+
+//! Carries out one action; false when the answer is there.
+inline bool step(operator_session& session, fake_table& table, table_fault fault = table_fault::none,
+                 std::size_t age = 0)
+{
+    if (const auto* wanted = std::get_if<rows_wanted>(&session.next)) {
+        session.next = on_rows(session.state, table.read(*wanted, fault, age));
+    } else if (const auto* transaction = std::get_if<table_transaction>(&session.next)) {
+        session.next = on_committed(session.state, table.commit(*transaction, fault));
+    }
+    return !std::holds_alternative<change_answer>(session.next);
+}
+
+inline change_answer finish(operator_session& session, fake_table& table)
+{
+    while (step(session, table)) {
+    }
+    return std::get<change_answer>(session.next);
+}
+
+inline change_answer apply_now(fake_table& table, proposed_change change, bool id_given = false)
+{
+    operator_session session = begin(std::move(change), id_given);
+    return finish(session, table);
+}
+
+} // namespace dandelionstep::testing
