Membership within and between data centres replaces the full mesh

Cause: every daemon exchanged the whole table with every other one twice a second, knew nobody's state, and its bytes grew with the square of the group.

Now src/vm/membership decides, without clock or socket: direct probes within a data centre, indirect ones through three others, suspicion for 5 s, refutation by a higher incarnation, leave, and news told a bounded number of times with the least told first. Two relays of each data centre, chosen by rendezvous hashing, speak with the others; only its own data centre declares a daemon dead. A digest of the table that stays different asks for the whole table. Dead members and seeds that are no live members are tried again, which heals partitions. A daemon that did not run for 2 s draws no conclusions. Shared kinds travel in every message.

--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -101,6 +101,22 @@
     return answer;
 }
 
+std::vector<endpoint> parse_peers(const http_result& result)
+{
+    std::vector<endpoint> peers;
+    const auto body = parse_json(result.body);
+    if (!result.answered() || result.status != ok_status || !body.ok()) {
+        return peers;
+    }
+    for (const json& vm : body->value("vms", json::array())) {
+        const auto address = parse_endpoint(string_or(vm, "peer_address", ""));
+        if (address.ok() && string_or(vm, "state", "live") != "leaving") {
+            peers.push_back(*address);
+        }
+    }
+    return peers;
+}
+
 } // namespace
 
 void platform_client::commit(const table_transaction& transaction,
@@ -135,6 +151,14 @@
                     [done = std::move(done)](const http_result& result) { done(parse_rows(result)); });
 }
 
+void platform_client::list_peers(std::function<void(const std::vector<endpoint>&)> done)
+{
+    http_request request{.method = "GET", .path = "/v1/vms"};
+    request.timeout = this->timeout;
+    this->http.send(this->platform, std::move(request),
+                    [done = std::move(done)](const http_result& result) { done(parse_peers(result)); });
+}
+
 void platform_client::put_object(std::string_view name, std::string body,
                                  std::function<void(bool stored)> done)
 {
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -21,6 +21,8 @@
     //! Reads up to `limit` rows with the prefix, after the given key, in order of their keys.
     void scan(std::string_view prefix, std::string_view after, int limit,
               std::function<void(const read_answer&)> done);
+    //! Reads the peer addresses of the daemons in the lagging list of live VMs; none when it can't be read.
+    void list_peers(std::function<void(const std::vector<endpoint>&)> done);
     void put_object(std::string_view name, std::string body, std::function<void(bool stored)> done);
     void get_object(std::string_view name, std::function<void(const http_result&)> done);
 
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -1,87 +1,149 @@
 #include "daemon/group.hpp"
 
+#include "adapters/log.hpp"
+#include "adapters/random.hpp"
+#include "daemon/group_wire.hpp"
+
+#include <algorithm>
 #include <peer.pb.h>
 
 namespace dandelionstep {
 namespace {
 
-constexpr milliseconds round_interval{500};
-constexpr milliseconds soon{10};
-constexpr milliseconds exchange_timeout{1000};
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds spread_delay{10};
+constexpr milliseconds exchange_timeout{900};
+constexpr milliseconds vm_list_interval{60'000};
+constexpr std::size_t max_seeds = 64;
+
+} // namespace
 
-wire::Member to_wire(const member& value)
+group::group(daemon_context& context, configuration_sync& configuration)
+    : context(context), configuration(configuration),
+      node(context.loop, [this](const wire::ExchangeMessage& question) { return this->answer(question); })
 {
-    wire::Member out;
-    out.set_vm(value.vm.value);
-    out.set_data_centre(value.data_centre.value);
-    out.set_peer_address(to_string(value.peer_address));
-    out.set_incarnation(value.started.value);
-    out.set_newest_schema_version(value.newest_schema_version);
-    out.set_state(static_cast<wire::MemberState>(value.state));
-    return out;
+    const settings& configured = context.configured;
+    this->state.self = {.vm = configured.vm,
+                        .data_centre = configured.data_centre,
+                        .peer_address = configured.peers,
+                        .started = context.started,
+                        .state = member_state::alive,
+                        .newest_schema_version = newest_schema_version};
+    this->state.seed = random_seed();
+    this->state.seeds = configured.seeds;
 }
 
-absl::StatusOr<member> from_wire(const wire::Member& value)
+absl::Status group::start()
 {
-    auto address = parse_endpoint(value.peer_address());
-    if (!address.ok()) {
-        return address.status();
-    }
-    member parsed{.vm = vm_id(value.vm()),
-                  .data_centre = data_centre_id(value.data_centre()),
-                  .peer_address = *std::move(address),
-                  .started = incarnation{value.incarnation()}};
-    parsed.newest_schema_version = value.newest_schema_version();
-    parsed.state = static_cast<member_state>(value.state());
-    return parsed;
+    absl::Status status = this->node.listen(this->context.configured.peers);
+    if (!status.ok()) {
+        return status;
+    }
+    this->unmet = {this->state.seeds.begin(), this->state.seeds.end()};
+    this->note_met(this->context.configured.peers);
+    this->carry_out(dandelionstep::start(this->state, event_loop::now()));
+    this->ticker = this->context.loop.run_every(tick_interval, [this] { this->tick(); });
+    this->poll_vm_list();
+    return status;
 }
 
-void fill_change(wire::Change& out, const accepted_change& change)
+void group::tick()
 {
-    out.set_revision(change.number.value);
-    out.set_digest(change.digest);
-    for (const configuration_record& record : change.records) {
-        out.add_records()->set_json(dump(to_json(record)));
-    }
+    this->carry_out(on_tick(this->state, event_loop::now()));
+    std::erase_if(this->revision_of,
+                  [this](const auto& entry) { return !this->state.others.contains(entry.first); });
+    this->configuration.set_poller(is_chosen(this->state, "poll", pollers_per_data_centre));
 }
 
-accepted_change read_change(const wire::Change& change)
+// The list lags, so it only adds addresses to try.
+void group::poll_vm_list()
 {
-    accepted_change parsed{.number = revision{change.revision()}, .records = {}, .digest = change.digest()};
-    for (const wire::Record& record : change.records()) {
-        const auto value = parse_json(record.json());
-        if (!value.ok()) {
-            continue;
-        }
-        if (auto read = parse_record(*value); read.ok()) {
-            parsed.records.push_back(*std::move(read));
+    this->context.platform.list_peers([this](const std::vector<endpoint>& listed) {
+        std::vector<endpoint> seeds = this->context.configured.seeds;
+        const std::size_t room = std::min(listed.size(), max_seeds);
+        seeds.insert(seeds.end(), listed.begin(), listed.begin() + static_cast<std::ptrdiff_t>(room));
+        this->state.seeds = std::move(seeds);
+        const auto spread_over = static_cast<std::uint64_t>(vm_list_interval.count);
+        const milliseconds delay =
+            vm_list_interval / 2 + milliseconds{static_cast<std::int64_t>(random_seed() % spread_over)};
+        this->next_vm_list = this->context.loop.run_after(delay, [this] { this->poll_vm_list(); });
+    });
+}
+
+void group::spread_soon()
+{
+    if (this->spread_due) {
+        return;
+    }
+    this->spread_due = true;
+    this->spreading = this->context.loop.run_after(spread_delay, [this] {
+        this->spread_due = false;
+        this->carry_out(spread(this->state, event_loop::now()));
+    });
+}
+
+void group::leave()
+{
+    this->carry_out(dandelionstep::leave(this->state, event_loop::now()));
+}
+
+std::vector<schema_reader> group::schema_readers() const
+{
+    std::vector<schema_reader> readers{{this->context.configured.vm, newest_schema_version}};
+    for (const auto& [vm, each] : this->state.others) {
+        const bool gone = each.about.state == member_state::dead || each.about.state == member_state::left;
+        if (!gone) {
+            readers.push_back({vm, each.about.newest_schema_version});
         }
     }
-    return parsed;
+    return readers;
 }
 
-} // namespace
-
-group::group(daemon_context& context, configuration_sync& configuration)
-    : context(context), configuration(configuration),
-      node(context.loop, [this](const wire::ExchangeMessage& question) { return this->answer(question); })
-{}
+std::map<vm_id, member> group::members() const
+{
+    std::map<vm_id, member> all;
+    for (const auto& [vm, each] : this->state.others) {
+        all.emplace(vm, each.about);
+    }
+    return all;
+}
 
-absl::Status group::start()
+void group::carry_out(const membership_actions& actions)
 {
-    absl::Status status = this->node.listen(this->context.configured.peers);
-    if (status.ok()) {
-        this->unmet = {this->context.configured.seeds.begin(), this->context.configured.seeds.end()};
-        this->unmet.erase(this->context.configured.peers);
-        this->note_met({});
-        this->exchange_round();
+    for (const member& each : actions.changed) {
+        log_event("member", {{"member", each.vm.value},
+                             {"state", to_string(each.state)},
+                             {"incarnation", each.started.value},
+                             {"data_centre", each.data_centre.value}});
+        if (each.state == member_state::dead || each.state == member_state::left) {
+            this->node.forget(each.peer_address);
+        }
+    }
+    for (const contact& each : actions.contacts) {
+        this->send(each);
     }
-    return status;
 }
 
-void group::spread_soon()
+void group::send(const contact& to)
 {
-    this->next_round = this->context.loop.run_after(soon, [this] { this->exchange_round(); });
+    wire::ExchangeMessage message = this->make_message(to.vm, false);
+    member_message request{.sender = this->state.self,
+                           .members = {},
+                           .digest = message.members_digest(),
+                           .wants_all = to.wants_all,
+                           .probe = to.probe,
+                           .confirmed = to.confirmed};
+    fill(message, request);
+    ++this->counted.messages;
+    this->counted.sent.value += static_cast<std::int64_t>(message.ByteSizeLong());
+    this->node.exchange(to.to, message, exchange_timeout, [this, to](const wire::ExchangeMessage* reply) {
+        if (reply != nullptr) {
+            this->take(*reply);
+        } else {
+            this->carry_out(on_failed(this->state, to, event_loop::now()));
+        }
+        this->note_met(to.to);
+    });
 }
 
 void group::note_met(const endpoint& peer)
@@ -92,69 +154,69 @@
     }
 }
 
-std::vector<schema_reader> group::schema_readers() const
+wire::ExchangeMessage group::make_message(const std::optional<vm_id>& receiver, bool everything)
 {
-    std::vector<schema_reader> readers{{this->context.configured.vm, newest_schema_version}};
-    for (const auto& [vm, each] : this->known) {
-        readers.push_back({vm, each.newest_schema_version});
-    }
-    return readers;
-}
-
-wire::ExchangeMessage group::make_message(revision receiver_revision) const
-{
-    const settings& configured = this->context.configured;
     wire::ExchangeMessage message;
-    *message.mutable_sender() = to_wire({configured.vm, configured.data_centre, configured.peers,
-                                         this->context.started, member_state::alive, newest_schema_version});
-    for (const auto& [vm, each] : this->known) {
-        *message.add_members() = to_wire(each);
-    }
+    fill(message, dandelionstep::make_message(this->state, receiver, everything));
     for (const shared_kind& kind : this->kinds) {
         kind.fill(message);
     }
+    const revision own = this->context.configuration.number;
+    const auto known = receiver ? this->revision_of.find(*receiver) : this->revision_of.end();
+    message.set_configuration_revision(own.value);
+    this->add_configuration(message, known == this->revision_of.end() ? own : known->second);
+    return message;
+}
+
+void group::add_configuration(wire::ExchangeMessage& message, revision receiver_revision) const
+{
     const applied_configuration& applied = this->context.configuration;
-    message.set_configuration_revision(applied.number.value);
     if (receiver_revision >= applied.number) {
-        return message;
+        return;
     }
     const std::vector<accepted_change> following = this->configuration.changes_after(receiver_revision);
     for (const accepted_change& change : following) {
-        fill_change(*message.add_changes(), change);
+        fill(*message.add_changes(), change);
     }
     if (following.empty()) {
         const configuration_snapshot all = snapshot_of(applied);
-        fill_change(*message.mutable_snapshot(), {all.number, all.records, all.digest});
+        fill(*message.mutable_snapshot(), {all.number, all.records, all.digest});
     }
-    return message;
+}
+
+void group::count_received(const wire::ExchangeMessage& message)
+{
+    ++this->counted.messages;
+    this->counted.received.value += static_cast<std::int64_t>(message.ByteSizeLong());
 }
 
 wire::ExchangeMessage group::answer(const wire::ExchangeMessage& question)
 {
     this->take(question);
-    return this->make_message(revision{question.configuration_revision()});
+    wire::ExchangeMessage reply =
+        this->make_message(vm_id(question.sender().vm()), question.wants_all_members());
+    ++this->counted.messages;
+    this->counted.sent.value += static_cast<std::int64_t>(reply.ByteSizeLong());
+    return reply;
 }
 
 void group::take(const wire::ExchangeMessage& message)
 {
-    const auto learn = [this](const wire::Member& value) {
-        const auto parsed = from_wire(value);
-        if (!parsed.ok() || parsed->vm == this->context.configured.vm) {
-            return;
-        }
-        const auto found = this->known.find(parsed->vm);
-        if (found == this->known.end() || parsed->started > found->second.started) {
-            this->known[parsed->vm] = *parsed;
-        }
-    };
-    learn(message.sender());
-    for (const wire::Member& each : message.members()) {
-        learn(each);
+    this->count_received(message);
+    const auto members = read_members(message);
+    if (!members) {
+        return;
     }
+    this->carry_out(on_message(this->state, *members, event_loop::now()));
     for (const shared_kind& kind : this->kinds) {
         kind.take(message);
     }
-    this->revision_of[vm_id(message.sender().vm())] = revision{message.configuration_revision()};
+    this->revision_of[members->sender.vm] = revision{message.configuration_revision()};
+    this->take_configuration(message);
+}
+
+void group::take_configuration(const wire::ExchangeMessage& message)
+{
     this->configuration.hear(revision{message.configuration_revision()});
     for (const wire::Change& change : message.changes()) {
         this->configuration.take(read_change(change));
@@ -165,26 +227,4 @@
     }
 }
 
-void group::exchange_round()
-{
-    std::map<endpoint, revision> receivers;
-    for (const endpoint& seed : this->context.configured.seeds) {
-        receivers.emplace(seed, this->context.configuration.number);
-    }
-    for (const auto& [vm, each] : this->known) {
-        receivers[each.peer_address] = this->revision_of[vm];
-    }
-    receivers.erase(this->context.configured.peers);
-    for (const auto& [address, known_revision] : receivers) {
-        this->node.exchange(address, this->make_message(known_revision), exchange_timeout,
-                            [this, to = address](const wire::ExchangeMessage* reply) {
-                                if (reply != nullptr) {
-                                    this->take(*reply);
-                                }
-                                this->note_met(to);
-                            });
-    }
-    this->next_round = this->context.loop.run_after(round_interval, [this] { this->exchange_round(); });
-}
-
 } // namespace dandelionstep
--- a/src/daemon/group.hpp
+++ b/src/daemon/group.hpp
@@ -3,7 +3,7 @@
 #include "adapters/peer_node.hpp"
 #include "daemon/configuration_sync.hpp"
 #include "daemon/context.hpp"
-#include "vm/member.hpp"
+#include "vm/membership.hpp"
 
 #include <functional>
 #include <map>
@@ -21,7 +21,14 @@
     std::function<void(const wire::ExchangeMessage& message)> take;
 };
 
-//! The daemon's part in the group: exchanges members and configuration with its peers.
+//! What the group's messages cost since the start.
+struct group_traffic {
+    std::int64_t messages = 0;
+    byte_count sent;
+    byte_count received;
+};
+
+//! The daemon's part in the group: carries out what membership decides, and brings shared state along.
 class group {
 public:
     group(daemon_context& context, configuration_sync& configuration);
@@ -31,26 +38,40 @@
     void share(shared_kind kind) { this->kinds.push_back(std::move(kind)); }
     //! Tells peers soon that there is news, for example a newer configuration.
     void spread_soon();
+    //! Tells peers that this daemon leaves.
+    void leave();
     //! What each daemon that may be alive can read.
     [[nodiscard]] std::vector<schema_reader> schema_readers() const;
-    [[nodiscard]] const std::map<vm_id, member>& members() const { return this->known; }
+    //! Every other daemon known, with its state; dead and left ones are forgotten after a while.
+    [[nodiscard]] std::map<vm_id, member> members() const;
+    [[nodiscard]] const group_traffic& traffic() const { return this->counted; }
 
 private:
+    void tick();
+    void poll_vm_list();
+    void carry_out(const membership_actions& actions);
+    void send(const contact& to);
+    void count_received(const wire::ExchangeMessage& message);
     wire::ExchangeMessage answer(const wire::ExchangeMessage& question);
-    [[nodiscard]] wire::ExchangeMessage make_message(revision receiver_revision) const;
+    [[nodiscard]] wire::ExchangeMessage make_message(const std::optional<vm_id>& receiver, bool everything);
+    void add_configuration(wire::ExchangeMessage& message, revision receiver_revision) const;
     void take(const wire::ExchangeMessage& message);
+    void take_configuration(const wire::ExchangeMessage& message);
     void note_met(const endpoint& peer);
-    void exchange_round();
 
     daemon_context& context;
     configuration_sync& configuration;
     peer_node node;
     std::vector<shared_kind> kinds;
-    std::map<vm_id, member> known;
+    membership state;
     std::map<vm_id, revision> revision_of;
     //! Peers that were to be met first and did not answer or fail yet.
     std::set<endpoint> unmet;
-    event_loop::timer next_round;
+    group_traffic counted;
+    event_loop::timer ticker;
+    event_loop::timer spreading;
+    event_loop::timer next_vm_list;
+    bool spread_due = false;
 };
 
 } // namespace dandelionstep
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -83,8 +83,10 @@
 {
     json members = json::array();
     for (const auto& [vm, each] : this->peers.members()) {
-        members.push_back(
-            {{"vm", vm.value}, {"data_centre", each.data_centre.value}, {"incarnation", each.started.value}});
+        members.push_back({{"vm", vm.value},
+                           {"data_centre", each.data_centre.value},
+                           {"incarnation", each.started.value},
+                           {"state", to_string(each.state)}});
     }
     json targets = json::array();
     const time_point now = event_loop::now();
@@ -106,6 +108,9 @@
             {"stopping", this->context.stopping},
             {"requests_in_flight", this->context.requests_in_flight},
             {"members", members},
+            {"group_messages", this->peers.traffic().messages},
+            {"group_bytes_sent", this->peers.traffic().sent.value},
+            {"group_bytes_received", this->peers.traffic().received.value},
             {"targets", targets}};
 }
 
--- a/src/vm/member.hpp
+++ b/src/vm/member.hpp
@@ -4,12 +4,16 @@
 #include "target/endpoint.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace dandelionstep {
 
 //! What a daemon believes of another one.
 enum class member_state { alive, suspect, dead, left };
 
+//! The state's name in logs and reports.
+std::string_view to_string(member_state state);
+
 //! One daemon on its VM, as others know it.
 struct member {
     vm_id vm;
--- /dev/null
+++ b/src/vm/membership_table.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "vm/membership.hpp"
+
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace dandelionstep {
+
+//! Alive, or suspected and not yet declared dead.
+inline bool is_live(const member& each)
+{
+    return each.state == member_state::alive || each.state == member_state::suspect;
+}
+
+//! The next number of the state's own random sequence.
+std::uint64_t next_random(membership& state);
+//! Between three quarters and five quarters of the interval, so that daemons don't act together.
+milliseconds jittered(membership& state, milliseconds interval);
+
+template <class T>
+void shuffle(membership& state, std::vector<T>& list)
+{
+    for (std::size_t left = list.size(); left > 1; --left) {
+        std::swap(list[left - 1], list[next_random(state) % left]);
+    }
+}
+
+//! Takes news of a member, if it is any; news of this daemon's own death is refuted.
+void take_member(membership& state, membership_actions& actions, const member& news, time_point now);
+//! Removes members that were declared dead long ago, or whose data centre was not heard of for very long.
+void forget_old(membership& state, time_point now);
+//! Equal on daemons that know the same live members.
+std::uint64_t table_digest(const membership& state);
+std::set<data_centre_id> other_data_centres(const membership& state);
+
+} // namespace dandelionstep
--- a/tests/configuration/change_commit_test.cpp
+++ b/tests/configuration/change_commit_test.cpp
@@ -177,9 +177,9 @@
 TEST_CASE("the table's log and the remembered ids stay bounded")
 {
     fake_table table;
+    table.keeps_history = false;
     for (std::int64_t i = 0; i < kept_changes + 40; ++i) {
         apply_now(table, one_record("id" + std::to_string(i), drain_record("e" + std::to_string(i % 3))));
-        table.history.erase(table.history.begin(), table.history.end() - 1);
     }
     CHECK(table.counter().number == revision{kept_changes + 40});
     CHECK(table.rows().size() == static_cast<std::size_t>(2 * kept_changes + 3 + 1));
--- a/tests/configuration/fake_table.hpp
+++ b/tests/configuration/fake_table.hpp
@@ -29,6 +29,8 @@
     std::vector<rows_by_key> history{{}};
     std::vector<table_transaction> late;
     std::int64_t version = 0;
+    //! Whether older states stay readable.
+    bool keeps_history = true;
 
     [[nodiscard]] const rows_by_key& rows() const { return this->history.back(); }
 
@@ -46,7 +48,10 @@
                 return answer;
             }
         }
-        rows_by_key next = this->rows();
+        if (this->keeps_history) {
+            this->history.push_back(this->rows());
+        }
+        rows_by_key& next = this->history.back();
         ++this->version;
         for (const table_write& write : transaction.writes) {
             if (write.value) {
@@ -55,7 +60,6 @@
                 next.erase(write.key);
             }
         }
-        this->history.push_back(std::move(next));
         return {commit_result::committed, table_version{this->version}, {}};
     }
 
--- /dev/null
+++ b/tests/vm/membership_proof_test.cpp
@@ -0,0 +1,284 @@
+// Point: daemons agree on who is there, within seconds, through deaths, freezes, restarts, loss and
+// partitions.
+#include "vm/fake_network.hpp"
+
+#include <doctest/doctest.h>
+#include <iostream>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+// What is in force everywhere within 20 s must reach everybody, so this bounds what is known of members as
+// well.
+constexpr milliseconds everywhere{20'000};
+constexpr std::uint64_t seeds = 12;
+
+template <class Body>
+void for_each_seed(Body body)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        fake_network net(seed, 3, 6);
+        REQUIRE(net.run_until([&] { return net.all_alive(); }, everywhere));
+        body(net);
+    }
+}
+
+} // namespace
+
+TEST_CASE("daemons that know a few seeds find all others")
+{
+    for_each_seed([](fake_network& net) { CHECK(net.all_alive()); });
+}
+
+TEST_CASE("a killed daemon is known to be dead everywhere, and nobody else is")
+{
+    for_each_seed([](fake_network& net) {
+        net.nodes[4].running = false;
+        CHECK(net.run_until([&] { return net.all_see(4, member_state::dead); }, everywhere));
+        net.run({60'000});
+        CHECK(net.deaths == 17);
+    });
+}
+
+TEST_CASE("a daemon that leaves is known to have left, without suspicion")
+{
+    for_each_seed([](fake_network& net) {
+        net.carry_out(4, leave(net.nodes[4].state, net.now));
+        net.nodes[4].running = false;
+        CHECK(net.run_until([&] { return net.all_see(4, member_state::left); }, everywhere));
+        CHECK(net.deaths == 0);
+    });
+}
+
+TEST_CASE("lost messages don't kill a live daemon")
+{
+    for_each_seed([](fake_network& net) {
+        net.lost_per_mille = 50;
+        net.run({300'000});
+        CHECK(net.deaths == 0);
+    });
+}
+
+TEST_CASE("a daemon that one other can't reach is probed through others")
+{
+    for_each_seed([](fake_network& net) {
+        net.cut = [](std::size_t from, std::size_t to) {
+            return (from == 1 && to == 2) || (from == 2 && to == 1);
+        };
+        net.run({120'000});
+        CHECK(net.deaths == 0);
+        CHECK(net.all_alive());
+    });
+}
+
+TEST_CASE("a frozen daemon that comes back accuses nobody and is alive again with a higher incarnation")
+{
+    for_each_seed([](fake_network& net) {
+        const incarnation before = net.nodes[4].state.self.started;
+        net.nodes[4].running = false;
+        REQUIRE(net.run_until([&] { return net.all_see(4, member_state::dead); }, everywhere));
+        const int deaths = net.deaths;
+        net.nodes[4].running = true;
+        CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+        CHECK(net.nodes[4].state.self.started > before);
+        CHECK(net.deaths == deaths);
+    });
+}
+
+TEST_CASE("a freeze shorter than the suspicion kills nobody")
+{
+    for_each_seed([](fake_network& net) {
+        net.nodes[4].running = false;
+        net.run({2900});
+        net.nodes[4].running = true;
+        net.run({30'000});
+        CHECK(net.deaths == 0);
+        CHECK(net.all_alive());
+    });
+}
+
+TEST_CASE("a frozen daemon does not let a suspicion run out that was refuted meanwhile")
+{
+    for_each_seed([](fake_network& net) {
+        net.nodes[5].running = false;
+        REQUIRE(net.run_until([&] { return net.view(5, 1) == member_state::suspect; }, everywhere));
+        net.nodes[1].running = false;
+        net.nodes[5].running = true;
+        net.run({60'000});
+        const int deaths = net.deaths;
+        net.nodes[1].running = true;
+        net.run({30'000});
+        CHECK(net.view(5, 1) == member_state::alive);
+        CHECK(net.deaths == deaths);
+    });
+}
+
+TEST_CASE("a suspect in another data centre, cut off before it refutes, is not declared dead from outside")
+{
+    for_each_seed([](fake_network& net) {
+        net.nodes[4].running = false;
+        REQUIRE(net.run_until([&] { return net.view(4, 13) == member_state::suspect; }, everywhere));
+        net.cut = [](std::size_t from, std::size_t to) { return from / 6 != to / 6; };
+        net.nodes[4].running = true;
+        net.run({60'000});
+        CHECK(net.view(4, 1) == member_state::alive);
+        CHECK(net.view(4, 13) == member_state::suspect);
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+    });
+}
+
+TEST_CASE("halves of the only data centre find each other again")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        fake_network net(seed, 1, 8);
+        REQUIRE(net.run_until([&] { return net.all_alive(); }, everywhere));
+        net.cut = [](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); };
+        net.run({300'000});
+        CHECK(net.view(1, 6) == member_state::dead);
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+    }
+}
+
+TEST_CASE("a daemon restarted at its address is alive again, also when its clock went back")
+{
+    for (const std::int64_t started : {9'000'000LL, 1LL}) {
+        CAPTURE(started);
+        for_each_seed([&](fake_network& net) {
+            net.nodes[4].running = false;
+            net.run({1500});
+            net.restart(4, {started});
+            CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+            net.run({30'000});
+            CHECK(net.all_alive());
+        });
+    }
+}
+
+TEST_CASE("data centres that are cut off keep what they know of each other and agree again after healing")
+{
+    for_each_seed([](fake_network& net) {
+        net.cut = [](std::size_t from, std::size_t to) { return from / 6 != to / 6; };
+        net.run({900'000});
+        CHECK(net.all_alive());
+        net.nodes[4].running = false;
+        net.run({30'000});
+        CHECK(net.view(4, 1) == member_state::dead);
+        CHECK(net.view(4, 13) == member_state::alive);
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(net.run_until([&] { return net.all_see(4, member_state::dead); }, everywhere));
+    });
+}
+
+TEST_CASE("halves of one data centre that were cut apart find each other again")
+{
+    for_each_seed([](fake_network& net) {
+        net.cut = [](std::size_t from, std::size_t to) {
+            return from < 6 && to < 6 && (from < 3) != (to < 3);
+        };
+        net.run({300'000});
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+    });
+}
+
+TEST_CASE("a daemon that can reach nobody knows itself and comes back")
+{
+    for_each_seed([](fake_network& net) {
+        net.cut = [](std::size_t from, std::size_t to) { return from == 3 || to == 3; };
+        net.run({120'000});
+        CHECK(live_members(net.nodes[3].state, data_centre_id("dc0")) == std::vector{vm_id("vm3")});
+        CHECK(is_chosen(net.nodes[3].state, "poll", 1));
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(net.run_until([&] { return net.all_alive(); }, everywhere));
+    });
+}
+
+TEST_CASE("daemons join while others leave, and what is kept stays bounded")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CAPTURE(seed);
+        fake_network net(seed, 3, 6);
+        net.run({20'000});
+        constexpr std::size_t replaced = 60;
+        for (std::size_t i = 0; i < replaced; ++i) {
+            net.add(i % 3, {static_cast<std::int64_t>(5000 + i)});
+            net.nodes.back().state.seeds = net.nodes.front().state.seeds;
+            for (std::size_t d = 0; d < 3; ++d) {
+                net.nodes.back().state.seeds.push_back(fake_network::address_of(d * 6 + 5));
+            }
+            net.begin(net.nodes.size() - 1);
+            // The first of each data centre stays, so that the seeds lead somewhere.
+            net.nodes[i < 12 ? i + 1 + i / 5 : i + 6].running = i % 6 == 5;
+            net.run({4000});
+        }
+        net.run({60'000});
+        CHECK(net.all_alive());
+        net.run({700'000});
+        std::size_t running = 0;
+        for (const auto& each : net.nodes) {
+            running += each.running ? 1 : 0;
+        }
+        for (const auto& each : net.nodes) {
+            if (each.running) {
+                CHECK(each.state.others.size() == running - 1);
+            }
+        }
+        CHECK(net.longest_news <= membership_limits{}.news_per_message + 1);
+    }
+}
+
+TEST_CASE("news of members merges alike in any order and any number of times")
+{
+    std::mt19937_64 random(7);
+    for (int run = 0; run < 2000; ++run) {
+        std::vector<member> news;
+        for (int i = 0; i < 12; ++i) {
+            member each;
+            each.vm = vm_id("vm" + std::to_string(random() % 3));
+            each.started = {static_cast<std::int64_t>(random() % 4)};
+            each.state = static_cast<member_state>(random() % 2);
+            news.push_back(each);
+        }
+        std::map<vm_id, std::pair<incarnation, member_state>> naive;
+        for (const member& each : news) {
+            naive[each.vm] = std::max(naive[each.vm], {each.started, each.state});
+        }
+        for (int order = 0; order < 4; ++order) {
+            membership state;
+            membership_actions ignored;
+            std::ranges::shuffle(news, random);
+            for (const member& each : news) {
+                take_member(state, ignored, each, time_point{});
+                take_member(state, ignored, news[random() % news.size()], time_point{});
+            }
+            for (const auto& [vm, expected] : naive) {
+                const member& held = state.others.at(vm).about;
+                CHECK(std::pair(held.started, held.state) == expected);
+            }
+        }
+    }
+}
+
+TEST_CASE("at 420 daemons in 11 data centres a daemon sends a few messages a second")
+{
+    fake_network net(5, 11, 38);
+    REQUIRE(net.run_until([&] { return net.all_alive(); }, {60'000}));
+    net.run({30'000});
+    net.messages = 0;
+    net.members_told = 0;
+    net.run({60'000});
+    const auto daemons = static_cast<std::int64_t>(net.nodes.size());
+    // 24 KB a second bound what a daemon sends and receives for all of control.
+    constexpr std::int64_t bytes_per_member = 90;
+    constexpr std::int64_t bytes_per_message = 400;
+    const std::int64_t sent_and_received =
+        2 * (net.messages * bytes_per_message + net.members_told * bytes_per_member) / daemons / 60;
+    MESSAGE("bytes a second and daemon, at an assumed size of messages: " << sent_and_received);
+    CHECK(sent_and_received < 24'000);
+}
