--- a/src/common/outcome.cpp
+++ b/src/common/outcome.cpp
@@ -28,6 +28,8 @@
     error_traits{error_code::target_failed, "target_failed", 502},
     error_traits{error_code::unsettled, "unsettled", 409},
     error_traits{error_code::suspected_crasher, "suspected_crasher", 422},
+    error_traits{error_code::answer_not_kept, "answer_not_kept", 410},
+    error_traits{error_code::settled_by_operator, "settled_by_operator", 409},
 };
 
 const error_traits& traits(error_code code)
@@ -60,6 +62,23 @@
     return traits(code).name;
 }
 
+bool is_callers_fault(error_code code)
+{
+    switch (code) {
+    case error_code::bad_request:
+    case error_code::body_too_large:
+    case error_code::unauthorised:
+    case error_code::unknown_route:
+    case error_code::key_required:
+    case error_code::key_reused:
+    case error_code::conflict:
+    case error_code::suspected_crasher:
+        return true;
+    default:
+        return false;
+    }
+}
+
 int http_status(error_code code)
 {
     return traits(code).status;
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -6,7 +6,9 @@
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
 #include "configuration/start_check.hpp"
+#include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
+#include "route/route_index.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
@@ -23,11 +25,21 @@
     start_check start;
     health_map health;
     request_counters counters;
+    burn_table burn;
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
     //! Set by a planned stop: new requests are refused, running ones finish.
     bool stopping = false;
     incarnation started;
+    route_cache routes{};
+
+    //! The routes of the configuration in force.
+    const route_index& current_routes()
+    {
+        return this->routes.at(this->configuration.number, this->configuration.declared);
+    }
+    //! Chains chosen so far.
+    std::uint64_t chains_chosen = 0;
 
     //! Whether the balancer may send callers here.
     [[nodiscard]] bool ready() const { return !this->stopping && this->start.passed; }
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -4,6 +4,7 @@
 #include "adapters/log.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
 #include "route/choose_chain.hpp"
 
@@ -15,6 +16,17 @@
 constexpr milliseconds tick_interval{20};
 constexpr std::string_view kind = "generation";
 
+// Leaving targets stay left alone; those that only failed may be tried again.
+health_map without_ejections(health_map health, ejected_targets ejected)
+{
+    for (auto& [id, state] : health) {
+        if (ejected == ejected_targets::use || state.consecutive_failures <= 1) {
+            state.ejected_until = time_point{INT64_MIN / 2};
+        }
+    }
+    return health;
+}
+
 } // namespace
 
 struct generation_runner::running_generation {
@@ -22,8 +34,23 @@
     std::shared_ptr<caller_reply> reply;
     bool streamed = false;
     http_client::handle stream;
+    time_point began;
+    time_point first_token;
     //! The chain whose targets count this request as in flight.
     std::optional<chain> counted;
+
+    [[nodiscard]] finished_request finished(outcome result, std::optional<error_code> refused) const
+    {
+        const generation_request& request = this->state.request;
+        return {kind,
+                request.id,
+                request.organisation,
+                request.model.value,
+                result,
+                refused,
+                {this->first_token - this->began, event_loop::now() - this->began,
+                 static_cast<std::int64_t>(this->state.tokens.size())}};
+    }
 };
 
 generation_runner::generation_runner(daemon_context& context) : context(context)
@@ -42,6 +69,7 @@
     generation->state.limits.max_attempts = this->context.configured.max_attempts;
     generation->state.request = std::move(request);
     generation->reply = reply;
+    generation->began = event_loop::now();
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
@@ -61,7 +89,6 @@
         return;
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-        this->note_failure(*failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -69,10 +96,12 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded) {
-        const chain_query query{state.request.model, this->context.configured.data_centre, excluded,
-                                hash_of(state.request.id.value)};
-        return choose_chain(this->context.configuration.declared, this->context.health, query, now);
+    const chain_source chains = [&](const std::set<target_id>& excluded, ejected_targets ejected) {
+        const route_index& routes = this->context.current_routes();
+        const chain_query query = chain_query_for(this->context, state.request, excluded);
+        return ejected == ejected_targets::avoid
+                   ? choose_chain(routes, this->context.health, query, now)
+                   : choose_chain(routes, without_ejections(this->context.health, ejected), query, now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -113,8 +142,20 @@
     this->context.engines.cancel(generation->stream, generation->state.request.id, action);
 }
 
+void generation_runner::perform(const running_ptr& generation, const suspect_target& action)
+{
+    ++this->context.counters.attempts_failed;
+    record_failure(this->context.health[action.target], event_loop::now());
+    log_event("target_suspected", {{"request", generation->state.request.id.value},
+                                   {"target", action.target.value},
+                                   {"failure", to_string(action.failure)}});
+}
+
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
+    if (action.index.value == 0) {
+        generation->first_token = event_loop::now();
+    }
     if (!generation->streamed) {
         return;
     }
@@ -132,7 +173,7 @@
         this->note_success(*generation->counted);
     }
     const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, outcome::completed, "ok");
+    record_finished(this->context, generation->finished(outcome::completed, std::nullopt));
     if (generation->streamed) {
         if (!generation->reply->stream_started()) {
             generation->reply->add_header(outcome_header, "streamed");
@@ -148,9 +189,7 @@
 
 void generation_runner::perform(const running_ptr& generation, const deliver_refusal& action)
 {
-    const generation_request& request = generation->state.request;
-    record_answered(this->context, kind, request.id, request.organisation, action.why.result,
-                    to_string(action.why.code));
+    record_finished(this->context, generation->finished(action.why.result, action.why.code));
     if (generation->reply->stream_started()) {
         generation->reply->write(absl::StrCat("data: ", refusal_body(action.why), "\n\n"));
         generation->reply->end_stream();
@@ -170,14 +209,6 @@
     generation.counted.reset();
 }
 
-void generation_runner::note_failure(const attempt_failed& failure)
-{
-    ++this->context.counters.attempts_failed;
-    if (failure.culprit) {
-        record_failure(this->context.health[*failure.culprit], event_loop::now());
-    }
-}
-
 void generation_runner::note_success(const chain& through)
 {
     for (const hop& stage : through.hops()) {
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -20,7 +20,8 @@
 
 group::group(daemon_context& context, configuration_sync& configuration)
     : context(context), configuration(configuration),
-      node(context.loop, [this](const wire::ExchangeMessage& question) { return this->answer(question); })
+      node(context.loop, context.configured.tls,
+           [this](const wire::ExchangeMessage& question) { return this->answer(question); })
 {
     const settings& configured = context.configured;
     this->state.self = {.vm = configured.vm,
