--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -27,6 +27,7 @@
     //! Kills it at once and waits.
     void kill();
     [[nodiscard]] bool running();
+    [[nodiscard]] pid_t id() const { return this->pid; }
 
 private:
     pid_t pid = -1;
