--- a/tests/measure/daemon_group.cpp
+++ b/tests/measure/daemon_group.cpp
@@ -4,9 +4,12 @@
 #include "common/hash.hpp"
 #include "support/cluster.hpp"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -23,6 +26,32 @@
     return text.str();
 }
 
+bool is_free(std::uint16_t port)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool bound = bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(listener);
+    return bound;
+}
+
+// Below the range that the system gives to outgoing connections, of which a large group has many: a port from
+// that range may be taken again before the daemon listens.
+std::uint16_t free_low_port()
+{
+    constexpr std::uint16_t lowest = 12'000;
+    constexpr std::uint16_t highest = 32'000;
+    static std::uint16_t next =
+        static_cast<std::uint16_t>(lowest + static_cast<std::uint32_t>(getpid()) * 131U % (highest - lowest));
+    do {
+        next = next >= highest ? lowest : static_cast<std::uint16_t>(next + 1);
+    } while (!is_free(next));
+    return next;
+}
+
 } // namespace
 
 daemon_group::daemon_group(std::size_t count, std::size_t data_centres)
@@ -37,8 +66,8 @@
     this->platform = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(line.substr(5)))};
     this->daemons.resize(count);
     for (running& each : this->daemons) {
-        each.operators = {"127.0.0.1", free_port()};
-        each.peers = {"127.0.0.1", free_port()};
+        each.operators = {"127.0.0.1", free_low_port()};
+        each.peers = {"127.0.0.1", free_low_port()};
     }
     for (std::size_t i = 0; i < count; ++i) {
         this->start(i, data_centres);
@@ -56,7 +85,7 @@
     const std::string settings = this->folder.write(
         absl::StrCat("daemon", index, ".toml"),
         absl::StrCat("[vm]\nname = \"vm", index, "\"\ndata_centre = \"dc", index % data_centres,
-                     "\"\n[listen]\ncallers = \"127.0.0.1:", free_port(), "\"\noperators = \"",
+                     "\"\n[listen]\ncallers = \"127.0.0.1:", free_low_port(), "\"\noperators = \"",
                      to_string(own.operators), "\"\npeers = \"", to_string(own.peers),
                      "\"\n[platform]\naddress = \"", to_string(this->platform), "\"\n[peers]\nseeds = [",
                      seeds, "]\n[operators]\ntoken_sha256 = \"", sha256_hex(operator_token),
