--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,6 +39,7 @@
                                  .platform = platform,
                                  .engines = engines,
                                  .configuration = {},
+                                 .start = {},
                                  .health = {},
                                  .leaving = {},
                                  .leaving_learned = {},
@@ -50,7 +51,9 @@
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          reports(context), operators(context, peers, reports, [this] { this->configuration.poll_soon(); }),
+          reports(context),
+          operators(context, peers, reports,
+                    [this](const change_answer& answer) { this->configuration.take(answer); }),
           observer(context, peers), routes(context, generations, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
--- a/src/daemon/operator_port.hpp
+++ b/src/daemon/operator_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http_server.hpp"
+#include "daemon/configuration_apply.hpp"
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
 #include "daemon/report_store.hpp"
@@ -11,7 +12,7 @@
 class operator_port {
 public:
     operator_port(daemon_context& context, group& peers, report_store& reports,
-                  std::function<void()> on_change);
+                  std::function<void(const change_answer&)> on_change);
 
     absl::Status start();
 
@@ -25,7 +26,7 @@
     daemon_context& context;
     group& peers;
     report_store& reports;
-    std::function<void()> on_change;
+    std::function<void(const change_answer&)> on_change;
     http_server server;
 };
 
--- a/src/vm/member.hpp
+++ b/src/vm/member.hpp
@@ -4,6 +4,7 @@
 #include "target/endpoint.hpp"
 
 #include <array>
+#include <cstdint>
 #include <string_view>
 
 namespace dandelionstep {
@@ -28,6 +29,8 @@
     endpoint operator_address;
     incarnation started;
     member_state state = member_state::alive;
+    //! The newest schema version of records that it reads.
+    std::int64_t newest_schema_version = 1;
 };
 
 } // namespace dandelionstep
