Drain again and undrain after configuration compares what was seen

Cause: the tool sent changed_at 0 with every record, which now means "must be new", so a second drain, an undrain and every second apply of a record were refused as conflicts. The tool now leaves changed_at out of records that do not carry one; the daemon then compares with the row that it read itself.

--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -22,7 +22,12 @@
 {
     json list = json::array();
     for (const configuration_record& record : records) {
-        list.push_back(to_json(record));
+        json entry = to_json(record);
+        // Only an operator who has seen the record's state makes the change depend on it.
+        if (record.changed_at == revision{}) {
+            entry.erase("changed_at");
+        }
+        list.push_back(std::move(entry));
     }
     const auto answer = call_any(options, "POST", "/v1/configuration/apply", dump({{"records", list}}));
     if (!answer.ok()) {
