--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -5,6 +5,7 @@
 #include "adapters/http_client.hpp"
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
+#include "configuration/start_check.hpp"
 #include "daemon/open_requests.hpp"
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
@@ -25,8 +26,10 @@
     platform_client& platform;
     engine_client& engines;
     applied_configuration configuration;
+    start_check start;
     health_map health;
     leaving_marks leaving;
+    mark_times leaving_learned;
     //! Called when there is something that peers should hear soon.
     std::function<void()> on_news = [] {};
     request_counters counters;
@@ -50,7 +53,7 @@
     std::uint64_t chains_chosen = 0;
 
     //! Whether the balancer may send callers here.
-    [[nodiscard]] bool ready() const { return !this->stopping && this->configuration.number.value >= 0; }
+    [[nodiscard]] bool ready() const { return !this->stopping && this->start.passed; }
 };
 
 } // namespace dandelionstep
