--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -4,6 +4,7 @@
 #include "configuration/record.hpp"
 #include "tool/call_any.hpp"
 #include "tool/declaration_files.hpp"
+#include "tool/drain_command.hpp"
 #include "tool/orders_command.hpp"
 #include "tool/plan_command.hpp"
 #include "tool/report_command.hpp"
@@ -142,7 +143,14 @@
 
     CLI::App* drain = app.add_subcommand("drain", "Give a target no new work");
     drain->add_option("target", *target, "The target")->required();
-    drain->callback([&options, target] { options.exit_status = set_draining(options, *target, true); });
+    const auto wait = std::make_shared<drain_wait>();
+    add_wait_options(*drain, *wait);
+    drain->callback([&options, target, wait] {
+        options.exit_status = set_draining(options, *target, true);
+        if (wait->wanted && options.exit_status == exit_ok) {
+            options.exit_status = await_drained(options, *target, *wait);
+        }
+    });
 
     CLI::App* undrain = app.add_subcommand("undrain", "Give a drained target work again");
     undrain->add_option("target", *target, "The target")->required();
