--- a/src/order/order.cpp
+++ b/src/order/order.cpp
@@ -197,18 +197,17 @@
 
     void settle_mark(const std::optional<stored_order>& current)
     {
+        const bool own = current && current->record.nonce == this->state.record.nonce;
         if (!current) {
             this->refuse_unsettled();
-        } else if (current->record.nonce != this->state.record.nonce) {
-            // Another daemon took the order over: it may run there, so "not run" would be untrue.
-            this->meet_existing(*current);
-        } else if (current->record.phase == order_phase::sending) {
+        } else if (own && current->record.phase == order_phase::sending) {
             this->state.version = current->version;
             this->send();
-        } else if (current->record.phase == order_phase::claimed) {
+        } else if (own && current->record.phase == order_phase::claimed) {
             this->state.version = current->version;
             this->mark_sending();
         } else {
+            // Another daemon took the order over, where it may run, or an operator settled it.
             this->meet_existing(*current);
         }
     }
