--- a/tests/support/order_simulation.cpp
+++ b/tests/support/order_simulation.cpp
@@ -282,7 +282,7 @@
     this->write_in_background(this->attempts[attempt].daemon, {action.expected, action.record});
 }
 
-void order_simulation::write_in_background(std::size_t daemon, background_write pending)
+void order_simulation::write_in_background(std::size_t daemon, const background_write& pending)
 {
     this->write(daemon, pending.expected, pending.record, [this, daemon, pending](const order_event& answer) {
         background_write next = pending;
--- a/tests/support/order_simulation.hpp
+++ b/tests/support/order_simulation.hpp
@@ -98,7 +98,7 @@
     void perform(std::size_t attempt, const record_answer& action);
     void write(std::size_t daemon, row_version expected, const order_record& record,
                const std::function<void(const order_event&)>& done);
-    void write_in_background(std::size_t daemon, background_write pending);
+    void write_in_background(std::size_t daemon, const background_write& pending);
     void schedule_faults();
     void handle(const std::shared_ptr<settlement_state>& settlement, const settlement_event& event);
     void schedule_settlements();
