--- a/tests/order/sent_over_new_connection_proof_test.cpp
+++ b/tests/order/sent_over_new_connection_proof_test.cpp
@@ -25,8 +25,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(address);
-        bind(this->listener, reinterpret_cast<sockaddr*>(&address), length);
-        listen(this->listener, 16);
+        REQUIRE(bind(this->listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+        REQUIRE(listen(this->listener, 16) == 0);
         getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
         this->at = {"127.0.0.1", ntohs(address.sin_port)};
         this->thread = std::thread([this] { this->serve(); });
--- a/tests/process/not_run_proof_test.cpp
+++ b/tests/process/not_run_proof_test.cpp
@@ -25,7 +25,7 @@
 // The outcome of an answer, which a stream carries in its terminal event.
 std::string outcome_of(const http_result& result)
 {
-    const std::string header = result.header("Outcome");
+    std::string header = result.header("Outcome");
     if (header != "streamed") {
         return header;
     }
--- a/tests/request/suspects_test.cpp
+++ b/tests/request/suspects_test.cpp
@@ -61,13 +61,18 @@
 TEST_CASE("a request is suspected from its first takedown and condemned at its third")
 {
     using standing = suspect_standing;
-    for (const auto& [deaths, expected] : std::map<int, standing>{{0, standing::clear},
-                                                                  {1, standing::suspected},
-                                                                  {2, standing::suspected},
-                                                                  {3, standing::condemned},
-                                                                  {9, standing::condemned}}) {
-        CAPTURE(deaths);
-        CHECK((standing_of(after_deaths(crasher, deaths), crasher, 0, settled) == expected));
+    struct row {
+        int deaths;
+        standing expected;
+    };
+    const std::vector<row> rows{{0, standing::clear},
+                                {1, standing::suspected},
+                                {2, standing::suspected},
+                                {3, standing::condemned},
+                                {9, standing::condemned}};
+    for (const row& each : rows) {
+        CAPTURE(each.deaths);
+        CHECK((standing_of(after_deaths(crasher, each.deaths), crasher, 0, settled) == each.expected));
     }
     const suspect_table two = after_deaths(crasher, 2);
     CHECK((standing_of(two, innocent, 0, start) == standing::clear));
