--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -8,10 +8,10 @@
 
 constexpr milliseconds probe_timeout{1000};
 
+// A target that was found dead did not die of this request.
 bool may_be_a_death(attempt_failure failure)
 {
-    return failure != attempt_failure::refused && failure != attempt_failure::not_connected &&
-           failure != attempt_failure::protocol && failure != attempt_failure::token_gap;
+    return failure == attempt_failure::reset;
 }
 
 crash_place place_of(const generation_state& state, const target_id& target)
