Leave a hop that has become much slower than it was; try unreachable stages again soon

Engines say how long a token spent at each hop with the link to it. An answer moves away, once, from a hop that is four times slower than its best and above 100 ms for four tokens in a row; load makes hops slower too, so lower bounds and repeated moves would send answers around. A stage that was killed and came back within 500 ms while its only replica left and died lost 6 of 12 streams, as each had shut it out for 2 s; a refused connection costs nothing, so it now counts for 300 ms.

--- a/src/adapters/engine_client.cpp
+++ b/src/adapters/engine_client.cpp
@@ -44,6 +44,18 @@
                  {"hops", hops_of(attempt)}});
 }
 
+std::vector<milliseconds> hop_times_of(const json& line)
+{
+    std::vector<milliseconds> times;
+    const auto found = line.find("hop_ms");
+    if (found != line.end() && found->is_array()) {
+        for (const json& time : *found) {
+            times.push_back({time.is_number_integer() ? time.get<std::int64_t>() : 0});
+        }
+    }
+    return times;
+}
+
 // Turns the lines of one stream into events; at most one event ends it.
 class stream_reader {
 public:
@@ -100,7 +112,7 @@
             this->on_event(stream_ended{this->attempt, token_count{integer_or(*value, "count", -1)}});
         } else {
             this->on_event(token_received{this->attempt, token_count{integer_or(*value, "index", -1)},
-                                          string_or(*value, "token", "")});
+                                          string_or(*value, "token", ""), hop_times_of(*value)});
         }
     }
 
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -3,6 +3,8 @@
 #include "absl/strings/str_cat.h"
 #include "common/hash.hpp"
 
+#include <algorithm>
+
 namespace dandelionstep {
 namespace {
 
@@ -43,6 +45,7 @@
         this->state.tokens.push_back(event.text);
         this->note_caches();
         this->result.emplace_back(deliver_token{event.index, event.text});
+        this->watch_paces(event.hop_times);
         return std::move(this->result);
     }
 
@@ -115,6 +118,33 @@
         }
     }
 
+    // Load makes all hops slower together and moving costs a prefill, so an answer moves only away from a hop
+    // that is slow by itself, and only once.
+    void watch_paces(const std::vector<milliseconds>& times)
+    {
+        const std::vector<hop>& hops = this->state.active->hops();
+        if (times.size() != hops.size()) {
+            return;
+        }
+        this->state.paces.resize(hops.size());
+        for (std::size_t i = 0; i < hops.size(); ++i) {
+            if (this->is_slow(this->state.paces[i], times[i]) && !this->state.left_slow_hop) {
+                this->state.left_slow_hop = true;
+                this->fail_attempt(attempt_failure::slow, hops[i].target);
+                return;
+            }
+        }
+    }
+
+    bool is_slow(hop_pace& pace, milliseconds time) const
+    {
+        const generation_limits& limits = this->state.limits;
+        pace.best = std::min(pace.best, time);
+        const bool slow = time >= std::max(limits.slow_floor, pace.best * limits.slow_factor);
+        pace.slow_tokens = slow ? pace.slow_tokens + 1 : 0;
+        return pace.slow_tokens >= limits.slow_tokens;
+    }
+
     void cancel_active(bool keep_cache)
     {
         if (this->state.active) {
@@ -143,20 +173,24 @@
         const bool known = named && this->state.active->contains(*named);
         const target_id culprit = known ? *named : this->state.active->hops().front().target;
         // A broken stream may be all that is broken; a connection tells at once, and costs nothing more.
-        const bool may_be_alive = failure == attempt_failure::reset || failure == attempt_failure::protocol;
-        this->exclude(culprit, may_be_alive);
+        const bool may_be_alive = failure == attempt_failure::reset || failure == attempt_failure::protocol ||
+                                  failure == attempt_failure::slow;
+        const bool unreachable =
+            failure == attempt_failure::unreachable || failure == attempt_failure::not_connected;
+        const generation_limits& limits = this->state.limits;
+        this->exclude(culprit, unreachable ? limits.unreachable_exclusion : limits.exclusion, may_be_alive);
         this->result.emplace_back(suspect_target{culprit, failure});
         if (failure == attempt_failure::token_gap && !known && ++this->state.silent_attempts > 1) {
             // Engines that don't report a silent hop leave us guessing; avoid the whole chain.
             for (const hop& stage : this->state.active->hops()) {
-                this->exclude(stage.target, stage.target != culprit);
+                this->exclude(stage.target, limits.exclusion, stage.target != culprit);
             }
         }
     }
 
-    void exclude(const target_id& target, bool may_be_alive)
+    void exclude(const target_id& target, milliseconds duration, bool may_be_alive)
     {
-        this->state.excluded[target] = {this->now + this->state.limits.exclusion, may_be_alive};
+        this->state.excluded[target] = {this->now + duration, may_be_alive};
         this->state.cached.erase(target);
     }
 
@@ -218,6 +252,7 @@
         this->state.attempt = this->state.attempt + attempt_number{1};
         this->state.active = *through;
         this->state.attempt_has_answered = false;
+        this->state.paces.clear();
         this->state.last_progress = this->now;
         this->state.exposed.begin_send();
         this->result.emplace_back(this->attempt_through(*std::move(through)));
@@ -264,6 +299,8 @@
         return "token_gap";
     case attempt_failure::protocol:
         return "protocol";
+    case attempt_failure::slow:
+        return "slow";
     case attempt_failure::cache_missing:
         return "cache_missing";
     }
--- a/src/request/generation.hpp
+++ b/src/request/generation.hpp
@@ -35,6 +35,7 @@
     unreachable,   //!< A hop reported that the next one can't be connected to.
     token_gap,     //!< Nothing arrived for too long, here or at a hop that reported it.
     protocol,      //!< An answer that breaks the contract, for example a token out of order.
+    slow,          //!< A hop, or the link to it, has become much slower than it was.
     cache_missing, //!< A hop no longer holds the KV cache that it was taken to hold; it is not at fault.
 };
 
@@ -49,6 +50,8 @@
     attempt_number attempt;
     token_count index;
     std::string text;
+    //! The time that the token spent at each hop and on the link to it; empty when the engine does not say.
+    std::vector<milliseconds> hop_times{};
 };
 struct stream_ended {
     attempt_number attempt;
@@ -110,8 +113,15 @@
     //! Longest wait for an attempt's first token, which includes the prefill.
     milliseconds first_token_gap{1500};
     std::int64_t max_attempts = 8;
+    //! A hop is slow from this multiple of its best time on, over several tokens in a row,
+    std::int64_t slow_factor = 4;
+    //! but not below this time.
+    milliseconds slow_floor{100};
+    std::int64_t slow_tokens = 4;
     //! How long the request avoids a target that failed it.
     milliseconds exclusion{2000};
+    //! The same for one that can't be connected to, as another try costs next to nothing.
+    milliseconds unreachable_exclusion{300};
     milliseconds retry_after{1000};
 };
 
@@ -122,6 +132,13 @@
     bool may_be_alive = false;
 };
 
+//! How quick a hop has been in the present attempt.
+struct hop_pace {
+    milliseconds best{INT64_MAX / 4};
+    //! Tokens in a row for which it was slow.
+    std::int64_t slow_tokens = 0;
+};
+
 //! The progress of one generation.
 struct generation_state {
     generation_request request;
@@ -136,6 +153,9 @@
     time_point last_progress;
     std::map<target_id, exclusion> excluded;
     cached_positions cached;
+    std::vector<hop_pace> paces;
+    //! Whether the answer has left a slow hop already; it does so once.
+    bool left_slow_hop = false;
     //! Attempts that ended in silence, with no hop named.
     std::int64_t silent_attempts = 0;
     //! Answers that were dropped because they did not match the awaited step.
--- a/src/request/repair_chain.cpp
+++ b/src/request/repair_chain.cpp
@@ -11,7 +11,7 @@
     const model_routes& routes;
     const health_map& health;
     const std::set<target_id>& excluded;
-    std::uint64_t seed;
+    std::uint64_t seed = 0;
     time_point now;
 };
 
--- a/tests/measure/recovery.cpp
+++ b/tests/measure/recovery.cpp
@@ -94,7 +94,7 @@
     const std::size_t letter = static_cast<std::size_t>(number) / 9 % 3;
     const strike_way way = ways[static_cast<std::size_t>(number) / 3 % ways.size()];
     const std::string victim = absl::StrCat("stage", stage, std::string(1, "abc"[letter]));
-    const strike_record record{way, victim, event_loop::now(), event_loop::wall_now()};
+    strike_record record{way, victim, event_loop::now(), event_loop::wall_now()};
     switch (way) {
     case strike_way::kill:
         running.processes.at(victim).signal(SIGKILL);
--- a/tests/process/layers_once_proof_test.cpp
+++ b/tests/process/layers_once_proof_test.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <set>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 using namespace dandelionstep;
@@ -22,7 +23,11 @@
     std::int64_t index = 0;
     std::int64_t begin = 0;
     std::int64_t end = 0;
-    friend auto operator<=>(const executed&, const executed&) = default;
+
+    [[nodiscard]] std::tuple<std::int64_t, std::int64_t, std::int64_t> key() const
+    {
+        return {this->attempt, this->index, this->begin};
+    }
 };
 
 std::vector<executed> executions_of(cluster& running, const std::vector<engine_plan>& engines)
@@ -37,7 +42,7 @@
             all.push_back({step["attempt"], step["index"], step["begin"], step["end"]});
         }
     }
-    std::ranges::sort(all);
+    std::ranges::sort(all, {}, &executed::key);
     return all;
 }
 
@@ -77,7 +82,7 @@
     CHECK(cluster::answer_text(result) == cluster::expected_answer(prompt));
 
     const std::vector<executed> all = executions_of(running, engines);
-    CHECK(std::ranges::adjacent_find(all) == all.end());
+    CHECK(std::ranges::adjacent_find(all, {}, &executed::key) == all.end());
     std::set<std::int64_t> whole;
     for (const executed& step : all) {
         const auto ran = [&](std::int64_t begin) {
--- a/tests/process/stage_failure_proof_test.cpp
+++ b/tests/process/stage_failure_proof_test.cpp
@@ -21,6 +21,7 @@
     constexpr int streams = 12;
     std::vector<http_result> results(streams);
     std::vector<std::thread> callers;
+    callers.reserve(streams);
     for (int i = 0; i < streams; ++i) {
         callers.emplace_back([&, i] {
             results[static_cast<std::size_t>(i)] =
@@ -70,6 +71,25 @@
     }
 }
 
+TEST_CASE("streams leave a stage whose answers have become too slow")
+{
+    cluster running(plan());
+    constexpr milliseconds slow{2000};
+    answers_stay_whole(running, [&] { running.set_faults("stage1a", {{"late_ms", slow.count}}); });
+}
+
+TEST_CASE("streams go on while one replica leaves and another joins")
+{
+    cluster running(plan());
+    running.processes.at("stage2b").kill();
+    answers_stay_whole(running, [&] {
+        running.start_engine("stage2b");
+        running.set_faults("stage2a", {{"leaving", true}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        running.processes.at("stage2a").kill();
+    });
+}
+
 TEST_CASE("streams go on after two stages fail at once, and after another fails during the recovery")
 {
     cluster running(plan());
--- a/tests/request/stage_failure_proof_test.cpp
+++ b/tests/request/stage_failure_proof_test.cpp
@@ -108,6 +108,15 @@
         bench.now = bench.now + bench.state.limits.exclusion;
         CHECK(generation_bench::opened(bench.fail(attempt_failure::reset, "1b")) == "0a 1a 2a");
     }
+    SUBCASE("a stage that could not be reached may be back soon")
+    {
+        generation_bench pair;
+        pair.answer_tokens(1);
+        pair.fail(attempt_failure::unreachable, "1a");
+        pair.token(1);
+        pair.now = pair.now + pair.state.limits.unreachable_exclusion;
+        CHECK(generation_bench::opened(pair.fail(attempt_failure::unreachable, "1b")) == "0a 1a 2a");
+    }
     SUBCASE("a target that has joined meanwhile is used, one that has left is not")
     {
         bench.gone = {"1a", "1b"};
@@ -137,3 +146,67 @@
         CHECK(generation_bench::opened(fresh.on(generation_started{})) == "0a 1a 2a");
     }
 }
+
+namespace {
+
+std::vector<generation_action> timed_token(generation_bench& bench, std::vector<std::int64_t> times)
+{
+    token_received token{
+        bench.state.attempt, {static_cast<std::int64_t>(bench.state.tokens.size())}, "t ", {}};
+    for (const std::int64_t time : times) {
+        token.hop_times.push_back({time});
+    }
+    return bench.on(token);
+}
+
+std::string opened_after(generation_bench& bench, std::int64_t count, const std::vector<std::int64_t>& times)
+{
+    std::string opened;
+    for (std::int64_t i = 0; i < count && opened.empty(); ++i) {
+        opened = generation_bench::opened(timed_token(bench, times));
+    }
+    return opened;
+}
+
+} // namespace
+
+TEST_CASE("an answer leaves a hop that has become much slower than it was, once")
+{
+    generation_bench bench;
+    bench.on(generation_started{});
+    CHECK(opened_after(bench, 10, {10, 20, 10}).empty());
+
+    SUBCASE("slow for several tokens in a row")
+    {
+        CHECK(opened_after(bench, bench.state.limits.slow_tokens - 1, {10, 150, 10}).empty());
+        CHECK(opened_after(bench, 1, {10, 150, 10}) == "0a 1b 2a");
+        CHECK(bench.state.tokens.size() == 10 + static_cast<std::size_t>(bench.state.limits.slow_tokens));
+    }
+    SUBCASE("a single slow token is nothing")
+    {
+        for (int i = 0; i < 10; ++i) {
+            CHECK(opened_after(bench, 1, {10, 500, 10}).empty());
+            CHECK(opened_after(bench, 1, {10, 20, 10}).empty());
+        }
+    }
+    SUBCASE("slower, but within the time between tokens that was promised")
+    {
+        CHECK(opened_after(bench, 20, {60, 60, 60}).empty());
+    }
+    SUBCASE("a hop that was never quicker is not left")
+    {
+        generation_bench steady;
+        steady.on(generation_started{});
+        CHECK(opened_after(steady, 20, {10, 150, 10}).empty());
+    }
+    SUBCASE("the next slow hop is borne, so that load can't send answers around")
+    {
+        CHECK(opened_after(bench, 10, {10, 150, 10}) == "0a 1b 2a");
+        CHECK(opened_after(bench, 10, {10, 20, 10}).empty());
+        CHECK(opened_after(bench, 20, {10, 20, 150}).empty());
+    }
+    SUBCASE("times that do not fit the chain are ignored")
+    {
+        CHECK(opened_after(bench, 20, {10, 150}).empty());
+    }
+}
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -169,7 +169,9 @@
         }
         const step_work step = this->step_of(*work);
         work->first = false;
-        this->run_step(step, [this, work, index = step.index](const step_result& result) {
+        const time_point began = event_loop::now();
+        this->run_step(step, [this, work, began, index = step.index](step_result result) {
+            result.add_hop((event_loop::now() - began).count);
             this->take_token(work, index, result);
         });
     }
@@ -218,7 +220,8 @@
         const std::string line = dump({{"request", work->request},
                                        {"attempt", work->attempt},
                                        {"index", index},
-                                       {"token", result.token}}) +
+                                       {"token", result.token},
+                                       {"hop_ms", result.hop_ms}}) +
                                  "\n";
         this->write_line(*work, line);
         if (this->faults.take("double_tokens")) {
@@ -297,7 +300,8 @@
         http_request request{.method = "POST", .path = "/v1/step"};
         request.body = dump(step_json(next));
         request.timeout = {integer_or(own, next.first ? "first_wait_ms" : "wait_ms", default_wait_ms)};
-        this->http.send(*address, std::move(request), [hop_name, done](const http_result& result) {
+        const time_point sent = event_loop::now();
+        this->http.send(*address, std::move(request), [hop_name, sent, done](const http_result& result) {
             const auto body = parse_json(result.body);
             if (!result.answered() || !body.ok()) {
                 done({false, "", hop_name, hop_failure(result)});
@@ -305,7 +309,10 @@
                 done({false, "", string_or(*body, "target", hop_name),
                       string_or(*body, "error", "hop_reset")});
             } else {
-                done({true, string_or(*body, "token", ""), "", ""});
+                step_result answered{true, string_or(*body, "token", ""), "", ""};
+                answered.hop_ms = body->value("hop_ms", std::vector<std::int64_t>{});
+                answered.add_hop((event_loop::now() - sent).count);
+                done(answered);
             }
         });
     }
@@ -325,7 +332,7 @@
         this->run_step(parse_step(body), [this, reply](const step_result& result) {
             const auto answer = [reply, result] {
                 if (result.ok) {
-                    reply->send(200, dump({{"token", result.token}}));
+                    reply->send(200, dump({{"token", result.token}, {"hop_ms", result.hop_ms}}));
                 } else {
                     reply->send(502, dump({{"error", result.reason}, {"target", result.culprit}}));
                 }
--- a/tests/standins/engine_step.cpp
+++ b/tests/standins/engine_step.cpp
@@ -1,6 +1,7 @@
 #include "engine_step.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace dandelionstep::standins {
 
@@ -32,6 +33,12 @@
     return work;
 }
 
+void step_result::add_hop(std::int64_t whole_ms)
+{
+    const std::int64_t after = std::accumulate(this->hop_ms.begin(), this->hop_ms.end(), std::int64_t{0});
+    this->hop_ms.insert(this->hop_ms.begin(), std::max<std::int64_t>(whole_ms - after, 0));
+}
+
 std::int64_t prefill_tokens(const step_work& work)
 {
     const std::int64_t rebuilt = work.index - work.first_index;
--- a/tests/standins/engine_step.hpp
+++ b/tests/standins/engine_step.hpp
@@ -33,6 +33,11 @@
     //! When not ok: the target at fault and why.
     std::string culprit;
     std::string reason;
+    //! When ok: the time at each hop after this one, with the link to it, in milliseconds.
+    std::vector<std::int64_t> hop_ms{};
+
+    //! Adds the hop that needed `whole_ms` together with those after it.
+    void add_hop(std::int64_t whole_ms);
 };
 
 using step_callback = std::function<void(const step_result&)>;
