--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -5,12 +5,15 @@
 #include "adapters/http_client.hpp"
 #include "adapters/platform_client.hpp"
 #include "configuration/applied.hpp"
+#include "daemon/open_requests.hpp"
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
 #include "route/route_index.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
+#include <functional>
+
 namespace dandelionstep {
 
 //! What all parts of one daemon share; touched by the loop alone.
@@ -22,10 +25,14 @@
     engine_client& engines;
     applied_configuration configuration;
     health_map health;
+    leaving_marks leaving;
+    //! Called when there is something that peers should hear soon.
+    std::function<void()> on_news = [] {};
     request_counters counters;
     burn_table burn;
     //! Requests of callers that are not answered yet.
     std::int64_t requests_in_flight = 0;
+    open_requests open;
     //! Set by a planned stop: new requests are refused, running ones finish.
     bool stopping = false;
     incarnation started;
