--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -114,6 +114,12 @@
                absl::StrCat("model \"", parsed->model.value, "\" is not declared"));
         return;
     }
+    const auto priority = parse_priority(request.header("Priority"));
+    if (!priority) {
+        refuse(*reply, error_code::bad_request,
+               "header \"Priority\" must be \"interactive\", \"normal\" or \"batch\"");
+        return;
+    }
     generation_request generation;
     generation.id = request_id(random_id());
     generation.organisation = organisation;
@@ -122,7 +128,7 @@
     generation.max_tokens = parsed->max_tokens;
     generation.deadline = event_loop::now() + model->second.answer_window;
     reply->add_header("X-Request-Id", generation.id.value);
-    this->generations.start(std::move(generation), parsed->streamed, reply);
+    this->generations.submit(std::move(generation), parsed->streamed, *priority, reply);
 }
 
 void caller_routes::handle_service(const received_request& request, const organisation_id& organisation,
@@ -148,6 +154,7 @@
     call.content_type = request.header("Content-Type");
     call.body = request.body;
     call.timeout = service->second.call_timeout;
+    call.began = event_loop::now();
     reply->add_header("X-Request-Id", call.id.value);
     if (request.method == "GET" || service->second.idempotent_paths.contains(path)) {
         this->lookups.start(std::move(call), reply);
--- a/src/daemon/caller_routes.hpp
+++ b/src/daemon/caller_routes.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "adapters/caller_server.hpp"
+#include "daemon/admission_gate.hpp"
 #include "daemon/context.hpp"
-#include "daemon/generation_runner.hpp"
 #include "daemon/lookup_runner.hpp"
 #include "daemon/order_runner.hpp"
 
@@ -13,7 +13,7 @@
 //! Directs each caller's request by its path, after checking who sends it.
 class caller_routes {
 public:
-    caller_routes(daemon_context& context, generation_runner& generations, lookup_runner& lookups,
+    caller_routes(daemon_context& context, admission_gate& generations, lookup_runner& lookups,
                   order_runner& orders)
         : context(context), generations(generations), lookups(lookups), orders(orders)
     {}
@@ -28,7 +28,7 @@
     [[nodiscard]] const organisation* find_organisation(const received_request& request) const;
 
     daemon_context& context;
-    generation_runner& generations;
+    admission_gate& generations;
     lookup_runner& lookups;
     order_runner& orders;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
 #include "daemon/operator_port.hpp"
+#include "daemon/report_store.hpp"
 #include "daemon/target_observer.hpp"
 
 #include <csignal>
@@ -38,13 +39,14 @@
                                  .configuration = {},
                                  .health = {},
                                  .counters = {},
+                                 .burn = {},
                                  .requests_in_flight = 0,
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
-          generations(context), lookups(context), orders(context),
+          generations(context), gate(context, generations), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
-          operators(context, peers, [this] { this->configuration.poll_soon(); }), observer(context),
-          routes(context, generations, lookups, orders),
+          reports(context), operators(context, peers, reports, [this] { this->configuration.poll_soon(); }),
+          observer(context), routes(context, gate, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
@@ -53,6 +55,11 @@
 
     absl::Status run()
     {
+        if (this->configured.tls) {
+            if (absl::Status status = this->callers.use_tls(*this->configured.tls); !status.ok()) {
+                return status;
+            }
+        }
         for (const absl::Status& status :
              {this->peers.start(), this->operators.start(), this->callers.listen(this->configured.callers)}) {
             if (!status.ok()) {
@@ -62,6 +69,7 @@
         this->configuration.start();
         this->terminate = this->loop.on_signal(SIGTERM, [this] { this->stop(); });
         this->interrupt = this->loop.on_signal(SIGINT, [this] { this->stop(); });
+        this->hang_up = this->loop.on_signal(SIGHUP, [this] { this->reload_key(); });
         log_event("started", {{"callers", to_string(this->configured.callers)},
                               {"peers", to_string(this->configured.peers)},
                               {"data_centre", this->configured.data_centre.value}});
@@ -71,6 +79,18 @@
     }
 
 private:
+    // The peers' side watches its files by itself.
+    void reload_key()
+    {
+        if (!this->configured.tls) {
+            log_event("key_not_reloaded", {{"reason", "TLS is off"}});
+            return;
+        }
+        const absl::Status status = this->callers.use_tls(*this->configured.tls);
+        log_event(status.ok() ? "key_reloaded" : "key_not_reloaded",
+                  {{"reason", std::string(status.message())}});
+    }
+
     // First signal: finish what runs. Second signal: stop now.
     void stop()
     {
@@ -80,6 +100,7 @@
         }
         this->context.stopping = true;
         this->stop_began = event_loop::now();
+        this->reports.write();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
     }
@@ -100,16 +121,19 @@
     engine_client engines;
     daemon_context context;
     generation_runner generations;
+    admission_gate gate;
     lookup_runner lookups;
     order_runner orders;
     configuration_sync configuration;
     group peers;
+    report_store reports;
     operator_port operators;
     target_observer observer;
     caller_routes routes;
     caller_server callers;
     event_loop::timer terminate;
     event_loop::timer interrupt;
+    event_loop::timer hang_up;
     event_loop::timer stop_check;
     time_point stop_began;
 };
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -4,6 +4,17 @@
 
 namespace dandelionstep {
 
+std::optional<request_priority> parse_priority(std::string_view text)
+{
+    if (text == "interactive") {
+        return request_priority::interactive;
+    }
+    if (text.empty() || text == "normal") {
+        return request_priority::normal;
+    }
+    return text == "batch" ? std::optional(request_priority::batch) : std::nullopt;
+}
+
 bool fair_queue::flow::empty() const
 {
     return std::ranges::all_of(this->waiting, [](const auto& list) { return list.empty(); });
--- a/src/request/fair_queue.hpp
+++ b/src/request/fair_queue.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace dandelionstep {
@@ -16,6 +17,9 @@
 
 inline constexpr std::size_t priority_count = 3;
 
+//! Parses "interactive", "normal", "batch" or an empty text, which means normal; nullopt for any other.
+std::optional<request_priority> parse_priority(std::string_view text);
+
 //! A request that waits for its turn.
 struct queued_request {
     request_id id;
@@ -38,7 +42,7 @@
     std::optional<queued_request> drop_longest();
     //! Takes one request out, wherever it waits.
     std::optional<queued_request> remove(const request_id& wanted);
-    //! Takes out all that can't start later than `latest(request)`, at `now`.
+    //! Takes out all that would end after their deadlines if they began now and took `service`.
     std::vector<queued_request> remove_late(time_point now, milliseconds service);
 
     [[nodiscard]] std::size_t size() const { return this->count; }
