--- a/src/daemon/admission_gate.cpp
+++ b/src/daemon/admission_gate.cpp
@@ -23,8 +23,7 @@
     this->ticker = context.loop.run_every(tick_interval, [this] { this->tick(); });
 }
 
-// The first limit is the number that fills the engines at the pace of an idle pipeline; what comes after is
-// learned.
+// The first limit is the number that the engines serve at the target's pace, were this daemon the only one.
 admission_state& admission_gate::state_of(const model_id& model)
 {
     const auto known = this->models.find(model);
@@ -36,8 +35,11 @@
     state.limits.token_ms = static_cast<double>(this->context.configured.token_target.count);
     state.limits.most_running = static_cast<double>(this->context.configured.max_requests);
     const double bound = find_throughput_bound(this->context.configuration.declared, model).tokens_per_second;
-    state.running_limit = std::clamp(bound * state.token_ms / ms_per_second, state.limits.least_running,
-                                     state.limits.most_running);
+    state.running_limit = std::clamp(bound * state.limits.token_ms / ms_per_second,
+                                     state.limits.least_running, state.limits.most_running);
+    log_event("admission_limit", {{"model", model.value},
+                                  {"running_limit", static_cast<std::int64_t>(state.running_limit)},
+                                  {"token_target_ms", static_cast<std::int64_t>(state.limits.token_ms)}});
     return state;
 }
 
@@ -99,6 +101,14 @@
                                     outcome::not_run,
                                     action.code,
                                     {{0}, waited, 0}});
+    const admission_state& state = this->state_of(refused.request.model);
+    log_event("turned_away", {{"request", action.id.value},
+                              {"model", refused.request.model.value},
+                              {"running", static_cast<std::int64_t>(state.running.size())},
+                              {"running_limit", static_cast<std::int64_t>(state.running_limit)},
+                              {"queued", static_cast<std::int64_t>(state.queue.size())},
+                              {"token_ms", static_cast<std::int64_t>(state.token_ms)},
+                              {"retry_after_ms", action.retry_after.count}});
     refused.reply->on_gone({});
     send_refusal(*refused.reply,
                  exposure{}.refuse(action.code, "the answer would miss its window", action.retry_after));
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -49,8 +49,7 @@
 
 void turn_away_late(admission_state& state, time_point now, admission_actions& actions)
 {
-    const milliseconds service = in_ms(state.answer_tokens * state.token_ms);
-    for (const queued_request& late : state.queue.remove_late(now, service)) {
+    for (const queued_request& late : state.queue.remove_late(now, state.token_ms)) {
         const double backlog = state.queue.work_ahead(late.organisation, late.weight, late.priority);
         actions.emplace_back(turn_away_request{
             late.id, error_code::overloaded, std::max(least_retry_after, in_ms(backlog / full_rate(state)))});
@@ -128,7 +127,7 @@
         return actions;
     }
     state.queue.push({request.id, request.organisation, request.weight, request.priority, tokens,
-                      std::min(request.deadline, now + state.limits.max_wait + service)});
+                      now + state.limits.max_wait, request.deadline});
     if (state.queue.size() > state.limits.max_queued) {
         const auto dropped = state.queue.drop_longest();
         actions.emplace_back(
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -95,13 +95,17 @@
     return std::nullopt;
 }
 
-std::vector<queued_request> fair_queue::remove_late(time_point now, milliseconds service)
+std::vector<queued_request> fair_queue::remove_late(time_point now, double token_ms)
 {
+    const auto is_late = [&](const queued_request& waiting) {
+        const milliseconds service{static_cast<std::int64_t>(waiting.cost * token_ms)};
+        return now > waiting.start_by || now + service > waiting.deadline;
+    };
     std::vector<queued_request> late;
     for (auto& [id, each] : this->flows) {
         for (auto& list : each.waiting) {
             for (auto at = list.begin(); at != list.end();) {
-                if (now + service <= at->deadline) {
+                if (!is_late(*at)) {
                     ++at;
                     continue;
                 }
--- a/src/request/fair_queue.hpp
+++ b/src/request/fair_queue.hpp
@@ -29,6 +29,9 @@
     request_priority priority = request_priority::normal;
     //! The work that it brings, in tokens.
     double cost = 1;
+    //! When it must have started.
+    time_point start_by;
+    //! When its answer must be whole.
     time_point deadline;
 };
 
@@ -42,8 +45,8 @@
     std::optional<queued_request> drop_longest();
     //! Takes one request out, wherever it waits.
     std::optional<queued_request> remove(const request_id& wanted);
-    //! Takes out all that would end after their deadlines if they began now and took `service`.
-    std::vector<queued_request> remove_late(time_point now, milliseconds service);
+    //! Takes out all whose time to start is over, or that would end too late if they began now.
+    std::vector<queued_request> remove_late(time_point now, double token_ms);
 
     [[nodiscard]] std::size_t size() const { return this->count; }
     //! Tokens that are served before a new request of the organisation and priority, at most.
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -14,7 +14,12 @@
 {
     if (!this->scheduled && !this->waiting.empty()) {
         this->scheduled = true;
-        this->next = this->loop.run_after(this->step * this->slow_factor, [this] { this->run_batch(); });
+        const time_point now = event_loop::now();
+        const milliseconds length = this->step * this->slow_factor;
+        // Batches in a row end at fixed times, so that late timers don't add up to a lower rate.
+        this->due = now - this->due < length ? this->due + length : now + length;
+        const milliseconds wait = this->due > now ? this->due - now : milliseconds{0};
+        this->next = this->loop.run_after(wait, [this] { this->run_batch(); });
     }
 }
 
--- a/tests/standins/engine_batch.hpp
+++ b/tests/standins/engine_batch.hpp
@@ -35,6 +35,8 @@
     std::int64_t slow_factor = 1;
     std::deque<job> waiting;
     event_loop::timer next;
+    //! When the running batch ends, or the last one ended.
+    time_point due{INT64_MIN / 2};
     bool scheduled = false;
 };
 
