--- a/src/daemon/admission_gate.cpp
+++ b/src/daemon/admission_gate.cpp
@@ -23,7 +23,8 @@
     this->ticker = context.loop.run_every(tick_interval, [this] { this->tick(); });
 }
 
-// The first limit is the number that the engines serve at the target's pace, were this daemon the only one.
+// The first limit is a quarter of what the engines serve at the target's pace: other daemons may use them
+// too.
 admission_state& admission_gate::state_of(const model_id& model)
 {
     const auto known = this->models.find(model);
@@ -31,11 +32,12 @@
         return known->second;
     }
     constexpr double ms_per_second = 1000;
+    constexpr double first_share = 0.25;
     admission_state& state = this->models[model];
     state.limits.token_ms = static_cast<double>(this->context.configured.token_target.count);
     state.limits.most_running = static_cast<double>(this->context.configured.max_requests);
     const double bound = find_throughput_bound(this->context.configuration.declared, model).tokens_per_second;
-    state.running_limit = std::clamp(bound * state.limits.token_ms / ms_per_second,
+    state.running_limit = std::clamp(first_share * bound * state.limits.token_ms / ms_per_second,
                                      state.limits.least_running, state.limits.most_running);
     log_event("admission_limit", {{"model", model.value},
                                   {"running_limit", static_cast<std::int64_t>(state.running_limit)},
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -7,6 +7,7 @@
 #include "configuration/applied.hpp"
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
+#include "route/retry_budget.hpp"
 #include "route/route_index.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
@@ -36,6 +37,7 @@
     {
         return this->routes.at(this->configuration.number, this->configuration.declared);
     }
+    retry_budget retries{};
     //! Chains chosen so far.
     std::uint64_t chains_chosen = 0;
 
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -62,6 +62,7 @@
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
+    note_request(this->context.retries);
     reply->on_gone([this, watch = std::weak_ptr(generation)] {
         if (const running_ptr gone = watch.lock()) {
             log_event("caller_gone", {{"request", gone->state.request.id.value}});
@@ -86,7 +87,10 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded) {
+    const chain_source chains = [&](const std::set<target_id>& excluded) -> absl::StatusOr<chain> {
+        if (state.attempt.value > 0 && !take_retry(this->context.retries)) {
+            return absl::UnavailableError("the retry budget is spent");
+        }
         return choose_chain(this->context.current_routes(), this->context.health,
                             chain_query_for(this->context, state.request, excluded), now);
     };
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -10,6 +10,8 @@
 constexpr double decrease = 0.9;
 constexpr double increase_share = 0.04;
 constexpr double used_share = 0.9;
+// The mean follows late, so that the fast growth has to end before the target.
+constexpr double probing_share = 0.7;
 constexpr milliseconds least_retry_after{100};
 
 double expected_tokens(const admission_state& state, token_count max_tokens)
@@ -76,14 +78,22 @@
 // daemons that share engines settle at fair parts without telling each other.
 void adapt_limit(admission_state& state)
 {
-    if (static_cast<double>(++state.finished_since_change) < state.running_limit / 4) {
-        return;
-    }
-    state.finished_since_change = 0;
-    if (state.token_ms > state.limits.token_ms) {
-        state.running_limit *= decrease;
-    } else if (static_cast<double>(state.running.size()) >= used_share * state.running_limit) {
-        state.running_limit += std::max(1.0, increase_share * state.running_limit);
+    const bool is_slow = state.token_ms > state.limits.token_ms;
+    const bool is_used = static_cast<double>(state.running.size()) >= used_share * state.running_limit;
+    state.is_probing = state.is_probing && state.token_ms < probing_share * state.limits.token_ms;
+    ++state.finished_since_change;
+    ++state.finished_since_decrease;
+    if (is_slow) {
+        // Not again before the mean is one of requests that ran under the lower limit.
+        if (static_cast<double>(state.finished_since_decrease) >=
+            std::max(1 / average_weight, state.running_limit / 4)) {
+            state.running_limit *= decrease;
+            state.finished_since_decrease = 0;
+        }
+    } else if (is_used && (state.is_probing ||
+                           static_cast<double>(state.finished_since_change) >= state.running_limit / 8)) {
+        state.running_limit += std::max(1.0, state.is_probing ? 1.0 : increase_share * state.running_limit);
+        state.finished_since_change = 0;
     }
     state.running_limit =
         std::clamp(state.running_limit, state.limits.least_running, state.limits.most_running);
--- a/src/request/admission.hpp
+++ b/src/request/admission.hpp
@@ -40,6 +40,9 @@
     //! Time of one token, on average.
     double token_ms = 20;
     std::int64_t finished_since_change = 0;
+    std::int64_t finished_since_decrease = 0;
+    //! Until tokens are too slow for the first time, the limit grows with each request that ends.
+    bool is_probing = true;
 
     struct running_request {
         organisation_id organisation;
--- a/tests/support/pipeline_simulation.cpp
+++ b/tests/support/pipeline_simulation.cpp
@@ -57,6 +57,9 @@
     explicit simulation(const simulation_plan& plan)
         : plan(plan), index(build_route_index(plan.declared)), daemons(plan.daemons)
     {
+        for (daemon_view& each : this->daemons) {
+            each.admission.running_limit = 16;
+        }
         for (const auto& [id, each] : plan.declared.targets) {
             simulated_engine& engine = this->engines[id];
             engine.step_ms = each.engine->step_ms;
