--- a/src/configuration/declarations.hpp
+++ b/src/configuration/declarations.hpp
@@ -21,9 +21,9 @@
     layer_index layer_count;
     //! Time allowed for a whole answer.
     milliseconds answer_window{60'000};
+    service_level level;
     //! What one token's activation weighs on a link between two stages.
     byte_count activation_bytes{16'384};
-    service_level level;
 };
 
 //! A plain service that takes orders and lookups.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,9 +6,11 @@
 #include "daemon/configuration_sync.hpp"
 #include "daemon/context.hpp"
 #include "daemon/group.hpp"
+#include "daemon/leaving_watch.hpp"
 #include "daemon/operator_port.hpp"
 #include "daemon/report_store.hpp"
 #include "daemon/target_observer.hpp"
+#include "vm/planned_stop.hpp"
 
 #include <csignal>
 
@@ -38,20 +40,28 @@
                                  .engines = engines,
                                  .configuration = {},
                                  .health = {},
+                                 .leaving = {},
                                  .counters = {},
                                  .burn = {},
                                  .requests_in_flight = 0,
+                                 .open = {},
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
           generations(context), gate(context, generations), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
           reports(context), operators(context, peers, reports, [this] { this->configuration.poll_soon(); }),
-          observer(context), routes(context, gate, lookups, orders),
+          observer(context, peers), routes(context, gate, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
                   })
-    {}
+    {
+        this->context.on_news = [this] { this->peers.spread_soon(); };
+        this->context.engines.on_refusal = [this](const target_id& target, std::string_view body) {
+            note_refusal(this->context, target, body);
+        };
+        this->peers.share(share_leaving_marks(this->context));
+    }
 
     absl::Status run()
     {
@@ -74,7 +84,7 @@
                               {"peers", to_string(this->configured.peers)},
                               {"data_centre", this->configured.data_centre.value}});
         this->loop.run();
-        log_event("stopped", {{"requests_cut_off", this->context.requests_in_flight}});
+        log_event("stopped", {{"requests_cut_off", this->requests_cut_off}});
         return absl::OkStatus();
     }
 
@@ -91,27 +101,50 @@
                   {{"reason", std::string(status.message())}});
     }
 
-    // First signal: finish what runs. Second signal: stop now.
+    // First signal: finish what runs. Second signal: stop as soon as what runs was answered.
     void stop()
     {
         if (this->context.stopping) {
-            this->loop.stop();
+            this->hurry = true;
             return;
         }
         this->context.stopping = true;
-        this->stop_began = event_loop::now();
+        this->stopping.began = event_loop::now();
         this->reports.write();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
+        this->context.on_news();
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
     }
 
     void check_stopped()
     {
-        const milliseconds waited = event_loop::now() - this->stop_began;
-        const bool idle = this->context.requests_in_flight == 0 && this->orders.unwritten() == 0;
-        if ((idle && waited >= this->configured.balancer_notice) || waited >= this->configured.drain_limit) {
+        const stop_work left{.requests_in_flight = this->context.requests_in_flight,
+                             .unwritten_orders = this->orders.unwritten(),
+                             .unsent_answers = this->callers.unfinished()};
+        const stop_limits limits{.balancer_notice = this->configured.balancer_notice,
+                                 .drain_limit = this->configured.drain_limit};
+        switch (advance(this->stopping, left, limits, this->hurry, event_loop::now())) {
+        case stop_step::wait:
+            return;
+        case stop_step::give_up:
+            this->give_up();
+            return;
+        case stop_step::exit:
             this->loop.stop();
+            return;
+        }
+    }
+
+    void give_up()
+    {
+        for (const request_id& id : this->context.open.names()) {
+            log_event("request_cut_off", {{"request", id.value}});
+            ++this->requests_cut_off;
+        }
+        if (this->orders.unwritten() > 0) {
+            log_event("order_answers_not_kept", {{"count", this->orders.unwritten()}});
         }
+        this->context.open.give_up();
     }
 
     const settings& configured;
@@ -135,7 +168,9 @@
     event_loop::timer interrupt;
     event_loop::timer hang_up;
     event_loop::timer stop_check;
-    time_point stop_began;
+    stop_state stopping;
+    bool hurry = false;
+    std::int64_t requests_cut_off = 0;
 };
 
 } // namespace
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -6,6 +6,7 @@
 #include "daemon/answers.hpp"
 #include "daemon/chain_queries.hpp"
 #include "daemon/completion_format.hpp"
+#include "request/repair_chain.hpp"
 #include "route/choose_chain.hpp"
 
 #include <vector>
@@ -16,6 +17,17 @@
 constexpr milliseconds tick_interval{20};
 constexpr std::string_view kind = "generation";
 
+// Leaving targets stay left alone; those that only failed may be tried again.
+health_map without_ejections(health_map health, ejected_targets ejected)
+{
+    for (auto& [id, state] : health) {
+        if (ejected == ejected_targets::use || state.consecutive_failures <= 1) {
+            state.ejected_until = time_point{INT64_MIN / 2};
+        }
+    }
+    return health;
+}
+
 } // namespace
 
 struct generation_runner::running_generation {
@@ -79,7 +91,6 @@
         return;
     }
     if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-        this->note_failure(*failure);
         log_event("attempt_failed", {{"request", state.request.id.value},
                                      {"attempt", failure->attempt.value},
                                      {"failure", to_string(failure->failure)},
@@ -87,12 +98,14 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const std::set<target_id>& excluded) -> absl::StatusOr<chain> {
-        if (state.attempt.value > 0 && !take_retry(this->context.retries)) {
+    const chain_source chains = [&](const chain_wish& wish) -> absl::StatusOr<chain> {
+        if (state.attempt.value > 0 && !may_retry(this->context.retries)) {
             return absl::UnavailableError("the retry budget is spent");
         }
-        return choose_chain(this->context.current_routes(), this->context.health,
-                            chain_query_for(this->context, state.request, excluded), now);
+        return wish.ejected == ejected_targets::avoid
+                   ? this->choose(state.request, wish, this->context.health, now)
+                   : this->choose(state.request, wish, without_ejections(this->context.health, wish.ejected),
+                                  now);
     };
     const std::vector<generation_action> actions = advance(state, event, chains, now);
     this->context.counters.answers_dropped += state.dropped_answers - dropped_before;
@@ -109,9 +122,26 @@
     }
 }
 
+absl::StatusOr<chain> generation_runner::choose(const generation_request& request, const chain_wish& wish,
+                                                const health_map& health, time_point now)
+{
+    const chain_query query = chain_query_for(this->context, request, wish.excluded);
+    const route_index& routes = this->context.current_routes();
+    if (wish.broken) {
+        auto repaired = repair_chain(routes, health, *wish.broken, wish.excluded, query.seed, now);
+        if (repaired.ok()) {
+            return repaired;
+        }
+    }
+    return choose_chain(routes, health, query, now);
+}
+
 void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
 {
     this->release_chain(*generation);
+    if (action.attempt.value > 1) {
+        take_retry(this->context.retries);
+    }
     generation->counted = action.through;
     for (const hop& stage : action.through.hops()) {
         ++this->context.health[stage.target].in_flight;
@@ -136,6 +166,15 @@
     this->context.engines.cancel(generation->stream, generation->state.request.id, action);
 }
 
+void generation_runner::perform(const running_ptr& generation, const suspect_target& action)
+{
+    ++this->context.counters.attempts_failed;
+    record_failure(this->context.health[action.target], event_loop::now());
+    log_event("target_suspected", {{"request", generation->state.request.id.value},
+                                   {"target", action.target.value},
+                                   {"failure", to_string(action.failure)}});
+}
+
 void generation_runner::perform(const running_ptr& generation, const deliver_token& action)
 {
     if (action.index.value == 0) {
@@ -194,14 +233,6 @@
     generation.counted.reset();
 }
 
-void generation_runner::note_failure(const attempt_failed& failure)
-{
-    ++this->context.counters.attempts_failed;
-    if (failure.culprit) {
-        record_failure(this->context.health[*failure.culprit], event_loop::now());
-    }
-}
-
 void generation_runner::note_success(const chain& through)
 {
     for (const hop& stage : through.hops()) {
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -1,7 +1,6 @@
 #include "daemon/group.hpp"
 
 #include <peer.pb.h>
-#include <set>
 
 namespace dandelionstep {
 namespace {
@@ -16,6 +15,7 @@
     out.set_vm(value.vm.value);
     out.set_data_centre(value.data_centre.value);
     out.set_peer_address(to_string(value.peer_address));
+    out.set_operator_address(to_string(value.operator_address));
     out.set_incarnation(value.started.value);
     out.set_state(static_cast<wire::MemberState>(value.state));
     return out;
@@ -31,6 +31,7 @@
                   .data_centre = data_centre_id(value.data_centre()),
                   .peer_address = *std::move(address),
                   .started = incarnation{value.incarnation()}};
+    parsed.operator_address = parse_endpoint(value.operator_address()).value_or(endpoint{});
     parsed.state = static_cast<member_state>(value.state());
     return parsed;
 }
@@ -84,11 +85,15 @@
 {
     const settings& configured = this->context.configured;
     wire::ExchangeMessage message;
-    *message.mutable_sender() = to_wire({configured.vm, configured.data_centre, configured.peers,
-                                         this->context.started, member_state::alive});
+    *message.mutable_sender() =
+        to_wire({configured.vm, configured.data_centre, configured.peers, configured.operators,
+                 this->context.started, this->context.stopping ? member_state::left : member_state::alive});
     for (const auto& [vm, each] : this->known) {
         *message.add_members() = to_wire(each);
     }
+    for (const shared_kind& kind : this->kinds) {
+        kind.fill(message);
+    }
     const applied_configuration& applied = this->context.configuration;
     message.set_configuration_revision(applied.number.value);
     if (receiver_revision >= applied.number) {
@@ -119,7 +124,8 @@
             return;
         }
         const auto found = this->known.find(parsed->vm);
-        if (found == this->known.end() || parsed->started > found->second.started) {
+        if (found == this->known.end() || parsed->started > found->second.started ||
+            (parsed->started == found->second.started && parsed->state > found->second.state)) {
             this->known[parsed->vm] = *parsed;
         }
     };
@@ -127,6 +133,9 @@
     for (const wire::Member& each : message.members()) {
         learn(each);
     }
+    for (const shared_kind& kind : this->kinds) {
+        kind.take(message);
+    }
     this->revision_of[vm_id(message.sender().vm())] = revision{message.configuration_revision()};
     for (const wire::Change& change : message.changes()) {
         this->configuration.take(read_change(change));
--- /dev/null
+++ b/src/request/repair_chain.cpp
@@ -0,0 +1,90 @@
+#include "request/repair_chain.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace dandelionstep {
+namespace {
+
+struct repair {
+    const model_routes& routes;
+    const health_map& health;
+    const std::set<target_id>& excluded;
+    std::uint64_t seed;
+    time_point now;
+};
+
+bool is_usable(const repair& wanted, const target_id& engine)
+{
+    return !wanted.excluded.contains(engine) && is_eligible(wanted.health, engine, wanted.now);
+}
+
+std::vector<const target*> usable_engines(const repair& wanted, const hop& stage, bool same_data_centre)
+{
+    std::vector<const target*> engines;
+    for (const engine_group& group : wanted.routes.groups) {
+        if (group.layers != stage.layers ||
+            (wanted.routes.data_centres[group.data_centre] == stage.data_centre) != same_data_centre) {
+            continue;
+        }
+        for (const target& engine : group.engines) {
+            if (is_usable(wanted, engine.id)) {
+                engines.push_back(&engine);
+            }
+        }
+    }
+    return engines;
+}
+
+// The less loaded of two drawn ones: every stream through a dead target looks for a replacement at the same
+// moment, at every daemon, and the least loaded of all would receive the lot.
+const target* less_loaded_of_two(const repair& wanted, const std::vector<const target*>& engines)
+{
+    if (engines.empty()) {
+        return nullptr;
+    }
+    const std::size_t count = engines.size();
+    const std::size_t first = wanted.seed % count;
+    const std::size_t other = count == 1 ? first : (first + 1 + wanted.seed / count % (count - 1)) % count;
+    const bool keep_first = estimated_load(wanted.health, engines[first]->id) <=
+                            estimated_load(wanted.health, engines[other]->id);
+    return engines[keep_first ? first : other];
+}
+
+const target* engine_for(const repair& wanted, const hop& stage)
+{
+    const std::vector<const target*> near = usable_engines(wanted, stage, true);
+    const auto kept = std::ranges::find(near, stage.target, [](const target* engine) { return engine->id; });
+    if (kept != near.end()) {
+        return *kept;
+    }
+    if (const target* chosen = less_loaded_of_two(wanted, near)) {
+        return chosen;
+    }
+    return less_loaded_of_two(wanted, usable_engines(wanted, stage, false));
+}
+
+} // namespace
+
+absl::StatusOr<chain> repair_chain(const route_index& index, const health_map& health, const chain& broken,
+                                   const std::set<target_id>& excluded, std::uint64_t seed, time_point now)
+{
+    const auto found = index.models.find(broken.variant().model);
+    if (found == index.models.end() || found->second.variant != broken.variant()) {
+        return absl::UnavailableError("the model's version has changed");
+    }
+    const repair wanted{found->second, health, excluded, seed, now};
+    std::vector<target> stages;
+    for (const hop& stage : broken.hops()) {
+        const target* engine = engine_for(wanted, stage);
+        if (engine == nullptr) {
+            return absl::UnavailableError(
+                absl::StrCat("no other target holds the layers of \"", stage.target.value, "\""));
+        }
+        stages.push_back(*engine);
+    }
+    return chain::make(broken.variant(), found->second.layer_count, stages);
+}
+
+} // namespace dandelionstep
--- a/src/route/retry_budget.cpp
+++ b/src/route/retry_budget.cpp
@@ -11,7 +11,7 @@
 
 bool take_retry(retry_budget& budget)
 {
-    if (budget.saved < 1) {
+    if (!may_retry(budget)) {
         ++budget.denied;
         return false;
     }
--- a/src/route/retry_budget.hpp
+++ b/src/route/retry_budget.hpp
@@ -18,6 +18,12 @@
 //! Notes a new request.
 void note_request(retry_budget& budget);
 
+//! Whether a retry may be made now.
+inline bool may_retry(const retry_budget& budget)
+{
+    return budget.saved >= 1;
+}
+
 //! Takes one retry from the budget; false when there is none left, and the request must be given up at once.
 bool take_retry(retry_budget& budget);
 
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -4,6 +4,8 @@
 #include "configuration/record.hpp"
 #include "tool/call_any.hpp"
 #include "tool/declaration_files.hpp"
+#include "tool/drain_command.hpp"
+#include "tool/orders_command.hpp"
 #include "tool/plan_command.hpp"
 #include "tool/report_command.hpp"
 
@@ -141,13 +143,21 @@
 
     CLI::App* drain = app.add_subcommand("drain", "Give a target no new work");
     drain->add_option("target", *target, "The target")->required();
-    drain->callback([&options, target] { options.exit_status = set_draining(options, *target, true); });
+    const auto wait = std::make_shared<drain_wait>();
+    add_wait_options(*drain, *wait);
+    drain->callback([&options, target, wait] {
+        options.exit_status = set_draining(options, *target, true);
+        if (wait->wanted && options.exit_status == exit_ok) {
+            options.exit_status = await_drained(options, *target, *wait);
+        }
+    });
 
     CLI::App* undrain = app.add_subcommand("undrain", "Give a drained target work again");
     undrain->add_option("target", *target, "The target")->required();
     undrain->callback([&options, target] { options.exit_status = set_draining(options, *target, false); });
 
     add_report_command(app, options);
+    add_order_commands(app, options);
     app.add_subcommand("version", "Show the version")->callback([] { std::cout << "dandelionstep 0.1.0\n"; });
 }
 
--- a/src/vm/settings.cpp
+++ b/src/vm/settings.cpp
@@ -112,18 +112,6 @@
     return std::nullopt;
 }
 
-std::optional<std::string> store_policy(settings& into, const toml::node& node)
-{
-    const auto* text = node.as_string();
-    for (const auto& [name, policy] : chain_policy_names) {
-        if (text != nullptr && text->get() == name) {
-            into.policy = policy;
-            return std::nullopt;
-        }
-    }
-    return "must be \"least_cost\", \"random\", \"round_robin\" or \"least_reported\"";
-}
-
 setter tls_path_setter(std::string tls_files::*member)
 {
     return text_setter([member](settings& into, const std::string& path) {
@@ -139,6 +127,18 @@
     return node.is_boolean() ? std::nullopt : std::optional<std::string>("must be true or false");
 }
 
+std::optional<std::string> store_policy(settings& into, const toml::node& node)
+{
+    const auto* text = node.as_string();
+    for (const auto& [name, policy] : chain_policy_names) {
+        if (text != nullptr && text->get() == name) {
+            into.policy = policy;
+            return std::nullopt;
+        }
+    }
+    return "must be \"least_cost\", \"random\", \"round_robin\" or \"least_reported\"";
+}
+
 const std::vector<setting_key>& setting_keys()
 {
     constexpr std::int64_t gibibyte = 1024LL * 1024 * 1024;
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -62,6 +62,8 @@
 
     //! Starts a daemon again after it was stopped.
     void start_daemon(std::size_t index);
+    //! Starts an engine again, at the same address, after it was killed.
+    void start_engine(const std::string& name);
     //! What the daemon says of itself to operators; null when it does not answer.
     [[nodiscard]] json status(std::size_t index) const;
     //! Waits until the daemon has the configuration.
@@ -78,6 +80,12 @@
 
     //! Sets fault switches of a stand-in: "platform", or a target's name.
     void set_faults(const std::string& name, const json& faults);
+    //! The fault switches of a stand-in as they are now.
+    json faults_of(const std::string& name);
+    [[nodiscard]] const endpoint& address_of(const std::string& standin) const
+    {
+        return this->addresses.at(standin);
+    }
     //! What a target's stand-in ran.
     json ledger(const std::string& target);
 
