Admission: a quarter of the answer's window may be spent waiting

Cause: process.whole_answer_proof sends 300 questions at once with a window of 60 s; 7 were turned away after the fixed longest wait of 1.2 s, although their window was far off. The wait now follows the window.

--- a/src/daemon/admission_gate.cpp
+++ b/src/daemon/admission_gate.cpp
@@ -59,6 +59,8 @@
         wanted.max_in_flight = sender->second.max_in_flight;
     }
     admission_state& state = this->state_of(request.model);
+    // A quarter of the window may be spent waiting; the rest is left for the answer and for another attempt.
+    state.limits.max_wait = (request.deadline - event_loop::now()) / 4;
     // Counted as in flight while it waits, so that a planned stop serves it too.
     ++this->context.requests_in_flight;
     reply->on_gone([this, id = wanted.id] { this->note_gone(id); });
