--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -115,6 +115,12 @@
                absl::StrCat("model \"", parsed->model.value, "\" is not declared"));
         return;
     }
+    const auto priority = parse_priority(request.header("Priority"));
+    if (!priority) {
+        refuse(*reply, error_code::bad_request,
+               "header \"Priority\" must be \"interactive\", \"normal\" or \"batch\"");
+        return;
+    }
     generation_request generation;
     generation.id = request_id(random_id());
     generation.organisation = organisation;
@@ -124,7 +130,7 @@
     generation.deadline = event_loop::now() + model->second.answer_window;
     reply->add_header("X-Request-Id", generation.id.value);
     this->context.open.add(generation.id, reply);
-    this->generations.start(std::move(generation), parsed->streamed, reply);
+    this->generations.submit(std::move(generation), parsed->streamed, *priority, reply);
 }
 
 void caller_routes::handle_service(const received_request& request, const organisation_id& organisation,
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -9,6 +9,7 @@
 #include "daemon/open_requests.hpp"
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
+#include "route/retry_budget.hpp"
 #include "route/route_index.hpp"
 #include "request/suspects.hpp"
 #include "target/health.hpp"
@@ -49,6 +50,7 @@
     {
         return this->routes.at(this->configuration.number, this->configuration.declared);
     }
+    retry_budget retries{};
     //! Chains chosen so far.
     std::uint64_t chains_chosen = 0;
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,12 +49,12 @@
                                  .open = {},
                                  .stopping = false,
                                  .started = incarnation{event_loop::wall_now().count}},
-          generations(context), lookups(context), orders(context),
+          generations(context), gate(context, generations), lookups(context), orders(context),
           configuration(context, [this] { this->peers.spread_soon(); }), peers(context, configuration),
           reports(context),
           operators(context, peers, reports,
                     [this](const change_answer& answer) { this->configuration.take(answer); }),
-          observer(context, peers), routes(context, generations, lookups, orders),
+          observer(context, peers), routes(context, gate, lookups, orders),
           callers(loop, limits_of(configured),
                   [this](const received_request& request, const std::shared_ptr<caller_reply>& reply) {
                       this->routes.handle(request, reply);
@@ -158,6 +158,7 @@
     engine_client engines;
     daemon_context context;
     generation_runner generations;
+    admission_gate gate;
     lookup_runner lookups;
     order_runner orders;
     configuration_sync configuration;
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -76,6 +76,7 @@
     generation->streamed = streamed;
     this->generations.emplace(generation->state.request.id.value, generation);
     ++this->context.requests_in_flight;
+    note_request(this->context.retries);
     reply->on_gone([this, watch = std::weak_ptr(generation)] {
         if (const running_ptr gone = watch.lock()) {
             log_event("caller_gone", {{"request", gone->state.request.id.value}});
@@ -116,7 +117,10 @@
     }
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
-    const chain_source chains = [&](const chain_wish& wish) {
+    const chain_source chains = [&](const chain_wish& wish) -> absl::StatusOr<chain> {
+        if (state.attempt.value > 0 && !may_retry(this->context.retries)) {
+            return absl::UnavailableError("the retry budget is spent");
+        }
         return this->guard.choose(state.request, wish.excluded, [&](const std::set<target_id>& avoided) {
             chain_wish narrowed = wish;
             narrowed.excluded = avoided;
@@ -133,6 +137,9 @@
         this->release_chain(*generation);
         this->generations.erase(state.request.id.value);
         --this->context.requests_in_flight;
+        if (this->on_finished) {
+            this->on_finished(state, !actions.empty() && std::holds_alternative<deliver_end>(actions.back()));
+        }
     }
 }
 
@@ -157,6 +164,9 @@
 void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
 {
     this->release_chain(*generation);
+    if (action.attempt.value > 1) {
+        take_retry(this->context.retries);
+    }
     generation->counted = action.through;
     for (const hop& stage : action.through.hops()) {
         ++this->context.health[stage.target].in_flight;
--- a/src/daemon/generation_runner.hpp
+++ b/src/daemon/generation_runner.hpp
@@ -22,6 +22,8 @@
 
     //! Runs one request to its end; `streamed` answers go out token by token.
     void start(generation_request request, bool streamed, const std::shared_ptr<caller_reply>& reply);
+    //! Called when a generation has ended, with whether its answer was whole.
+    std::function<void(const generation_state&, bool completed)> on_finished;
     [[nodiscard]] std::size_t running() const { return this->generations.size(); }
 
 private:
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -4,6 +4,17 @@
 
 namespace dandelionstep {
 
+std::optional<request_priority> parse_priority(std::string_view text)
+{
+    if (text == "interactive") {
+        return request_priority::interactive;
+    }
+    if (text.empty() || text == "normal") {
+        return request_priority::normal;
+    }
+    return text == "batch" ? std::optional(request_priority::batch) : std::nullopt;
+}
+
 bool fair_queue::flow::empty() const
 {
     return std::ranges::all_of(this->waiting, [](const auto& list) { return list.empty(); });
@@ -84,13 +95,17 @@
     return std::nullopt;
 }
 
-std::vector<queued_request> fair_queue::remove_late(time_point now, milliseconds service)
+std::vector<queued_request> fair_queue::remove_late(time_point now, double token_ms)
 {
+    const auto is_late = [&](const queued_request& waiting) {
+        const milliseconds service{static_cast<std::int64_t>(waiting.cost * token_ms)};
+        return now > waiting.start_by || now + service > waiting.deadline;
+    };
     std::vector<queued_request> late;
     for (auto& [id, each] : this->flows) {
         for (auto& list : each.waiting) {
             for (auto at = list.begin(); at != list.end();) {
-                if (now + service <= at->deadline) {
+                if (!is_late(*at)) {
                     ++at;
                     continue;
                 }
--- a/src/request/fair_queue.hpp
+++ b/src/request/fair_queue.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace dandelionstep {
@@ -16,6 +17,9 @@
 
 inline constexpr std::size_t priority_count = 3;
 
+//! Parses "interactive", "normal", "batch" or an empty text, which means normal; nullopt for any other.
+std::optional<request_priority> parse_priority(std::string_view text);
+
 //! A request that waits for its turn.
 struct queued_request {
     request_id id;
@@ -25,6 +29,9 @@
     request_priority priority = request_priority::normal;
     //! The work that it brings, in tokens.
     double cost = 1;
+    //! When it must have started.
+    time_point start_by;
+    //! When its answer must be whole.
     time_point deadline;
 };
 
@@ -38,8 +45,8 @@
     std::optional<queued_request> drop_longest();
     //! Takes one request out, wherever it waits.
     std::optional<queued_request> remove(const request_id& wanted);
-    //! Takes out all that can't start later than `latest(request)`, at `now`.
-    std::vector<queued_request> remove_late(time_point now, milliseconds service);
+    //! Takes out all whose time to start is over, or that would end too late if they began now.
+    std::vector<queued_request> remove_late(time_point now, double token_ms);
 
     [[nodiscard]] std::size_t size() const { return this->count; }
     //! Tokens that are served before a new request of the organisation and priority, at most.
--- a/src/vm/settings.cpp
+++ b/src/vm/settings.cpp
@@ -166,6 +166,7 @@
         {"limits.max_attempts", false, "8", count_setter(&settings::max_attempts, 1, 100)},
         {"limits.drain_limit_ms", false, "60000", time_setter(&settings::drain_limit, 0, hour_ms)},
         {"limits.balancer_notice_ms", false, "1000", time_setter(&settings::balancer_notice, 0, 60'000)},
+        {"routing.token_target_ms", false, "45", time_setter(&settings::token_target, 1, 60'000)},
         {"routing.policy", false, "\"least_cost\"", store_policy},
     };
     return keys;
--- a/src/vm/settings.hpp
+++ b/src/vm/settings.hpp
@@ -40,6 +40,8 @@
     milliseconds token_gap{400};
     milliseconds first_token_gap{1500};
     std::int64_t max_attempts = 8;
+    //! Mean time between tokens up to which more requests are let in at once.
+    milliseconds token_target{45};
     chain_policy policy = chain_policy::least_cost;
     //! Longest time that a planned stop waits for requests to finish.
     milliseconds drain_limit{60'000};
