--- a/tests/request/stage_failure_proof_test.cpp
+++ b/tests/request/stage_failure_proof_test.cpp
@@ -149,7 +149,7 @@
 
 namespace {
 
-std::vector<generation_action> timed_token(generation_bench& bench, std::vector<std::int64_t> times)
+std::vector<generation_action> timed_token(generation_bench& bench, const std::vector<std::int64_t>& times)
 {
     token_received token{
         bench.state.attempt, {static_cast<std::int64_t>(bench.state.tokens.size())}, "t ", {}};
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_server.hpp"
 #include "common/json.hpp"
 #include "engine_batch.hpp"
+#include "engine_generation.hpp"
 #include "engine_step.hpp"
 #include "fake_model.hpp"
 #include "faults.hpp"
@@ -20,27 +21,6 @@
 constexpr std::int64_t default_wait_ms = 300;
 constexpr std::size_t max_ledger_entries = 500'000;
 
-// An answer that this engine, as the first hop, streams to its caller.
-struct generation {
-    std::string request;
-    std::int64_t attempt = 0;
-    std::string prompt;
-    std::vector<std::string> tokens;
-    std::int64_t length = 0;
-    json hops;
-    bool first = true;
-    bool cancelled = false;
-    std::shared_ptr<http_reply> reply;
-};
-
-std::string hop_failure(const http_result& result)
-{
-    if (result.failure == http_failure::not_connected) {
-        return "hop_unreachable";
-    }
-    return result.failure == http_failure::timed_out ? "hop_silent" : "hop_reset";
-}
-
 class engine_standin {
 public:
     explicit engine_standin(const engine_options& options)
@@ -100,7 +80,7 @@
         } else if (request.path == "/v1/kv/import") {
             this->import_kv(*body, reply);
         } else if (request.path == "/v1/cache-events") {
-            this->report_cache(request, reply);
+            reply->send(200, this->prefixes.after(request.parameter("after")));
         } else {
             reply->send(404, R"({"error":"no such operation"})");
         }
@@ -149,7 +129,7 @@
         if (!deadly.empty() && work->prompt.find(deadly) != std::string::npos) {
             _exit(1);
         }
-        this->remember_prefix(work->prompt);
+        this->prefixes.remember(work->prompt);
         this->generations[work->request] = work;
         reply->on_gone([this, watch = std::weak_ptr(work)] {
             if (const auto gone = watch.lock()) {
@@ -169,7 +149,7 @@
             this->finish(work);
             return;
         }
-        const step_work step = this->step_of(*work);
+        const step_work step = first_hop_step(*work, this->options);
         work->first = false;
         const time_point began = event_loop::now();
         this->run_step(step, [this, work, began, index = step.index](step_result result) {
@@ -178,26 +158,6 @@
         });
     }
 
-    [[nodiscard]] step_work step_of(const generation& work) const
-    {
-        constexpr std::int64_t bytes_per_token = 4;
-        step_work step;
-        step.request = work.request;
-        step.attempt = work.attempt;
-        step.index = static_cast<std::int64_t>(work.tokens.size());
-        step.next_layer = 0;
-        step.first = work.first;
-        const std::int64_t held = work.hops.empty() ? 0 : integer_or(work.hops.front(), "prefill_from", 0);
-        step.first_index = work.first ? held : step.index;
-        step.prompt_tokens = static_cast<std::int64_t>(work.prompt.size()) / bytes_per_token + 1;
-        step.hops = work.hops;
-        for (std::int64_t position = step.first_index; position <= step.index; ++position) {
-            step.activations.push_back(embed(this->options.model, this->options.version, work.prompt,
-                                             work.tokens, static_cast<std::size_t>(position)));
-        }
-        return step;
-    }
-
     void take_token(const std::shared_ptr<generation>& work, std::int64_t index, const step_result& result)
     {
         if (work->cancelled) {
@@ -319,16 +279,6 @@
         });
     }
 
-    // The next hop's cache holds the positions before `from`.
-    static void skip_held_positions(step_work& step, std::int64_t from)
-    {
-        const std::int64_t skipped = from - step.first_index;
-        if (skipped > 0 && skipped < static_cast<std::int64_t>(step.activations.size())) {
-            step.activations.erase(step.activations.begin(), step.activations.begin() + skipped);
-            step.first_index = from;
-        }
-    }
-
     void answer_step(const json& body, const std::shared_ptr<http_reply>& reply)
     {
         this->run_step(parse_step(body), [this, reply](const step_result& result) {
@@ -411,30 +361,6 @@
         reply->send(200, "{}");
     }
 
-    void remember_prefix(const std::string& prompt)
-    {
-        constexpr std::size_t prefix_bytes = 64;
-        constexpr std::size_t max_events = 1000;
-        this->cache_events.push_back({{"sequence", ++this->cache_sequence},
-                                      {"event", "cached"},
-                                      {"prefix", prompt.substr(0, prefix_bytes)}});
-        if (this->cache_events.size() > max_events) {
-            this->cache_events.erase(this->cache_events.begin());
-        }
-    }
-
-    void report_cache(const received_request& request, const std::shared_ptr<http_reply>& reply)
-    {
-        const std::int64_t after = std::strtoll(request.parameter("after").c_str(), nullptr, 10);
-        json list = json::array();
-        for (const json& event : this->cache_events) {
-            if (integer_or(event, "sequence", 0) > after) {
-                list.push_back(event);
-            }
-        }
-        reply->send(200, dump({{"events", list}}));
-    }
-
     engine_options options;
     event_loop loop;
     http_client http;
@@ -446,8 +372,7 @@
     std::vector<std::shared_ptr<http_reply>> swallowed;
     std::vector<json> ledger;
     std::vector<json> orders;
-    std::vector<json> cache_events;
-    std::int64_t cache_sequence = 0;
+    prefix_cache_events prefixes;
     std::int64_t cancels = 0;
     std::int64_t fence = 0;
     std::int64_t order_generation = 0;
--- a/tests/standins/engine_step.cpp
+++ b/tests/standins/engine_step.cpp
@@ -33,6 +33,15 @@
     return work;
 }
 
+void skip_held_positions(step_work& step, std::int64_t from)
+{
+    const std::int64_t skipped = from - step.first_index;
+    if (skipped > 0 && skipped < static_cast<std::int64_t>(step.activations.size())) {
+        step.activations.erase(step.activations.begin(), step.activations.begin() + skipped);
+        step.first_index = from;
+    }
+}
+
 void step_result::add_hop(std::int64_t whole_ms)
 {
     const std::int64_t after = std::accumulate(this->hop_ms.begin(), this->hop_ms.end(), std::int64_t{0});
--- a/tests/standins/engine_step.hpp
+++ b/tests/standins/engine_step.hpp
@@ -45,6 +45,9 @@
 json step_json(const step_work& work);
 step_work parse_step(const json& body);
 
+//! Leaves out the positions before `from`, which the next hop's cache holds.
+void skip_held_positions(step_work& step, std::int64_t from);
+
 //! Tokens that the step prefills; 0 for an ordinary step.
 std::int64_t prefill_tokens(const step_work& work);
 
