--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds vm_list_interval{60'000};
 constexpr std::size_t max_seeds = 64;
 constexpr milliseconds snapshot_interval{100};
+constexpr milliseconds pull_interval{200};
+// Larger changes are announced only, and each daemon asks one other for them.
+constexpr std::size_t max_pushed_records = 20;
 
 } // namespace
 
@@ -135,6 +138,7 @@
                            .probe = to.probe,
                            .confirmed = to.confirmed};
     fill(message, request);
+    this->push_configuration(message, to.vm);
     ++this->counted.messages;
     this->counted.sent.value += static_cast<std::int64_t>(message.ByteSizeLong());
     this->node.exchange(to.to, message, exchange_timeout, [this, to](const wire::ExchangeMessage* reply) {
@@ -162,13 +166,29 @@
     for (const shared_kind& kind : this->kinds) {
         kind.fill(message);
     }
-    const revision own = this->context.configuration.number;
-    const auto known = receiver ? this->revision_of.find(*receiver) : this->revision_of.end();
-    message.set_configuration_revision(own.value);
-    this->add_configuration(message, known == this->revision_of.end() ? own : known->second);
+    message.set_configuration_revision(this->context.configuration.number.value);
     return message;
 }
 
+void group::push_configuration(wire::ExchangeMessage& message, const std::optional<vm_id>& receiver) const
+{
+    const auto known = receiver ? this->revision_of.find(*receiver) : this->revision_of.end();
+    if (known == this->revision_of.end()) {
+        return;
+    }
+    const std::vector<accepted_change> following = this->configuration.changes_after(known->second);
+    std::size_t records = 0;
+    for (const accepted_change& change : following) {
+        records += change.records.size();
+    }
+    if (records > max_pushed_records) {
+        return;
+    }
+    for (const accepted_change& change : following) {
+        fill(*message.add_changes(), change);
+    }
+}
+
 void group::add_configuration(wire::ExchangeMessage& message, revision receiver_revision)
 {
     const applied_configuration& applied = this->context.configuration;
@@ -199,6 +219,7 @@
     this->take(question);
     wire::ExchangeMessage reply =
         this->make_message(vm_id(question.sender().vm()), question.wants_all_members());
+    this->add_configuration(reply, revision{question.configuration_revision()});
     ++this->counted.messages;
     this->counted.sent.value += static_cast<std::int64_t>(reply.ByteSizeLong());
     return reply;
@@ -221,6 +242,22 @@
     this->take_configuration(message);
 }
 
+void group::pull_configuration(const wire::ExchangeMessage& message)
+{
+    const time_point now = event_loop::now();
+    const auto members = read_members(message);
+    if (!members || now < this->next_pull ||
+        revision{message.configuration_revision()} <= this->context.configuration.number) {
+        return;
+    }
+    this->next_pull = now + pull_interval;
+    this->send({.to = members->sender.peer_address,
+                .vm = members->sender.vm,
+                .wants_all = false,
+                .probe = {},
+                .confirmed = {}});
+}
+
 void group::take_configuration(const wire::ExchangeMessage& message)
 {
     this->configuration.hear(revision{message.configuration_revision()});
@@ -231,6 +268,7 @@
         const accepted_change all = read_change(message.snapshot());
         this->configuration.take(configuration_snapshot{all.number, all.records, all.digest});
     }
+    this->pull_configuration(message);
 }
 
 } // namespace dandelionstep
--- a/src/daemon/group.hpp
+++ b/src/daemon/group.hpp
@@ -52,9 +52,11 @@
     void count_received(const wire::ExchangeMessage& message);
     wire::ExchangeMessage answer(const wire::ExchangeMessage& question);
     [[nodiscard]] wire::ExchangeMessage make_message(const std::optional<vm_id>& receiver, bool everything);
+    void push_configuration(wire::ExchangeMessage& message, const std::optional<vm_id>& receiver) const;
     void add_configuration(wire::ExchangeMessage& message, revision receiver_revision);
     void take(const wire::ExchangeMessage& message);
     void take_configuration(const wire::ExchangeMessage& message);
+    void pull_configuration(const wire::ExchangeMessage& message);
     void note_met(const endpoint& peer);
 
     daemon_context& context;
@@ -67,6 +69,7 @@
     std::set<endpoint> unmet;
     group_traffic counted;
     time_point next_snapshot;
+    time_point next_pull;
     event_loop::timer ticker;
     event_loop::timer spreading;
     event_loop::timer next_vm_list;
