--- a/src/route/choose_chain.cpp
+++ b/src/route/choose_chain.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <tuple>
 
 namespace dandelionstep {
 namespace {
@@ -22,7 +23,10 @@
     layer_index boundary;
     std::size_t data_centre;
 
-    friend auto operator<=>(const place&, const place&) = default;
+    friend bool operator<(const place& a, const place& b)
+    {
+        return std::tie(a.boundary, a.data_centre) < std::tie(b.boundary, b.data_centre);
+    }
 };
 
 struct path_to {
--- a/src/route/pick_engine.cpp
+++ b/src/route/pick_engine.cpp
@@ -8,7 +8,8 @@
 namespace dandelionstep {
 namespace {
 
-// Reports are late: with three draws or four more daemons follow the same one, and goodput at the bound falls.
+// Reports are late: with three draws or four more daemons follow the same one, and goodput at the bound
+// falls.
 constexpr std::size_t candidates = 2;
 constexpr std::uint64_t max_draws = 8;
 // A cached prefix is worth going to a busier engine, up to this many times the other candidates' cost.
