--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -35,9 +35,9 @@
 }
 
 queued_request fair_queue::take(flow& from, std::deque<queued_request>& list,
-                                std::deque<queued_request>::iterator at)
+                                std::deque<queued_request>::const_iterator at)
 {
-    queued_request taken = std::move(*at);
+    queued_request taken = *at;
     list.erase(at);
     from.queued_cost -= taken.cost;
     this->total_cost -= taken.cost;
