--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -9,9 +9,9 @@
 #include "daemon/open_requests.hpp"
 #include "report/burn_series.hpp"
 #include "report/request_counters.hpp"
+#include "request/suspects.hpp"
 #include "route/retry_budget.hpp"
 #include "route/route_index.hpp"
-#include "request/suspects.hpp"
 #include "target/health.hpp"
 #include "vm/settings.hpp"
 
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -16,7 +16,8 @@
 
 //! Runs the platform: transactional table, object store, weight store, list of VMs.
 //! Faults: down ("drop", "503"), delay_ms, lose_answers, lose_requests, stale_reads; hold_before or
-//! hold_after (a text): the next `holds` transactions that contain it wait `hold_ms` before their effect or answer.
+//! hold_after (a text): the next `holds` transactions that contain it wait `hold_ms` before their effect or
+//! answer.
 absl::Status run_platform(const platform_options& options);
 
 } // namespace dandelionstep::standins
