Daemons tell each other of suspects; test programs end with their test

Cause: each daemon learned of a crashing request alone. A test that aborted left its stand-ins running; they now get a signal when their parent dies.

--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -226,7 +226,7 @@
 
 absl::Status caller_server::use_tls(const tls_files& files)
 {
-    if (const absl::Status status = check_certificate(files); !status.ok()) {
+    if (absl::Status status = check_certificate(files); !status.ok()) {
         return status;
     }
     if (this->self->raw->ssl_ctx != nullptr) {
--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -102,6 +102,7 @@
     suspect_table& table = this->context.suspects;
     note_takedown(table, death.request, takedown_of(death.target, death.known), death.place,
                   event_loop::now());
+    this->context.on_news();
     log_event("request_suspected",
               {{"fingerprint", death.request.value},
                {"target", death.target.value},
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/leaving_watch.hpp"
 #include "daemon/operator_port.hpp"
 #include "daemon/report_store.hpp"
+#include "daemon/suspect_share.hpp"
 #include "daemon/target_observer.hpp"
 #include "vm/planned_stop.hpp"
 
@@ -65,6 +66,7 @@
             note_refusal(this->context, target, body);
         };
         this->peers.share(share_leaving_marks(this->context));
+        this->peers.share(share_suspects(this->context));
     }
 
     absl::Status run()
--- a/src/report/burn_report.cpp
+++ b/src/report/burn_report.cpp
@@ -15,7 +15,7 @@
 constexpr int plotted_hours = 24;
 
 struct burn_window {
-    const char* name;
+    const char* name = "";
     milliseconds length;
 };
 
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -35,7 +35,7 @@
 }
 
 queued_request fair_queue::take(flow& from, std::deque<queued_request>& list,
-                                std::deque<queued_request>::const_iterator at)
+                                const std::deque<queued_request>::const_iterator& at)
 {
     queued_request taken = *at;
     list.erase(at);
--- a/src/request/fair_queue.hpp
+++ b/src/request/fair_queue.hpp
@@ -65,7 +65,7 @@
     };
 
     queued_request take(flow& from, std::deque<queued_request>& list,
-                        std::deque<queued_request>::const_iterator at);
+                        const std::deque<queued_request>::const_iterator& at);
 
     std::map<organisation_id, flow> flows;
     double virtual_time = 0;
--- a/tests/measure/choose_chain_benchmark.cpp
+++ b/tests/measure/choose_chain_benchmark.cpp
@@ -25,6 +25,7 @@
 declarations spread_over(int replicas, int data_centres)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(data_centres));
     for (int i = 0; i < data_centres; ++i) {
         names.push_back("data-centre-" + std::to_string(i));
     }
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -54,6 +55,8 @@
     const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     this->pid = fork();
     if (this->pid == 0) {
+        // A test that is cut down must not leave its programs behind.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(channel[1], STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execv(path.c_str(), raw.data());
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -64,6 +64,8 @@
     void start_daemon(std::size_t index);
     //! Starts an engine again, at the same address, after it was killed.
     void start_engine(const std::string& name);
+    //! What a program has logged so far.
+    [[nodiscard]] std::string log_of(const std::string& name) const;
     //! What the daemon says of itself to operators; null when it does not answer.
     [[nodiscard]] json status(std::size_t index) const;
     //! Waits until the daemon has the configuration.
