--- a/tests/measure/entry_cost.cpp
+++ b/tests/measure/entry_cost.cpp
@@ -109,7 +109,8 @@
 {
     constexpr int hops = 4000;
     constexpr int concurrent = 32;
-    const std::string activation(16 * 1024, 'a');
+    constexpr std::size_t activation_bytes = 16384;
+    const std::string activation(activation_bytes, 'a');
     event_loop loop;
     http_client http(loop);
     int started = 0;
--- a/tests/route/choose_chain_differential_test.cpp
+++ b/tests/route/choose_chain_differential_test.cpp
@@ -67,7 +67,7 @@
 struct exhaustive_search {
     const declarations& declared;
     const health_map& health;
-    double idle_token_ms;
+    double idle_token_ms = 0;
     double best = 1e18;
 
     void extend(layer_index boundary, const data_centre_id& at, double cost)
--- a/tests/target/leaving_proof_test.cpp
+++ b/tests/target/leaving_proof_test.cpp
@@ -159,7 +159,7 @@
     {
         learned.clear();
         leaving_marks heard;
-        for (std::int64_t now = 0; now < 7 * 500; now += 500) {
+        for (std::int64_t now = 0; now < std::int64_t{7} * 500; now += 500) {
             const leaving_marks chosen = choose_marks(marks, learned, limits, {now});
             CHECK(chosen.size() <= limits.marks_per_turn);
             merge(heard, chosen);
