--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -116,7 +116,6 @@
         }
         this->context.stopping = true;
         this->stopping.began = event_loop::now();
-        this->reports.write();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
         this->context.on_news();
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
@@ -136,7 +135,9 @@
             this->give_up();
             return;
         case stop_step::exit:
-            this->loop.stop();
+            // What finished during the stop is counted too; the platform's timeout bounds the wait.
+            this->stop_check = {};
+            this->reports.write([this](bool) { this->loop.stop(); });
             return;
         }
     }
--- a/src/daemon/generation_runner.cpp
+++ b/src/daemon/generation_runner.cpp
@@ -118,7 +118,7 @@
     const time_point now = event_loop::now();
     const std::int64_t dropped_before = state.dropped_answers;
     const chain_source chains = [&](const chain_wish& wish) -> absl::StatusOr<chain> {
-        if (state.attempt.value > 0 && !may_retry(this->context.retries)) {
+        if (next_is_retry(state) && !may_retry(this->context.retries)) {
             return absl::UnavailableError("the retry budget is spent");
         }
         return this->guard.choose(state.request, wish.excluded, [&](const std::set<target_id>& avoided) {
@@ -164,7 +164,7 @@
 void generation_runner::perform(const running_ptr& generation, const open_attempt& action)
 {
     this->release_chain(*generation);
-    if (action.attempt.value > 1) {
+    if (action.is_retry) {
         take_retry(this->context.retries);
     }
     generation->counted = action.through;
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -5,6 +5,7 @@
 #include "adapters/random.hpp"
 #include "common/hash.hpp"
 #include "daemon/answers.hpp"
+#include "daemon/configuration_operations.hpp"
 #include "daemon/drain_operations.hpp"
 #include "daemon/order_operations.hpp"
 
@@ -57,7 +58,8 @@
         this->report_burn(request, reply);
     } else if (request.method == "POST" && request.path == "/v1/report/write") {
         this->reports.write([reply](bool stored) { reply->send(200, dump({{"stored", stored}})); });
-    } else if (!handle_order_operation(this->context, request, reply)) {
+    } else if (!handle_configuration_operation(this->context, request, reply) &&
+               !handle_order_operation(this->context, request, reply)) {
         refuse(*reply,
                exposure{}.refuse(error_code::unknown_route,
                                  absl::StrCat("no operation ", request.method, " ", request.path), {}));
--- a/src/request/generation.cpp
+++ b/src/request/generation.cpp
@@ -255,21 +255,22 @@
             this->give_up(code_without_chain(through.status()), std::string(through.status().message()));
             return;
         }
+        const bool retried = next_is_retry(this->state);
         this->state.attempt = this->state.attempt + attempt_number{1};
         this->state.active = *through;
         this->state.attempt_has_answered = false;
         this->state.paces.clear();
         this->state.last_progress = this->now;
         this->state.exposed.begin_send();
-        this->result.emplace_back(this->attempt_through(*std::move(through)));
+        this->result.emplace_back(this->attempt_through(*std::move(through), retried));
     }
 
-    open_attempt attempt_through(chain through) const
+    open_attempt attempt_through(chain through, bool retried) const
     {
         const token_count given{static_cast<std::int64_t>(this->state.tokens.size())};
         const silence_limits limits{this->state.limits.first_token_gap, this->state.limits.token_gap};
         std::vector<hop_plan> plans = plan_hops(through, this->state.cached, given, limits);
-        return {this->state.attempt, std::move(through), this->state.tokens, std::move(plans)};
+        return {this->state.attempt, std::move(through), this->state.tokens, std::move(plans), retried};
     }
 
     void give_up(error_code code, std::string message)
@@ -324,6 +325,11 @@
     return error == "hop_silent" ? attempt_failure::token_gap : attempt_failure::reset;
 }
 
+bool next_is_retry(const generation_state& state)
+{
+    return state.attempt.value > 0 && !state.attempt_has_answered;
+}
+
 std::vector<generation_action> advance(generation_state& state, const generation_event& event,
                                        const chain_source& chains, time_point now)
 {
--- a/src/request/generation.hpp
+++ b/src/request/generation.hpp
@@ -77,6 +77,8 @@
     std::vector<std::string> given;
     //! One for each hop.
     std::vector<hop_plan> plans;
+    //! The attempt before came to nothing, so that this one counts against the retry budget.
+    bool is_retry = false;
 };
 struct cancel_attempt {
     attempt_number attempt;
@@ -181,6 +183,10 @@
 //! Chooses a chain; Unavailable when there is none now, NotFound when there is no such model.
 using chain_source = std::function<absl::StatusOr<chain>(const chain_wish& wish)>;
 
+//! Whether the next attempt would follow one that came to nothing. One that follows delivered tokens goes on
+//! with useful work and is no retry.
+bool next_is_retry(const generation_state& state);
+
 //! Advances the generation by one event; after it has finished every event is ignored.
 std::vector<generation_action> advance(generation_state& state, const generation_event& event,
                                        const chain_source& chains, time_point now);
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -1,9 +1,7 @@
 #include "tool/commands.hpp"
 
-#include "configuration/declarations.hpp"
-#include "configuration/record.hpp"
 #include "tool/call_any.hpp"
-#include "tool/declaration_files.hpp"
+#include "tool/configuration_command.hpp"
 #include "tool/drain_command.hpp"
 #include "tool/orders_command.hpp"
 #include "tool/plan_command.hpp"
@@ -18,45 +16,6 @@
 
 constexpr int ok_status = 200;
 
-int send_change(const tool_options& options, const std::vector<configuration_record>& records)
-{
-    json list = json::array();
-    for (const configuration_record& record : records) {
-        json entry = to_json(record);
-        // Only an operator who has seen the record's state makes the change depend on it.
-        if (record.changed_at == revision{}) {
-            entry.erase("changed_at");
-        }
-        list.push_back(std::move(entry));
-    }
-    const auto answer = call_any(options, "POST", "/v1/configuration/apply", dump({{"records", list}}));
-    if (!answer.ok()) {
-        std::cerr << answer.status().message() << "\n";
-        return exit_for(answer.status());
-    }
-    if (answer->status != ok_status) {
-        print_error(*answer);
-        return exit_for(*answer);
-    }
-    if (options.output == "json") {
-        std::cout << dump(answer->body) << "\n";
-    } else {
-        std::cout << "accepted change_id=" << string_or(answer->body, "change_id", "")
-                  << " revision=" << integer_or(answer->body, "revision", 0) << "\n";
-    }
-    return exit_ok;
-}
-
-int apply_files(const tool_options& options, const std::vector<std::string>& paths)
-{
-    const auto records = read_declarations(paths);
-    if (!records.ok()) {
-        std::cerr << records.status().message() << "\n";
-        return exit_bad_usage;
-    }
-    return send_change(options, *records);
-}
-
 int set_draining(const tool_options& options, const std::string& target, bool draining)
 {
     configuration_record record;
@@ -107,17 +66,6 @@
     return exit_status;
 }
 
-int check_files(const std::vector<std::string>& paths)
-{
-    const auto records = read_declarations(paths);
-    if (!records.ok()) {
-        std::cerr << records.status().message() << "\n";
-        return exit_bad_usage;
-    }
-    std::cout << records->size() << " records ok\n";
-    return exit_ok;
-}
-
 } // namespace
 
 void add_commands(CLI::App& app, tool_options& options)
@@ -128,19 +76,9 @@
     app.add_option("--token", options.token, "The operators' token")->envname("DANDELIONSTEP_TOKEN");
     app.add_option("--output", options.output, "text or json")->check(CLI::IsMember({"text", "json"}));
 
-    const auto paths = std::make_shared<std::vector<std::string>>();
     const auto target = std::make_shared<std::string>();
 
-    CLI::App* apply = app.add_subcommand("apply", "Apply declaration files as one change");
-    apply->add_option("files", *paths, "Declaration files (TOML)")->required();
-    apply->callback([&options, paths] { options.exit_status = apply_files(options, *paths); });
-
-    CLI::App* config = app.add_subcommand("config", "Work on declaration files");
-    config->require_subcommand(1);
-    CLI::App* check = config->add_subcommand("check", "Check declaration files without a daemon");
-    check->add_option("files", *paths, "Declaration files (TOML)")->required();
-    check->callback([&options, paths] { options.exit_status = check_files(*paths); });
-
+    add_configuration_commands(app, options);
     add_plan_command(app, options);
 
     CLI::App* status = app.add_subcommand("status", "Show daemons and targets");
--- a/tests/process/report_burn_test.cpp
+++ b/tests/process/report_burn_test.cpp
@@ -1,4 +1,5 @@
 #include "support/cluster.hpp"
+#include "support/streams.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -43,6 +44,28 @@
     CHECK(cut.output.find("missing: the platform's object store can't be read") != std::string::npos);
 }
 
+TEST_CASE("a request that finishes during a planned stop is counted")
+{
+    cluster running({.daemons = {"nashua", "nashua"},
+                     .engines = three_stages("nashua"),
+                     .services = {},
+                     .extra_settings = {},
+                     .service_settings = {}});
+    running_streams during;
+    during.add(running, 1, "a long answer", 150);
+    CHECK(eventually([&] { return integer_or(running.status(1), "requests_in_flight", 0) == 1; }));
+    running.processes.at("daemon1").signal(SIGTERM);
+    CHECK(running.processes.at("daemon1").wait() == 0);
+    CHECK(during.count_failed() == 0);
+    const auto body = parse_json(running.tool({"report", "burn", "--output", "json"}).output);
+    REQUIRE(body.ok());
+    std::int64_t counted = 0;
+    for (const json& row : (*body)["rows"]) {
+        counted += integer_or(row, "good", 0) + integer_or(row, "bad", 0);
+    }
+    CHECK(counted == 1);
+}
+
 TEST_CASE("the metrics count requests by outcome and time them")
 {
     cluster running({.daemons = {"nashua"},
