--- a/src/tool/configuration_command.cpp
+++ b/src/tool/configuration_command.cpp
@@ -62,8 +62,8 @@
     }
     std::map<record_key, configuration_record> in_force;
     for (const json& entry : body.value("records", json::array())) {
-        if (auto record = parse_record(entry); record.ok()) {
-            in_force[record->key] = *std::move(record);
+        if (const auto record = parse_record(entry); record.ok()) {
+            in_force[record->key] = *record;
         }
     }
     const std::vector<record_difference> found = differences(in_force, *proposed);
