Read-through: hash a prompt once, parse a peer's message once, and make doubled logic one

Cause: the crash guard hashed the whole prompt at every token and tick, suspects or not; now only while something is suspected, and once for each request. Each message between daemons was parsed into members twice. Left as it is: the stand-ins' and process tests' set-up that looks alike, the two to_timeval functions (one holds negative delays at zero), reading a file in the daemon's and the tool's main.

--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "adapters/platform_client.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "adapters/percent_encode.hpp"
 #include "common/json.hpp"
 
 namespace dandelionstep {
@@ -11,24 +12,6 @@
 constexpr int busy_status = 429;
 constexpr int unavailable_status = 503;
 
-std::string percent_encode(std::string_view text, std::string_view also_plain = "")
-{
-    constexpr std::string_view plain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : text) {
-        if (plain.find(c) != std::string_view::npos || also_plain.find(c) != std::string_view::npos) {
-            encoded += c;
-        } else {
-            const auto byte = static_cast<unsigned char>(c);
-            encoded += '%';
-            encoded += digits[byte >> 4U];
-            encoded += digits[byte & 0xFU];
-        }
-    }
-    return encoded;
-}
-
 std::string transaction_body(const table_transaction& transaction)
 {
     json conditions = json::array();
--- a/src/configuration/record.cpp
+++ b/src/configuration/record.cpp
@@ -1,9 +1,9 @@
 #include "configuration/record.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "common/toml_text.hpp"
 
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace dandelionstep {
 namespace {
@@ -94,15 +94,12 @@
 absl::StatusOr<std::vector<configuration_record>> parse_declarations(const std::string& toml_text,
                                                                      const std::string& file_name)
 {
-    toml::table document;
-    try {
-        document = toml::parse(toml_text, file_name);
-    } catch (const toml::parse_error& error) {
-        return absl::InvalidArgumentError(
-            absl::StrCat(file_name, ":", error.source().begin.line, ": ", std::string(error.description())));
+    const auto document = parse_toml(toml_text, file_name);
+    if (!document.ok()) {
+        return document.status();
     }
     std::vector<configuration_record> records;
-    for (const auto& [key, node] : document) {
+    for (const auto& [key, node] : *document) {
         const toml::array* tables = node.as_array();
         if (key.str() != "record" || tables == nullptr) {
             return absl::InvalidArgumentError(absl::StrCat(file_name, ":", node.source().begin.line, ": \"",
--- a/src/daemon/answers.cpp
+++ b/src/daemon/answers.cpp
@@ -1,6 +1,7 @@
 #include "daemon/answers.hpp"
 
 #include "adapters/log.hpp"
+#include "common/hash.hpp"
 #include "common/json.hpp"
 
 namespace dandelionstep {
@@ -13,6 +14,16 @@
     return (time.count + ms_per_second - 1) / ms_per_second;
 }
 
+template <class Reply>
+void send_refusal_by(Reply& reply, const refusal& why)
+{
+    reply.add_header(outcome_header, std::string(to_string(why.result)));
+    if (why.retry_after.count > 0) {
+        reply.add_header("Retry-After", std::to_string(retry_after_seconds(why.retry_after)));
+    }
+    reply.send(http_status(why.code), refusal_body(why));
+}
+
 bool kept_level(const declarations& declared, const finished_request& finished)
 {
     if (finished.kind == "generation") {
@@ -40,11 +51,22 @@
 
 void send_refusal(caller_reply& reply, const refusal& why)
 {
-    reply.add_header(outcome_header, std::string(to_string(why.result)));
-    if (why.retry_after.count > 0) {
-        reply.add_header("Retry-After", std::to_string(retry_after_seconds(why.retry_after)));
+    send_refusal_by(reply, why);
+}
+
+void send_refusal(http_reply& reply, const refusal& why)
+{
+    send_refusal_by(reply, why);
+}
+
+std::optional<std::string> bearer_token_hash(const received_request& request)
+{
+    constexpr std::string_view prefix = "Bearer ";
+    const std::string header = request.header("Authorization");
+    if (!header.starts_with(prefix)) {
+        return std::nullopt;
     }
-    reply.send(http_status(why.code), refusal_body(why));
+    return sha256_hex(std::string_view(header).substr(prefix.size()));
 }
 
 void record_finished(daemon_context& context, const finished_request& finished)
--- a/src/daemon/answers.hpp
+++ b/src/daemon/answers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/caller_server.hpp"
+#include "adapters/http_server.hpp"
 #include "common/outcome.hpp"
 #include "daemon/context.hpp"
 #include "report/service_level.hpp"
@@ -19,6 +20,11 @@
 
 //! Answers a caller with a refusal, its outcome and when to come back.
 void send_refusal(caller_reply& reply, const refusal& why);
+//! The same for an operator.
+void send_refusal(http_reply& reply, const refusal& why);
+
+//! The SHA-256 of the request's bearer token, in hexadecimal; nullopt without one.
+std::optional<std::string> bearer_token_hash(const received_request& request);
 
 //! A request that got its final answer.
 struct finished_request {
--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::string_view services_prefix = "/v1/services/";
-constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr milliseconds refusal_retry_after{1000};
 constexpr std::size_t max_order_key_bytes = 255;
 
@@ -81,15 +80,14 @@
 
 const organisation* caller_routes::find_organisation(const received_request& request) const
 {
-    const std::string header = request.header("Authorization");
-    if (!header.starts_with(bearer_prefix)) {
+    const std::optional<std::string> hash = bearer_token_hash(request);
+    if (!hash) {
         return nullptr;
     }
-    const std::string hash = sha256_hex(std::string_view(header).substr(bearer_prefix.size()));
     const organisation* found = nullptr;
     // Every organisation is compared, so that time tells nothing about which one matched.
     for (const auto& [id, candidate] : this->context.configuration.declared.organisations) {
-        if (equal_in_constant_time(candidate.token_sha256, hash)) {
+        if (equal_in_constant_time(candidate.token_sha256, *hash)) {
             found = &candidate;
         }
     }
--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -36,7 +36,7 @@
                                           const std::set<target_id>& excluded, const chain_picker& pick) const
 {
     const suspect_table& table = this->context.suspects;
-    if (table.suspects.empty() && this->probing.empty()) {
+    if (!this->anything_suspected()) {
         return pick(excluded);
     }
     const time_point now = event_loop::now();
@@ -112,11 +112,19 @@
 
 void crash_guard::note_progress(const generation_state& state)
 {
-    if (state.finished || !state.active) {
+    if (state.finished) {
+        this->fingerprints.erase(state.request.id);
+    }
+    if (state.finished || !state.active || !this->anything_suspected()) {
         this->suspects_at.erase(state.request.id);
         return;
     }
-    const request_fingerprint fingerprint = fingerprint_of(state.request);
+    // Every token comes by here, so the prompt is hashed once.
+    const auto known = this->fingerprints.find(state.request.id);
+    const request_fingerprint fingerprint =
+        known != this->fingerprints.end()
+            ? known->second
+            : this->fingerprints.emplace(state.request.id, fingerprint_of(state.request)).first->second;
     const suspect_standing standing =
         standing_of(this->context.suspects, fingerprint, this->unconfirmed(fingerprint), event_loop::now());
     if (standing == suspect_standing::clear) {
@@ -137,6 +145,11 @@
     }
 }
 
+bool crash_guard::anything_suspected() const
+{
+    return !this->context.suspects.suspects.empty() || !this->probing.empty();
+}
+
 std::size_t crash_guard::unconfirmed(request_fingerprint request) const
 {
     return this->probing.count(request);
--- a/src/daemon/crash_guard.hpp
+++ b/src/daemon/crash_guard.hpp
@@ -30,6 +30,7 @@
 private:
     struct possible_death;
     void take_probe(const possible_death& death, const load_answer& answer);
+    [[nodiscard]] bool anything_suspected() const;
     [[nodiscard]] std::size_t unconfirmed(request_fingerprint request) const;
     [[nodiscard]] std::set<target_id> running_suspects(const request_id& but) const;
     [[nodiscard]] std::set<target_id> busy_targets() const;
@@ -38,6 +39,8 @@
     //! Deaths that are not confirmed yet.
     std::multiset<request_fingerprint> probing;
     std::map<request_id, std::set<target_id>> suspects_at;
+    //! Of the requests that run while something is suspected.
+    std::map<request_id, request_fingerprint> fingerprints;
 };
 
 //! The fingerprint of a generation's question.
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -240,22 +240,17 @@
     }
     this->revision_of[members->sender.vm] = revision{message.configuration_revision()};
     this->take_configuration(message);
+    this->pull_configuration(members->sender, revision{message.configuration_revision()});
 }
 
-void group::pull_configuration(const wire::ExchangeMessage& message)
+void group::pull_configuration(const member& from, revision offered)
 {
     const time_point now = event_loop::now();
-    const auto members = read_members(message);
-    if (!members || now < this->next_pull ||
-        revision{message.configuration_revision()} <= this->context.configuration.number) {
+    if (now < this->next_pull || offered <= this->context.configuration.number) {
         return;
     }
     this->next_pull = now + pull_interval;
-    this->send({.to = members->sender.peer_address,
-                .vm = members->sender.vm,
-                .wants_all = false,
-                .probe = {},
-                .confirmed = {}});
+    this->send({.to = from.peer_address, .vm = from.vm, .wants_all = false, .probe = {}, .confirmed = {}});
 }
 
 void group::take_configuration(const wire::ExchangeMessage& message)
@@ -268,7 +263,6 @@
         const accepted_change all = read_change(message.snapshot());
         this->configuration.take(configuration_snapshot{all.number, all.records, all.digest});
     }
-    this->pull_configuration(message);
 }
 
 } // namespace dandelionstep
--- a/src/daemon/group.hpp
+++ b/src/daemon/group.hpp
@@ -56,7 +56,7 @@
     void add_configuration(wire::ExchangeMessage& message, revision receiver_revision);
     void take(const wire::ExchangeMessage& message);
     void take_configuration(const wire::ExchangeMessage& message);
-    void pull_configuration(const wire::ExchangeMessage& message);
+    void pull_configuration(const member& from, revision offered);
     void note_met(const endpoint& peer);
 
     daemon_context& context;
--- a/src/daemon/operator_port.cpp
+++ b/src/daemon/operator_port.cpp
@@ -10,18 +10,6 @@
 #include "daemon/order_operations.hpp"
 
 namespace dandelionstep {
-namespace {
-
-constexpr std::string_view bearer_prefix = "Bearer ";
-
-void refuse(http_reply& reply, const refusal& why)
-{
-    reply.add_header(outcome_header, std::string(to_string(why.result)));
-    reply.send(http_status(why.code), refusal_body(why));
-}
-
-} // namespace
-
 operator_port::operator_port(daemon_context& context, group& peers, report_store& reports,
                              std::function<void(const change_answer&)> on_change)
     : context(context), peers(peers), reports(reports), on_change(std::move(on_change)),
@@ -37,17 +25,15 @@
 
 bool operator_port::is_authorised(const received_request& request) const
 {
-    const std::string header = request.header("Authorization");
-    return header.starts_with(bearer_prefix) &&
-           equal_in_constant_time(sha256_hex(std::string_view(header).substr(bearer_prefix.size())),
-                                  this->context.configured.operator_token_sha256);
+    const std::optional<std::string> hash = bearer_token_hash(request);
+    return hash && equal_in_constant_time(*hash, this->context.configured.operator_token_sha256);
 }
 
 void operator_port::handle(const received_request& request, const std::shared_ptr<http_reply>& reply)
 {
     if (!this->is_authorised(request)) {
-        refuse(*reply,
-               exposure{}.refuse(error_code::unauthorised, "the operators' token is missing or wrong", {}));
+        send_refusal(*reply, exposure{}.refuse(error_code::unauthorised,
+                                               "the operators' token is missing or wrong", {}));
     } else if (request.method == "GET" && request.path == "/v1/status") {
         reply->send(200, dump(this->status()));
     } else if (answer_in_flight(this->context, this->peers, request, *reply)) {
@@ -60,9 +46,9 @@
         this->reports.write([reply](bool stored) { reply->send(200, dump({{"stored", stored}})); });
     } else if (!handle_configuration_operation(this->context, request, reply) &&
                !handle_order_operation(this->context, request, reply)) {
-        refuse(*reply,
-               exposure{}.refuse(error_code::unknown_route,
-                                 absl::StrCat("no operation ", request.method, " ", request.path), {}));
+        send_refusal(*reply,
+                     exposure{}.refuse(error_code::unknown_route,
+                                       absl::StrCat("no operation ", request.method, " ", request.path), {}));
     }
 }
 
@@ -70,8 +56,8 @@
 {
     const auto change = parse_received_change(request.body, random_id());
     if (!change.ok()) {
-        refuse(*reply,
-               exposure{}.refuse(error_code::bad_request, std::string(change.status().message()), {}));
+        send_refusal(*reply,
+                     exposure{}.refuse(error_code::bad_request, std::string(change.status().message()), {}));
         return;
     }
     commit_change(
@@ -89,7 +75,7 @@
             if (answer.result != outcome::not_run) {
                 change.begin_send();
             }
-            refuse(*reply, change.refuse(answer.code, answer.message, {}));
+            send_refusal(*reply, change.refuse(answer.code, answer.message, {}));
         });
 }
 
--- a/src/daemon/order_operations.cpp
+++ b/src/daemon/order_operations.cpp
@@ -14,12 +14,6 @@
 // A daemon sends within a few seconds of its mark and waits for the target no longer than the call's timeout.
 constexpr milliseconds settle_margin{10'000};
 
-void refuse(http_reply& reply, const refusal& why)
-{
-    reply.add_header(outcome_header, std::string(to_string(why.result)));
-    reply.send(http_status(why.code), refusal_body(why));
-}
-
 json listed(const order_record& record, wall_time now)
 {
     return {{"organisation", record.organisation.value},
@@ -50,20 +44,20 @@
 {
     const std::string phase = request.parameter("phase");
     if (!phase.empty() && !parse_order_phase(phase).ok()) {
-        refuse(*reply, exposure{}.refuse(error_code::bad_request,
-                                         absl::StrCat("no order phase is called \"", phase, "\""), {}));
+        send_refusal(*reply, exposure{}.refuse(error_code::bad_request,
+                                               absl::StrCat("no order phase is called \"", phase, "\""), {}));
         return;
     }
-    context.platform.scan(order_prefix, request.parameter("after"), rows_per_page,
-                          [reply, phase](const read_answer& answer) {
-                              if (answer.failed) {
-                                  refuse(*reply, exposure{}.refuse(error_code::store_unavailable,
-                                                                   "the platform's table is not reachable",
-                                                                   milliseconds{1000}));
-                                  return;
-                              }
-                              reply->send(ok_status, dump(listed_page(answer, phase)));
-                          });
+    context.platform.scan(
+        order_prefix, request.parameter("after"), rows_per_page, [reply, phase](const read_answer& answer) {
+            if (answer.failed) {
+                send_refusal(*reply,
+                             exposure{}.refuse(error_code::store_unavailable,
+                                               "the platform's table is not reachable", milliseconds{1000}));
+                return;
+            }
+            reply->send(ok_status, dump(listed_page(answer, phase)));
+        });
 }
 
 // Carries out one settlement; kept alive by the table's calls.
@@ -116,7 +110,7 @@
         this->reply->send(ok_status, dump(listed(action.record, event_loop::wall_now())));
     }
 
-    void perform(const settlement_refused& action) { refuse(*this->reply, action.why); }
+    void perform(const settlement_refused& action) { send_refusal(*this->reply, action.why); }
 
     daemon_context& context;
     std::shared_ptr<http_reply> reply;
@@ -129,8 +123,8 @@
     const auto body = parse_json(request.body);
     auto settlement = body.ok() ? parse_settlement(*body) : body.status();
     if (!settlement.ok()) {
-        refuse(*reply,
-               exposure{}.refuse(error_code::bad_request, std::string(settlement.status().message()), {}));
+        send_refusal(*reply, exposure{}.refuse(error_code::bad_request,
+                                               std::string(settlement.status().message()), {}));
         return;
     }
     const auto& services = context.configuration.declared.services;
--- a/src/tool/call_any.cpp
+++ b/src/tool/call_any.cpp
@@ -7,22 +7,6 @@
 
 constexpr int ok_status = 200;
 
-} // namespace
-
-absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
-                                         const std::string& path, const std::string& body)
-{
-    absl::Status last = absl::InvalidArgumentError("no daemon was named; use --daemon");
-    for (const std::string& daemon : options.daemons) {
-        auto answer = call_daemon(options, daemon, method, path, body);
-        if (answer.ok() || !absl::IsUnavailable(answer.status())) {
-            return answer;
-        }
-        last = answer.status();
-    }
-    return last;
-}
-
 int exit_for(const absl::Status& status)
 {
     if (absl::IsUnavailable(status)) {
@@ -46,4 +30,33 @@
               << "\n";
 }
 
+} // namespace
+
+absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
+                                         const std::string& path, const std::string& body)
+{
+    absl::Status last = absl::InvalidArgumentError("no daemon was named; use --daemon");
+    for (const std::string& daemon : options.daemons) {
+        auto answer = call_daemon(options, daemon, method, path, body);
+        if (answer.ok() || !absl::IsUnavailable(answer.status())) {
+            return answer;
+        }
+        last = answer.status();
+    }
+    return last;
+}
+
+int report_call(const absl::StatusOr<operator_answer>& answer)
+{
+    if (!answer.ok()) {
+        std::cerr << answer.status().message() << "\n";
+        return exit_for(answer.status());
+    }
+    const int status = exit_for(*answer);
+    if (status != exit_ok) {
+        print_error(*answer);
+    }
+    return status;
+}
+
 } // namespace dandelionstep
--- a/src/tool/call_any.hpp
+++ b/src/tool/call_any.hpp
@@ -8,13 +8,7 @@
 absl::StatusOr<operator_answer> call_any(const tool_options& options, const std::string& method,
                                          const std::string& path, const std::string& body);
 
-//! The tool's exit status for a call that got no answer.
-int exit_for(const absl::Status& status);
-
-//! The tool's exit status for an answer.
-int exit_for(const operator_answer& answer);
-
-//! Prints the code and message of an error answer to standard error.
-void print_error(const operator_answer& answer);
+//! The tool's exit status for a call; prints to standard error why one failed or was refused.
+int report_call(const absl::StatusOr<operator_answer>& answer);
 
 } // namespace dandelionstep
--- a/src/tool/configuration_command.cpp
+++ b/src/tool/configuration_command.cpp
@@ -1,5 +1,6 @@
 #include "tool/configuration_command.hpp"
 
+#include "adapters/percent_encode.hpp"
 #include "configuration/declarations.hpp"
 #include "configuration/difference.hpp"
 #include "tool/call_any.hpp"
@@ -36,14 +37,8 @@
 json fetch_records(const tool_options& options, const std::string& query, int& failed)
 {
     const auto answer = call_any(options, "GET", "/v1/configuration" + query, "");
-    if (!answer.ok()) {
-        std::cerr << answer.status().message() << "\n";
-        failed = exit_for(answer.status());
-        return {};
-    }
-    failed = exit_for(*answer);
+    failed = report_call(answer);
     if (failed != exit_ok) {
-        print_error(*answer);
         return {};
     }
     return answer->body;
@@ -98,7 +93,8 @@
 int show_records(const tool_options& options, const get_options& wanted)
 {
     int failed = exit_ok;
-    const json body = fetch_records(options, "?kind=" + wanted.kind + "&name=" + wanted.name, failed);
+    const json body = fetch_records(
+        options, "?kind=" + percent_encode(wanted.kind) + "&name=" + percent_encode(wanted.name), failed);
     if (failed != exit_ok) {
         return failed;
     }
@@ -136,13 +132,8 @@
         body["change_id"] = change;
     }
     const auto answer = call_any(options, "POST", "/v1/configuration/apply", dump(body));
-    if (!answer.ok()) {
-        std::cerr << answer.status().message() << "\n";
-        return exit_for(answer.status());
-    }
-    if (exit_for(*answer) != exit_ok) {
-        print_error(*answer);
-        return exit_for(*answer);
+    if (const int status = report_call(answer); status != exit_ok) {
+        return status;
     }
     if (options.output == "json") {
         std::cout << dump(answer->body) << "\n";
--- a/src/tool/orders_command.cpp
+++ b/src/tool/orders_command.cpp
@@ -1,5 +1,6 @@
 #include "tool/orders_command.hpp"
 
+#include "adapters/percent_encode.hpp"
 #include "tool/call_any.hpp"
 
 #include <CLI/CLI.hpp>
@@ -9,8 +10,6 @@
 namespace dandelionstep {
 namespace {
 
-constexpr int ok_status = 200;
-
 //! What `orders settle` was given.
 struct settle_options {
     std::string organisation;
@@ -21,22 +20,6 @@
     bool did_not_run = false;
 };
 
-// The exit status of a call that failed or was refused; prints why.
-int report_failure(const absl::StatusOr<operator_answer>& answer)
-{
-    if (!answer.ok()) {
-        std::cerr << answer.status().message() << "\n";
-        return exit_for(answer.status());
-    }
-    print_error(*answer);
-    return exit_for(*answer);
-}
-
-bool succeeded(const absl::StatusOr<operator_answer>& answer)
-{
-    return answer.ok() && answer->status == ok_status;
-}
-
 void print_order(const json& order)
 {
     std::cout << "organisation=" << string_or(order, "organisation", "")
@@ -47,24 +30,16 @@
               << "\n";
 }
 
-// A key of the table holds names and digits only, but for its slashes.
-std::string query_of(const std::string& phase, const std::string& after)
-{
-    std::string query = "/v1/orders?phase=" + phase + "&after=";
-    for (const char c : after) {
-        query += c == '/' ? std::string("%2F") : std::string(1, c);
-    }
-    return query;
-}
-
 int list_orders(const tool_options& options, const std::string& phase)
 {
     json all = json::array();
     std::string after;
     do {
-        const auto page = call_any(options, "GET", query_of(phase, after), "");
-        if (!succeeded(page)) {
-            return report_failure(page);
+        const auto page =
+            call_any(options, "GET",
+                     "/v1/orders?phase=" + percent_encode(phase) + "&after=" + percent_encode(after), "");
+        if (const int status = report_call(page); status != exit_ok) {
+            return status;
         }
         for (const json& order : page->body.value("orders", json::array())) {
             all.push_back(order);
@@ -93,8 +68,8 @@
                     {"ran", settle.ran},
                     {"note", settle.note}};
     const auto answer = call_any(options, "POST", "/v1/orders/settle", dump(body));
-    if (!succeeded(answer)) {
-        return report_failure(answer);
+    if (const int status = report_call(answer); status != exit_ok) {
+        return status;
     }
     if (options.output == "json") {
         std::cout << dump(answer->body) << "\n";
--- a/src/tool/report_command.cpp
+++ b/src/tool/report_command.cpp
@@ -16,13 +16,8 @@
         (void)call_daemon(options, daemon, "POST", "/v1/report/write", "");
     }
     const auto answer = call_any(options, "GET", "/v1/report/burn?format=" + format, "");
-    if (!answer.ok()) {
-        std::cerr << answer.status().message() << "\n";
-        return exit_for(answer.status());
-    }
-    if (exit_for(*answer) != exit_ok) {
-        print_error(*answer);
-        return exit_for(*answer);
+    if (const int status = report_call(answer); status != exit_ok) {
+        return status;
     }
     std::cout << answer->text;
     if (format == "json") {
--- a/src/vm/settings.cpp
+++ b/src/vm/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "common/toml_text.hpp"
 #include "vm/nearest_name.hpp"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 #include <functional>
 #include <limits>
 #include <optional>
-#include <toml++/toml.h>
 
 namespace dandelionstep {
 namespace {
@@ -266,16 +266,13 @@
 
 absl::StatusOr<settings> parse_settings(const std::string& toml_text, const std::string& file_name)
 {
-    toml::table document;
-    try {
-        document = toml::parse(toml_text, file_name);
-    } catch (const toml::parse_error& error) {
-        return absl::InvalidArgumentError(
-            absl::StrCat(file_name, ":", error.source().begin.line, ": ", std::string(error.description())));
+    const auto document = parse_toml(toml_text, file_name);
+    if (!document.ok()) {
+        return document.status();
     }
     settings_reader reader(file_name);
-    reader.read(document);
-    reader.check_tls(document);
+    reader.read(*document);
+    reader.check_tls(*document);
     return std::move(reader).result();
 }
 
--- a/tests/process/tool_test.cpp
+++ b/tests/process/tool_test.cpp
@@ -130,4 +130,10 @@
          1,
          "store_unavailable"},
     });
+    http_request listing{.method = "GET", .path = "/v1/orders"};
+    listing.headers = {{"Authorization", std::string("Bearer ") + operator_token}};
+    const http_result refused = call(running.operators_of(0), std::move(listing));
+    CHECK(refused.status == 503);
+    CHECK(refused.header("Outcome") == "not_run");
+    CHECK(refused.header("Retry-After") == "1");
 }
