--- /dev/null
+++ b/src/adapters/caller_port.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "adapters/event_loop.hpp"
+#include "adapters/http_reader.hpp"
+#include "route/entry_config.hpp"
+#include "target/endpoint.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace dandelionstep {
+
+//! One caller's request and the way to answer it once. After the caller has gone every call does nothing.
+class caller_exchange {
+public:
+    http_head head;
+    std::string body;
+    //! When its first byte was read.
+    time_point began;
+    //! Called when the caller goes away before its answer is whole.
+    std::function<void()> on_gone;
+
+    //! Sends a whole answer.
+    void answer(int status, const http_headers& headers, std::string_view text);
+    //! Begins an answer in parts.
+    void start(int status, const http_headers& headers);
+    void write(std::string_view part);
+    //! Ends an answer in parts; only this makes it whole.
+    void finish();
+    //! Ends the connection, so that an answer that was begun can't pass for whole.
+    void abort();
+
+    [[nodiscard]] bool started() const { return this->is_started; }
+    [[nodiscard]] bool gone() const { return this->connection == nullptr; }
+
+private:
+    friend class caller_port;
+    friend struct caller_connection;
+
+    struct caller_connection* connection = nullptr;
+    bool is_started = false;
+};
+
+//! The port at which callers' requests arrive over HTTP/1.1.
+class caller_port {
+public:
+    using handler = std::function<void(const std::shared_ptr<caller_exchange>&)>;
+
+    caller_port(event_loop& loop, handler handle);
+    ~caller_port();
+    caller_port(const caller_port&) = delete;
+    caller_port& operator=(const caller_port&) = delete;
+    caller_port(caller_port&&) = delete;
+    caller_port& operator=(caller_port&&) = delete;
+
+    absl::Status listen(const endpoint& at);
+    //! The bounds for all connections from now on.
+    void set_bounds(const caller_bounds& bounds);
+    //! From now on every answer ends its connection, and idle connections are closed.
+    void close_after_answers();
+    //! Closes connections that wait for a request.
+    void close_idle();
+    //! Requests that are read or answered now.
+    [[nodiscard]] int unfinished() const;
+    [[nodiscard]] int connections() const;
+
+private:
+    friend struct caller_connection;
+    struct state;
+    std::unique_ptr<state> self;
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/adapters/channel_pool.cpp
@@ -0,0 +1,396 @@
+#include "adapters/channel_pool.hpp"
+
+#include "absl/strings/numbers.h"
+#include "adapters/socket_options.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace dandelionstep {
+namespace {
+
+constexpr std::size_t max_idle_per_target = 64;
+// How long a connection is kept when the target doesn't say.
+constexpr milliseconds default_idle_timeout{5'000};
+// A connection is given up so long before the target would close it.
+constexpr milliseconds idle_margin{400};
+constexpr milliseconds sweep_interval{500};
+
+// The time for which the target says that it keeps an idle connection.
+milliseconds idle_timeout_of(const http_head& head)
+{
+    constexpr std::string_view key = "timeout=";
+    constexpr std::int64_t ms_per_second = 1000;
+    const std::string value = head.header("Keep-Alive");
+    const std::size_t at = value.find(key);
+    if (at == std::string::npos) {
+        return default_idle_timeout;
+    }
+    const std::size_t begin = at + key.size();
+    const std::size_t end = value.find_first_not_of("0123456789", begin);
+    std::int64_t seconds = 0;
+    if (!absl::SimpleAtoi(value.substr(begin, end == std::string::npos ? end : end - begin), &seconds)) {
+        return default_idle_timeout;
+    }
+    return milliseconds{seconds * ms_per_second};
+}
+
+} // namespace
+
+// One connection to a target and the request that is on it, if any.
+class channel_pool::exchange {
+public:
+    state* owner = nullptr;
+    endpoint to;
+    bufferevent* raw = nullptr;
+    http_reader reader;
+    exchange_callbacks callbacks;
+    http_head head;
+    event_loop::timer connect_timer;
+    time_point idle_since;
+    milliseconds idle_timeout = default_idle_timeout;
+    bool connected = false;
+    bool was_used = false;
+    bool bytes_sent = false;
+    bool active = false;
+    bool skipping = false;
+    bool in_callback = false;
+
+    exchange()
+        : reader(http_reader::kind::responses, {[this](http_head& read) { this->take_head(read); },
+                                                [this](std::string_view part) { this->take_body(part); }})
+    {}
+
+    ~exchange()
+    {
+        if (this->raw != nullptr) {
+            bufferevent_free(this->raw);
+        }
+    }
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+
+    void take_head(http_head& read)
+    {
+        this->head = std::move(read);
+        this->skipping = this->active && this->callbacks.is_own && !this->callbacks.is_own(this->head);
+        if (this->active && !this->skipping && this->callbacks.on_head) {
+            this->callbacks.on_head(this->head);
+        }
+    }
+
+    void take_body(std::string_view part)
+    {
+        if (this->active && !this->skipping && this->callbacks.on_body) {
+            this->callbacks.on_body(part);
+        }
+    }
+};
+
+struct channel_pool::state {
+    event_loop& loop;
+    std::unordered_map<exchange*, std::shared_ptr<exchange>> running;
+    std::map<endpoint, std::vector<std::shared_ptr<exchange>>> idle;
+    channel_counts counts;
+    event_loop::timer sweep;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    explicit state(event_loop& loop_in) : loop(loop_in) {}
+
+    static void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
+    {
+        if (info->n_deleted > 0) {
+            static_cast<exchange*>(argument)->bytes_sent = true;
+        }
+    }
+
+    static void on_read(bufferevent* /*raw*/, void* argument)
+    {
+        auto* self = static_cast<exchange*>(argument);
+        self->owner->read(*self);
+    }
+
+    static void on_event(bufferevent* /*raw*/, short what, void* argument)
+    {
+        auto* self = static_cast<exchange*>(argument);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            self->connected = true;
+            self->connect_timer = {};
+            set_socket_options(bufferevent_getfd(self->raw));
+            return;
+        }
+        self->owner->closed(*self, (what & BEV_EVENT_EOF) != 0);
+    }
+
+    std::shared_ptr<exchange> connect(const endpoint& to)
+    {
+        auto made = std::make_shared<exchange>();
+        made->owner = this;
+        made->to = to;
+        made->raw = bufferevent_socket_new(this->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(made->raw, on_read, nullptr, on_event, made.get());
+        evbuffer_add_cb(bufferevent_get_output(made->raw), on_output, made.get());
+        ++this->counts.opened;
+        return made;
+    }
+
+    bool start_connecting(exchange& made)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(made.to.port);
+        inet_pton(AF_INET, made.to.address.c_str(), &address.sin_addr);
+        bufferevent_enable(made.raw, EV_READ | EV_WRITE);
+        return bufferevent_socket_connect(made.raw, reinterpret_cast<const sockaddr*>(&address),
+                                          sizeof(address)) == 0;
+    }
+
+    std::shared_ptr<exchange> take_idle(const endpoint& to, milliseconds most_idle)
+    {
+        const auto found = this->idle.find(to);
+        if (found == this->idle.end()) {
+            return nullptr;
+        }
+        const time_point now = event_loop::now();
+        while (!found->second.empty()) {
+            std::shared_ptr<exchange> kept = std::move(found->second.back());
+            found->second.pop_back();
+            const milliseconds quiet = now - kept->idle_since;
+            if (quiet < kept->idle_timeout - idle_margin && quiet <= most_idle) {
+                return kept;
+            }
+            this->discard(std::move(kept));
+        }
+        return nullptr;
+    }
+
+    // libevent may still be inside the connection's callbacks.
+    void discard(std::shared_ptr<exchange> doomed)
+    {
+        doomed->active = false;
+        bufferevent_disable(doomed->raw, EV_READ | EV_WRITE);
+        bufferevent_setcb(doomed->raw, nullptr, nullptr, nullptr, nullptr);
+        this->loop.post([doomed = std::move(doomed)] {});
+    }
+
+    std::shared_ptr<exchange> remove(exchange& ended)
+    {
+        const auto found = this->running.find(&ended);
+        if (found == this->running.end()) {
+            return nullptr;
+        }
+        std::shared_ptr<exchange> kept = std::move(found->second);
+        this->running.erase(found);
+        return kept;
+    }
+
+    void finish(const std::shared_ptr<exchange>& ended, exchange_end how)
+    {
+        ended->active = false;
+        ended->connect_timer = {};
+        const auto on_end = std::move(ended->callbacks.on_end);
+        ended->callbacks = {};
+        if (on_end) {
+            on_end(how, ended->was_used);
+        }
+    }
+
+    void read(exchange& self)
+    {
+        evbuffer* input = bufferevent_get_input(self.raw);
+        if (!self.active) {
+            // Nothing was asked for, so these bytes belong to no request.
+            this->drop_idle(self);
+            return;
+        }
+        while (evbuffer_get_length(input) > 0) {
+            const std::size_t size = evbuffer_get_length(input);
+            const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+            const http_reader::result result = self.reader.feed(std::string_view(bytes, size));
+            if (!self.active) {
+                // A callback cancelled the exchange.
+                return;
+            }
+            evbuffer_drain(input, result.taken);
+            if (result.state == http_reader::progress::malformed) {
+                this->fail(self);
+                return;
+            }
+            if (result.state == http_reader::progress::complete && !self.skipping) {
+                this->complete(self);
+                return;
+            }
+            if (result.state == http_reader::progress::complete) {
+                ++this->counts.skipped_responses;
+            }
+        }
+    }
+
+    void complete(exchange& self)
+    {
+        const std::shared_ptr<exchange> kept = this->remove(self);
+        const bool drained = evbuffer_get_length(bufferevent_get_output(self.raw)) == 0;
+        const bool extra = evbuffer_get_length(bufferevent_get_input(self.raw)) > 0;
+        std::vector<std::shared_ptr<exchange>>& others = this->idle[self.to];
+        if (self.head.keep_alive && drained && !extra && others.size() < max_idle_per_target) {
+            self.idle_since = event_loop::now();
+            self.idle_timeout = idle_timeout_of(self.head);
+            others.push_back(kept);
+            this->finish(kept, exchange_end::complete);
+        } else {
+            this->finish(kept, exchange_end::complete);
+            this->discard(kept);
+        }
+    }
+
+    void fail(exchange& self)
+    {
+        const std::shared_ptr<exchange> kept = this->remove(self);
+        if (kept) {
+            const exchange_end how = self.bytes_sent ? exchange_end::broken : exchange_end::not_sent;
+            this->discard(kept);
+            this->finish(kept, how);
+        }
+    }
+
+    void drop_idle(exchange& self)
+    {
+        const auto found = this->idle.find(self.to);
+        if (found == this->idle.end()) {
+            return;
+        }
+        for (auto at = found->second.begin(); at != found->second.end(); ++at) {
+            if (at->get() == &self) {
+                std::shared_ptr<exchange> kept = std::move(*at);
+                found->second.erase(at);
+                this->discard(std::move(kept));
+                return;
+            }
+        }
+    }
+
+    void closed(exchange& self, bool in_order)
+    {
+        if (!self.active) {
+            this->drop_idle(self);
+            return;
+        }
+        // Only a response without a length is ended by the end of its connection.
+        if (in_order && self.reader.end_of_input() && !self.skipping && self.active) {
+            const std::shared_ptr<exchange> kept = this->remove(self);
+            if (kept) {
+                this->discard(kept);
+                this->finish(kept, exchange_end::complete);
+            }
+            return;
+        }
+        this->fail(self);
+    }
+
+    void close_expired()
+    {
+        const time_point now = event_loop::now();
+        for (auto entry = this->idle.begin(); entry != this->idle.end();) {
+            auto& list = entry->second;
+            for (auto at = list.begin(); at != list.end();) {
+                if (now - (*at)->idle_since >= (*at)->idle_timeout - idle_margin) {
+                    std::shared_ptr<exchange> expired = std::move(*at);
+                    at = list.erase(at);
+                    this->discard(std::move(expired));
+                } else {
+                    ++at;
+                }
+            }
+            entry = list.empty() ? this->idle.erase(entry) : std::next(entry);
+        }
+    }
+};
+
+channel_pool::channel_pool(event_loop& loop) : self(std::make_unique<state>(loop))
+{
+    this->self->sweep = loop.run_every(sweep_interval, [this] { this->self->close_expired(); });
+}
+
+channel_pool::~channel_pool()
+{
+    this->self->alive.reset();
+}
+
+std::weak_ptr<channel_pool::exchange> channel_pool::send(const endpoint& to, std::string bytes,
+                                                         const send_options& options,
+                                                         exchange_callbacks callbacks)
+{
+    std::shared_ptr<exchange> used = this->self->take_idle(to, options.most_idle);
+    const bool is_new = used == nullptr;
+    if (is_new) {
+        used = this->self->connect(to);
+    } else {
+        ++this->self->counts.reused;
+        used->was_used = true;
+    }
+    used->callbacks = std::move(callbacks);
+    used->active = true;
+    used->bytes_sent = false;
+    used->skipping = false;
+    this->self->running.emplace(used.get(), used);
+    bufferevent_write(used->raw, bytes.data(), bytes.size());
+    const auto fail_later = [owner = this->self.get(), watched = std::weak_ptr(used),
+                             alive = std::weak_ptr(this->self->alive)] {
+        const std::shared_ptr<exchange> kept = watched.lock();
+        if (kept && !alive.expired() && kept->active) {
+            owner->fail(*kept);
+        }
+    };
+    if (is_new && !this->self->start_connecting(*used)) {
+        this->self->loop.post(fail_later);
+    } else if (is_new) {
+        used->connect_timer = this->self->loop.run_after(options.connect_timeout, fail_later);
+    }
+    return used;
+}
+
+void channel_pool::cancel(const std::weak_ptr<exchange>& running)
+{
+    const std::shared_ptr<exchange> kept = running.lock();
+    if (kept && kept->active && this->self->remove(*kept)) {
+        kept->connect_timer = {};
+        this->self->discard(kept);
+        // The callbacks may be running, so they are released from the loop's queue.
+        this->self->loop.post([kept] { kept->callbacks = {}; });
+    }
+}
+
+void channel_pool::forget(const endpoint& to)
+{
+    const auto found = this->self->idle.find(to);
+    if (found == this->self->idle.end()) {
+        return;
+    }
+    for (std::shared_ptr<exchange>& kept : found->second) {
+        this->self->discard(std::move(kept));
+    }
+    this->self->idle.erase(found);
+}
+
+const channel_counts& channel_pool::counts() const
+{
+    return this->self->counts;
+}
+
+int channel_pool::open_connections() const
+{
+    std::size_t count = this->self->running.size();
+    for (const auto& [to, kept] : this->self->idle) {
+        count += kept.size();
+    }
+    return static_cast<int>(count);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/adapters/channel_pool.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "adapters/event_loop.hpp"
+#include "adapters/http_reader.hpp"
+#include "target/endpoint.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace dandelionstep {
+
+//! How an exchange with a target ended.
+enum class exchange_end {
+    complete, //!< A whole response was received.
+    not_sent, //!< No byte of the request left this process.
+    broken,   //!< The connection ended, or the bytes were no response; the request may have arrived.
+};
+
+//! How the request is to be sent.
+struct send_options {
+    //! Connections that have been idle for longer are not used.
+    milliseconds most_idle{60'000};
+    //! A new connection that is not established in this time counts as not sent.
+    milliseconds connect_timeout{1'000};
+};
+
+//! What happens to one request that was sent. Callbacks run on the loop, never from within send or cancel.
+struct exchange_callbacks {
+    //! Whether the response belongs to this request; the others are skipped.
+    std::function<bool(const http_head&)> is_own;
+    std::function<void(const http_head&)> on_head;
+    std::function<void(std::string_view)> on_body;
+    //! Called exactly once unless the exchange was cancelled. `reused`: the connection had been used before.
+    std::function<void(exchange_end end, bool reused)> on_end;
+};
+
+//! Counts since the start.
+struct channel_counts {
+    std::int64_t opened = 0;
+    std::int64_t reused = 0;
+    std::int64_t skipped_responses = 0;
+};
+
+//! Kept HTTP/1.1 connections to targets, one request at a time on each.
+class channel_pool {
+public:
+    class exchange;
+
+    explicit channel_pool(event_loop& loop);
+    ~channel_pool();
+    channel_pool(const channel_pool&) = delete;
+    channel_pool& operator=(const channel_pool&) = delete;
+    channel_pool(channel_pool&&) = delete;
+    channel_pool& operator=(channel_pool&&) = delete;
+
+    //! Sends the bytes of one request.
+    std::weak_ptr<exchange> send(const endpoint& to, std::string bytes, const send_options& options,
+                                 exchange_callbacks callbacks);
+    //! Ends the exchange and its connection; no callback follows.
+    void cancel(const std::weak_ptr<exchange>& running);
+    //! Closes the idle connections to an address, whose owner may have changed.
+    void forget(const endpoint& to);
+    [[nodiscard]] const channel_counts& counts() const;
+    [[nodiscard]] int open_connections() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> self;
+};
+
+} // namespace dandelionstep
--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "adapters/event_loop.hpp"
 
 #include <chrono>
+#include <ctime>
 #include <event2/event.h>
 #include <event2/thread.h>
 #include <mutex>
@@ -81,8 +82,13 @@
 
 time_point event_loop::now()
 {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(since_start).count()};
+    // Unlike the steady clock, this one counts the time for which the machine was suspended, so that
+    // leases and deadlines run out during a pause.
+    constexpr std::int64_t ms_per_second = 1000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    timespec since_boot{};
+    clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    return {since_boot.tv_sec * ms_per_second + since_boot.tv_nsec / ns_per_ms};
 }
 
 wall_time event_loop::wall_now()
--- /dev/null
+++ b/src/adapters/http_reader.cpp
@@ -0,0 +1,180 @@
+#include "adapters/http_reader.hpp"
+
+#include <http_parser.h>
+
+namespace dandelionstep {
+
+struct http_reader::state {
+    http_parser parser{};
+    kind reads = kind::requests;
+    callbacks handle;
+    http_head head;
+    bool in_value = false;
+    bool begun = false;
+    bool head_complete = false;
+    bool complete = false;
+    std::size_t head_size = 0;
+
+    void reset()
+    {
+        http_parser_init(&this->parser, this->reads == kind::requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        this->parser.data = this;
+        this->head = {};
+        this->in_value = false;
+        this->begun = false;
+        this->head_complete = false;
+        this->complete = false;
+        this->head_size = 0;
+    }
+
+    static state& of(http_parser* parser) { return *static_cast<state*>(parser->data); }
+
+    static int on_url(http_parser* parser, const char* text, std::size_t size)
+    {
+        of(parser).head.target.append(text, size);
+        return 0;
+    }
+
+    static int on_field(http_parser* parser, const char* text, std::size_t size)
+    {
+        state& self = of(parser);
+        if (self.head_complete) {
+            // Trailers after a chunked body carry nothing that is used.
+            return 0;
+        }
+        if (self.in_value || self.head.headers.empty()) {
+            self.head.headers.emplace_back();
+            self.in_value = false;
+        }
+        self.head.headers.back().first.append(text, size);
+        return 0;
+    }
+
+    static int on_value(http_parser* parser, const char* text, std::size_t size)
+    {
+        state& self = of(parser);
+        if (self.head_complete) {
+            return 0;
+        }
+        self.in_value = true;
+        self.head.headers.back().second.append(text, size);
+        return 0;
+    }
+
+    static int on_headers_complete(http_parser* parser)
+    {
+        state& self = of(parser);
+        self.head_complete = true;
+        self.head.status = static_cast<int>(parser->status_code);
+        self.head.keep_alive = http_should_keep_alive(parser) != 0;
+        if (self.reads == kind::requests) {
+            self.head.method = http_method_str(static_cast<http_method>(parser->method));
+        }
+        // Interim responses precede the response itself.
+        constexpr int first_final_status = 200;
+        if (self.reads == kind::requests || self.head.status >= first_final_status) {
+            self.handle.on_head(self.head);
+        }
+        return 0;
+    }
+
+    static int on_body(http_parser* parser, const char* text, std::size_t size)
+    {
+        of(parser).handle.on_body(std::string_view(text, size));
+        return 0;
+    }
+
+    static int on_complete(http_parser* parser)
+    {
+        of(parser).complete = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    static const http_parser_settings& settings()
+    {
+        static const http_parser_settings shared = [] {
+            http_parser_settings made;
+            http_parser_settings_init(&made);
+            made.on_url = on_url;
+            made.on_header_field = on_field;
+            made.on_header_value = on_value;
+            made.on_headers_complete = on_headers_complete;
+            made.on_body = on_body;
+            made.on_message_complete = on_complete;
+            return made;
+        }();
+        return shared;
+    }
+};
+
+http_reader::http_reader(kind reads, callbacks handle) : self(std::make_unique<state>())
+{
+    this->self->reads = reads;
+    this->self->handle = std::move(handle);
+    this->self->reset();
+}
+
+http_reader::~http_reader() = default;
+
+http_reader::result http_reader::feed(std::string_view bytes)
+{
+    constexpr int first_final_status = 200;
+    if (this->self->complete) {
+        this->self->reset();
+    }
+    if (bytes.empty()) {
+        return {progress::needs_more, 0};
+    }
+    std::size_t taken = 0;
+    while (taken < bytes.size()) {
+        this->self->begun = true;
+        const bool in_head = !this->self->head_complete;
+        const std::size_t step = http_parser_execute(&this->self->parser, &state::settings(),
+                                                     bytes.data() + taken, bytes.size() - taken);
+        taken += step;
+        if (in_head) {
+            this->self->head_size += step;
+        }
+        const http_errno error = HTTP_PARSER_ERRNO(&this->self->parser);
+        if (error != HPE_OK && error != HPE_PAUSED) {
+            return {progress::malformed, taken};
+        }
+        if (!this->self->complete) {
+            continue;
+        }
+        const bool interim =
+            this->self->reads == kind::responses && this->self->head.status < first_final_status;
+        if (!interim) {
+            return {progress::complete, taken};
+        }
+        this->self->reset();
+    }
+    return {progress::needs_more, taken};
+}
+
+bool http_reader::end_of_input()
+{
+    if (!this->self->begun || this->self->complete) {
+        return false;
+    }
+    http_parser_execute(&this->self->parser, &state::settings(), nullptr, 0);
+    return this->self->complete;
+}
+
+bool http_reader::inside_message() const
+{
+    return this->self->begun && !this->self->complete;
+}
+
+std::size_t http_reader::head_bytes() const
+{
+    return this->self->head_size;
+}
+
+bool http_reader::head_done() const
+{
+    return this->self->head_complete;
+}
+
+} // namespace dandelionstep
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,11 +1,14 @@
 #include "adapters/log.hpp"
 
 #include "adapters/event_loop.hpp"
+#include "adapters/line_writer.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cstdint>
 #include <glog/logging.h>
+#include <memory>
+#include <unistd.h>
 
 namespace dandelionstep {
 namespace {
@@ -16,6 +19,13 @@
     return vm;
 }
 
+// Set when lines go to standard output.
+std::unique_ptr<line_writer>& output_writer()
+{
+    static std::unique_ptr<line_writer> writer;
+    return writer;
+}
+
 bool is_plain(unsigned char c)
 {
     return c > ' ' && c < 0x7F && c != '"' && c != '=' && c != '\\';
@@ -31,6 +41,25 @@
     google::InitGoogleLogging(program);
 }
 
+void start_logging_to_output(std::string vm)
+{
+    constexpr std::size_t max_buffered_bytes = std::size_t{256} * 1024;
+    logging_vm() = std::move(vm);
+    output_writer() = std::make_unique<line_writer>(STDOUT_FILENO, max_buffered_bytes);
+}
+
+void flush_log()
+{
+    if (output_writer()) {
+        output_writer()->flush();
+    }
+}
+
+std::int64_t dropped_log_lines()
+{
+    return output_writer() ? output_writer()->dropped() : 0;
+}
+
 std::string escape_log_value(std::string_view value)
 {
     if (!value.empty() && std::ranges::all_of(value, is_plain)) {
@@ -65,6 +94,10 @@
         line += '=';
         line += escape_log_value(value.str());
     }
+    if (output_writer()) {
+        output_writer()->add(line);
+        return;
+    }
     LOG(INFO) << line;
 }
 
--- /dev/null
+++ b/src/adapters/socket_options.cpp
@@ -0,0 +1,39 @@
+#include "adapters/socket_options.hpp"
+
+#include "adapters/log.hpp"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace dandelionstep {
+namespace {
+
+// Links deliver within milliseconds; a peer that acknowledges nothing for so long is cut off or dead.
+constexpr int unacknowledged_limit_ms = 4000;
+constexpr int probe_after_seconds = 3;
+constexpr int probe_interval_seconds = 1;
+constexpr int probe_count = 3;
+
+void set_option(evutil_socket_t socket, int level, int name, int value)
+{
+    if (setsockopt(socket, level, name, &value, sizeof(value)) != 0) {
+        log_event("socket_option_failed", {{"option", name}, {"reason", std::strerror(errno)}});
+    }
+}
+
+} // namespace
+
+void set_socket_options(evutil_socket_t socket)
+{
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_after_seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/entry_context.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "adapters/channel_pool.hpp"
+#include "adapters/event_loop.hpp"
+#include "common/hash.hpp"
+#include "entry/dialect.hpp"
+#include "entry/entry_metrics.hpp"
+#include "entry/log_budget.hpp"
+#include "route/entry_config.hpp"
+#include "route/retry_budget.hpp"
+#include "target/entry_target.hpp"
+#include "target/target_condition.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace dandelionstep {
+
+//! What all parts of an entry daemon share; touched by the loop alone.
+struct entry_context {
+    event_loop& loop;
+    const entry_dialect& dialect;
+    entry_settings settings;
+    channel_pool channels;
+    //! Null until the first configuration is known.
+    std::shared_ptr<const entry_config> config;
+    target_registry targets;
+    //! Whether the registry was read at least once.
+    bool targets_known = false;
+    target_conditions conditions;
+    std::map<service_id, retry_budget> retry_budgets;
+    //! Daemons that share the retry budget with this one, itself included.
+    std::int64_t daemons = 1;
+    entry_metrics metrics;
+    log_budget logs;
+    std::mt19937_64 random;
+    bool stopping = false;
+
+    entry_context(event_loop& loop_in, const entry_dialect& dialect_in, entry_settings settings_in)
+        : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)), channels(loop_in),
+          random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
+    {}
+
+    //! Uniform in [0, 1).
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+};
+
+//! The service's retry budget, this daemon's share of it.
+retry_budget& budget_of(entry_context& context, const service_id& service);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/entry_daemon.cpp
@@ -0,0 +1,208 @@
+#include "entry/entry_daemon.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "adapters/caller_port.hpp"
+#include "adapters/log.hpp"
+#include "entry/entry_context.hpp"
+#include "entry/placer.hpp"
+#include "entry/request_relay.hpp"
+#include "entry/status_port.hpp"
+#include "entry/store_watch.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace dandelionstep {
+namespace {
+
+constexpr std::uint16_t metrics_port = 9464;
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr milliseconds housekeeping_interval{250};
+// The balancer asks once a second and takes a daemon out after two misses.
+constexpr milliseconds balancer_notice{2'600};
+// Requests that were taken in during the notice are finished until shortly before the end of the grace period.
+constexpr milliseconds end_margin{350};
+
+class entry_daemon {
+public:
+    entry_daemon(const entry_dialect& dialect, entry_settings settings, std::string settings_path_in)
+        : settings_path(std::move(settings_path_in)), context(this->loop, dialect, std::move(settings)),
+          store(this->context), watch(this->context, this->store), placement(this->context, this->store),
+          engines(this->context), relay(this->context, this->engines),
+          callers(this->loop,
+                  [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
+          readiness(this->loop), metrics(this->loop)
+    {}
+
+    absl::Status run()
+    {
+        absl::Status status = this->listen();
+        if (!status.ok()) {
+            return status;
+        }
+        log_event("started", {{"callers", to_string(this->context.settings.callers)},
+                              {"store", to_string(this->context.settings.store)},
+                              {"data_centre", this->context.settings.data_centre.value},
+                              {"process", static_cast<std::int64_t>(getpid())}});
+        this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
+        this->watch.start();
+        this->placement.start();
+        const auto stop = [this] { this->begin_stop(); };
+        const event_loop::timer on_term = this->loop.on_signal(SIGTERM, stop);
+        const event_loop::timer on_int = this->loop.on_signal(SIGINT, stop);
+        const event_loop::timer on_hup = this->loop.on_signal(SIGHUP, [this] { this->reload(); });
+        const event_loop::timer housekeeping =
+            this->loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
+        this->loop.run();
+        log_event("stopped", {{"unfinished", this->callers.unfinished()}});
+        flush_log();
+        return absl::OkStatus();
+    }
+
+private:
+    absl::Status listen()
+    {
+        const entry_settings& settings = this->context.settings;
+        this->readiness.serve("/readiness", [this] { return this->readiness_page(); });
+        this->metrics.serve("/metrics", [this] { return this->metrics_page(); });
+        absl::Status status = this->callers.listen(settings.callers);
+        status.Update(this->readiness.listen(settings.readiness));
+        if (!settings.own_address.empty()) {
+            const absl::Status metrics_status = this->metrics.listen({settings.own_address, metrics_port});
+            if (!metrics_status.ok()) {
+                // Serving requests does not depend on it.
+                log_event("metrics_unavailable", {{"reason", std::string(metrics_status.message())}});
+            }
+        }
+        return status;
+    }
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return this->context.config && this->context.targets_known && !this->stop_began;
+    }
+
+    status_port::page readiness_page()
+    {
+        return this->is_ready() ? status_port::page{status_ok, "ready\n"}
+                                : status_port::page{status_unavailable, "not ready\n"};
+    }
+
+    status_port::page metrics_page()
+    {
+        std::map<std::string, std::int64_t>& gauges = this->context.metrics.gauges;
+        gauges["config_version"] = this->context.config ? this->context.config->version.value : -1;
+        gauges["targets"] = static_cast<std::int64_t>(this->context.targets.size());
+        gauges["caller_connections"] = this->callers.connections();
+        gauges["target_connections"] = this->context.channels.open_connections();
+        gauges["target_connections_opened"] = this->context.channels.counts().opened;
+        gauges["responses_skipped"] = this->context.channels.counts().skipped_responses;
+        gauges["log_lines_dropped"] = dropped_log_lines() + this->context.logs.dropped_failures +
+                                      this->context.logs.dropped_successes;
+        return {status_ok, to_prometheus(this->context.metrics)};
+    }
+
+    void reload()
+    {
+        const absl::StatusOr<entry_settings> read =
+            read_entry_settings(this->context.dialect, this->settings_path);
+        if (!read.ok()) {
+            log_event("reload_failed", {{"reason", std::string(read.status().message())}});
+            return;
+        }
+        // Listening addresses stay until the next start.
+        entry_settings next = *read;
+        next.callers = this->context.settings.callers;
+        next.readiness = this->context.settings.readiness;
+        this->context.settings = next;
+        log_event("reloaded", {{"store", to_string(next.store)}});
+    }
+
+    void begin_stop()
+    {
+        if (this->stop_began) {
+            return;
+        }
+        this->stop_began = event_loop::now();
+        log_event("stopping", {{"unfinished", this->callers.unfinished()}});
+        this->callers.close_after_answers();
+        this->placement.stop();
+    }
+
+    void keep_house()
+    {
+        flush_log();
+        const time_point now = event_loop::now();
+        this->check_settings_file(now);
+        if (!this->stop_began) {
+            return;
+        }
+        const milliseconds stopping_for = now - *this->stop_began;
+        if (stopping_for < balancer_notice) {
+            return;
+        }
+        this->context.stopping = true;
+        this->callers.close_idle();
+        const bool out_of_time = stopping_for > this->context.settings.grace_period - end_margin;
+        if (this->callers.unfinished() == 0 || out_of_time) {
+            this->loop.stop();
+        }
+    }
+
+    // The file may change without a signal.
+    void check_settings_file(time_point now)
+    {
+        constexpr milliseconds file_check_interval{1'000};
+        if (now - this->file_checked_at < file_check_interval) {
+            return;
+        }
+        this->file_checked_at = now;
+        std::ifstream file(this->settings_path);
+        std::ostringstream text;
+        text << file.rdbuf();
+        const std::uint64_t hash = hash_of(text.str());
+        if (this->file_hash != 0 && hash != this->file_hash) {
+            this->reload();
+        }
+        this->file_hash = hash;
+    }
+
+    std::string settings_path;
+    event_loop loop;
+    entry_context context;
+    store_client store;
+    store_watch watch;
+    placer placement;
+    engine_calls engines;
+    request_relay relay;
+    caller_port callers;
+    status_port readiness;
+    status_port metrics;
+    std::optional<time_point> stop_began;
+    time_point file_checked_at{0};
+    std::uint64_t file_hash = 0;
+};
+
+} // namespace
+
+absl::StatusOr<entry_settings> read_entry_settings(const entry_dialect& dialect, const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return absl::NotFoundError(absl::StrCat(path, ": cannot be read"));
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return dialect.parse_settings(text.str(), path);
+}
+
+absl::Status run_entry_daemon(const entry_dialect& dialect, const entry_settings& settings,
+                              const std::string& settings_path)
+{
+    start_logging_to_output(settings.vm.value);
+    return entry_daemon(dialect, settings, settings_path).run();
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/entry_metrics.cpp
@@ -0,0 +1,45 @@
+#include "entry/entry_metrics.hpp"
+
+#include "absl/strings/str_cat.h"
+
+namespace dandelionstep {
+namespace {
+
+void append_counts(std::string& text, const std::string& name, const std::string& label,
+                   const std::map<std::string, std::int64_t>& counts)
+{
+    absl::StrAppend(&text, "# TYPE ", name, " counter\n");
+    for (const auto& [value, count] : counts) {
+        absl::StrAppend(&text, name, "{", label, "=\"", value, "\"} ", count, "\n");
+    }
+}
+
+} // namespace
+
+std::string to_prometheus(const entry_metrics& metrics)
+{
+    std::string text = "# TYPE dandelionstep_entry_requests_total counter\n";
+    for (const auto& [kind, results] : metrics.requests) {
+        for (const auto& [result, count] : results) {
+            absl::StrAppend(&text, "dandelionstep_entry_requests_total{kind=\"", kind, "\",result=\"", result,
+                            "\"} ", count, "\n");
+        }
+    }
+    append_counts(text, "dandelionstep_entry_retries_total", "reason", metrics.retries);
+    append_counts(text, "dandelionstep_entry_store_calls_total", "result", metrics.store_calls);
+    append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
+    for (const auto& [name, value] : metrics.gauges) {
+        absl::StrAppend(&text, "# TYPE dandelionstep_entry_", name, " gauge\n", "dandelionstep_entry_", name, " ",
+                        value, "\n");
+    }
+    absl::StrAppend(&text, "# TYPE dandelionstep_entry_first_part_seconds histogram\n");
+    for (const auto& [kind, histogram] : metrics.first_part) {
+        absl::StrAppend(&text, histogram.to_prometheus("dandelionstep_entry_first_part_seconds",
+                                                       absl::StrCat("kind=\"", kind, "\"")));
+    }
+    absl::StrAppend(&text, "# TYPE dandelionstep_entry_event_gap_seconds histogram\n",
+                    metrics.event_gap.to_prometheus("dandelionstep_entry_event_gap_seconds", ""));
+    return text;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/entry_metrics.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "report/latency_histogram.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace dandelionstep {
+
+//! Counts of an entry daemon since its start.
+struct entry_metrics {
+    //! By kind of route, then by what became of the request.
+    std::map<std::string, std::map<std::string, std::int64_t>> requests;
+    //! Until the first part of the answer, by kind of route.
+    std::map<std::string, latency_histogram> first_part;
+    //! Between two events of a stream.
+    latency_histogram event_gap;
+    //! Requests sent to targets after the first, by reason.
+    std::map<std::string, std::int64_t> retries;
+    //! Calls to the store by result.
+    std::map<std::string, std::int64_t> store_calls;
+    //! Orders to engines by result.
+    std::map<std::string, std::int64_t> orders;
+    //! Values as of now, by name.
+    std::map<std::string, std::int64_t> gauges;
+};
+
+//! The counts in Prometheus text format.
+std::string to_prometheus(const entry_metrics& metrics);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/lease.cpp
@@ -0,0 +1,96 @@
+#include "entry/lease.hpp"
+
+#include "common/json.hpp"
+
+namespace dandelionstep {
+namespace {
+
+bool is_same_process(const lease_record& a, const lease_record& b)
+{
+    return a.holder == b.holder && a.process == b.process;
+}
+
+} // namespace
+
+std::string to_text(const lease_record& record)
+{
+    return dump({{"holder", record.holder.value},
+                 {"process", std::to_string(record.process)},
+                 {"fencing_number", record.fencing_number},
+                 {"renewals", record.renewals}});
+}
+
+absl::StatusOr<lease_record> parse_lease(std::string_view text)
+{
+    const absl::StatusOr<json> parsed = parse_json(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const absl::StatusOr<std::string> holder = string_member(*parsed, "holder");
+    const absl::StatusOr<std::int64_t> number = integer_member(*parsed, "fencing_number");
+    if (!holder.ok() || !number.ok()) {
+        return absl::InvalidArgumentError("the lease names no holder or fencing number");
+    }
+    lease_record record;
+    record.holder = vm_id(*holder);
+    record.process = std::strtoull(string_or(*parsed, "process", "0").c_str(), nullptr, 10);
+    record.fencing_number = *number;
+    record.renewals = integer_or(*parsed, "renewals", 0);
+    return record;
+}
+
+void note_lease_row(lease_state& state, const lease_record& record, std::int64_t version, time_point now)
+{
+    if (state.is_known && version <= state.row_version) {
+        return;
+    }
+    if (!is_same_process(record, state.known) || record.fencing_number != state.known.fencing_number) {
+        state.mine_until = {0};
+    }
+    state.known = record;
+    state.row_version = version;
+    state.is_known = true;
+    state.changed_at = now;
+}
+
+bool holds_lease(const lease_state& state, time_point now)
+{
+    return now < state.mine_until;
+}
+
+bool should_write_lease(const lease_state& state, const lease_times& times, const lease_record& self,
+                        time_point now)
+{
+    if (state.writing || !state.is_known) {
+        return false;
+    }
+    if (holds_lease(state, now)) {
+        return now - state.renewed_at >= times.renew_after;
+    }
+    if (state.row_version == 0 || is_same_process(state.known, self)) {
+        return true;
+    }
+    return now - state.changed_at >= times.duration;
+}
+
+lease_record next_lease(const lease_state& state, const lease_record& self)
+{
+    lease_record next = self;
+    const bool renews = is_same_process(state.known, self) && state.row_version > 0;
+    next.fencing_number = renews ? state.known.fencing_number : state.known.fencing_number + 1;
+    next.renewals = state.known.renewals + 1;
+    return next;
+}
+
+void note_lease_written(lease_state& state, const lease_record& written, std::int64_t version,
+                        const lease_times& times, time_point sent_at, time_point now)
+{
+    state.known = written;
+    state.row_version = version;
+    state.is_known = true;
+    state.changed_at = now;
+    state.renewed_at = sent_at;
+    state.mine_until = sent_at + times.duration - times.margin;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/placer.cpp
@@ -0,0 +1,283 @@
+#include "entry/placer.hpp"
+
+#include "adapters/log.hpp"
+
+#include <algorithm>
+
+namespace dandelionstep {
+namespace {
+
+constexpr const char* lease_table = "dandelionstep";
+constexpr const char* lease_key = "placement";
+// Renewals are returned at once; the wait only bounds how late a silent connection is found.
+constexpr milliseconds feed_wait{2'000};
+constexpr milliseconds call_slack{700};
+constexpr milliseconds write_timeout{1'000};
+constexpr milliseconds feed_retry{500};
+constexpr milliseconds plan_interval{300};
+// Engines register one after the other; a plan made before they all have would not fit the others.
+constexpr milliseconds settle_time{900};
+constexpr milliseconds engine_timeout{700};
+// Registrations show new layers after a heartbeat and its way through the store.
+constexpr milliseconds registration_lag{2'500};
+// An engine that refused an order or is busy is left alone for this time.
+constexpr milliseconds pause_after_refusal{600};
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+
+} // namespace
+
+placer::placer(entry_context& context_in, store_client& store_in)
+    : context(context_in), store(store_in), calls(context_in)
+{
+    this->self.holder = context_in.settings.vm;
+    this->self.process = context_in.random();
+}
+
+void placer::start()
+{
+    this->follow_lease();
+    this->plan_timer = this->context.loop.run_every(plan_interval, [this] {
+        this->write_lease();
+        this->plan();
+    });
+}
+
+void placer::stop()
+{
+    this->stopped = true;
+    this->plan_timer = {};
+    if (!holds_lease(this->lease, event_loop::now())) {
+        return;
+    }
+    this->lease.mine_until = {0};
+    conditional_write removal;
+    removal.row = {lease_table, lease_key, "", 0, true};
+    removal.expected_version = this->lease.row_version;
+    this->store.call(this->context.dialect.write_call({removal}), write_timeout, [](const store_answer& answer) {
+        log_event("lease_given_up", {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
+    });
+}
+
+void placer::follow_lease()
+{
+    const bool is_first = !this->lease.is_known;
+    const outgoing_call call =
+        is_first ? this->context.dialect.rows_call(lease_table, "")
+                 : this->context.dialect.changes_call(lease_table, this->lease_feed_version, feed_wait);
+    const milliseconds timeout = is_first ? call_slack : feed_wait + call_slack;
+    this->store.call(call, timeout, [this](const store_answer& answer) {
+        milliseconds pause{0};
+        if (answer.result == store_result::ok) {
+            this->take_lease_rows(answer.rows);
+        } else if (answer.result == store_result::history_is_gone) {
+            // Reads the row anew; what was known stays until then.
+            this->lease.is_known = false;
+        } else {
+            pause = feed_retry;
+        }
+        if (!this->stopped) {
+            this->lease_timer = this->context.loop.run_after(pause, [this] { this->follow_lease(); });
+        }
+    });
+}
+
+void placer::take_lease_rows(const stored_rows& rows)
+{
+    const time_point now = event_loop::now();
+    bool found = false;
+    for (const stored_row& row : rows.rows) {
+        if (row.key != lease_key) {
+            continue;
+        }
+        found = true;
+        if (row.is_removed) {
+            this->lease.is_known = false;
+            note_lease_row(this->lease, this->lease.known, 0, now);
+            continue;
+        }
+        const absl::StatusOr<lease_record> record = parse_lease(row.value);
+        if (!record.ok()) {
+            log_event("lease_unreadable", {{"reason", std::string(record.status().message())}});
+            continue;
+        }
+        if (record->fencing_number != this->lease.known.fencing_number) {
+            log_event("lease_seen", {{"holder", record->holder.value},
+                                     {"fencing_number", record->fencing_number},
+                                     {"row_version", row.version}});
+        }
+        note_lease_row(this->lease, *record, row.version, now);
+    }
+    if (!found && !this->lease.is_known) {
+        note_lease_row(this->lease, {}, 0, now);
+    }
+    this->lease_feed_version = std::max(this->lease_feed_version, rows.version);
+}
+
+void placer::write_lease()
+{
+    const time_point now = event_loop::now();
+    if (this->stopped || this->context.stopping ||
+        !should_write_lease(this->lease, this->times, this->self, now)) {
+        return;
+    }
+    const lease_record next = next_lease(this->lease, this->self);
+    conditional_write write;
+    write.row = {lease_table, lease_key, to_text(next), 0, false};
+    write.expected_version = this->lease.row_version;
+    this->lease.writing = true;
+    const bool held = holds_lease(this->lease, now);
+    this->store.call(this->context.dialect.write_call({write}), write_timeout,
+                     [this, next, now, held](const store_answer& answer) {
+                         this->lease.writing = false;
+                         if (answer.result == store_result::ok) {
+                             note_lease_written(this->lease, next, answer.rows.version, this->times, now,
+                                                event_loop::now());
+                             if (!held) {
+                                 log_event("lease_taken", {{"fencing_number", next.fencing_number}});
+                             }
+                             return;
+                         }
+                         if (answer.result == store_result::conflict) {
+                             this->take_lease_rows({answer.rows.rows, false, 0});
+                         }
+                         log_event("lease_write_failed",
+                                   {{"result", answer.result == store_result::conflict ? "conflict" : "no_answer"},
+                                    {"held", held ? "yes" : "no"}});
+                     });
+}
+
+bool placer::has_settled(time_point now)
+{
+    std::size_t engines = 0;
+    for (const auto& [id, target] : this->context.targets) {
+        engines += target.kind.empty() ? 0 : 1;
+    }
+    if (engines > this->engines_seen) {
+        this->engines_changed_at = now;
+    }
+    this->engines_seen = engines;
+    return now - this->engines_changed_at >= settle_time;
+}
+
+void placer::plan()
+{
+    const time_point now = event_loop::now();
+    const bool settled = this->has_settled(now);
+    const bool is_holder = holds_lease(this->lease, now);
+    this->context.metrics.gauges["lease_held"] = is_holder ? 1 : 0;
+    this->context.metrics.gauges["lease_fencing_number"] = this->lease.known.fencing_number;
+    if (!is_holder || !settled || !this->context.config || !this->context.targets_known) {
+        return;
+    }
+    const std::shared_ptr<const entry_config> config = this->context.config;
+    for (const auto& [id, service] : config->services) {
+        if (service.engine) {
+            this->plan_service(service);
+        }
+    }
+}
+
+std::vector<registered_target> placer::assumed_engines(const service_id& service, time_point now)
+{
+    std::vector<registered_target> engines;
+    for (const auto& [id, target] : this->context.targets) {
+        if (target.service != service) {
+            continue;
+        }
+        engines.push_back(target);
+        const auto found = this->pending.find(id);
+        if (found == this->pending.end()) {
+            continue;
+        }
+        const bool is_over = now >= found->second.until || found->second.started != target.started ||
+                             found->second.layers == target.layers;
+        if (is_over) {
+            this->pending.erase(found);
+        } else {
+            engines.back().layers = found->second.layers;
+        }
+    }
+    return engines;
+}
+
+void placer::plan_service(const entry_service& service)
+{
+    const time_point now = event_loop::now();
+    const std::vector<registered_target> engines = this->assumed_engines(service.id, now);
+    const layer_placement plan = plan_layers(*service.engine, engines);
+    for (const registered_target& engine : engines) {
+        const auto wanted = plan.find(engine.id);
+        if (wanted == plan.end() || wanted->second == engine.layers || this->pending.contains(engine.id)) {
+            continue;
+        }
+        this->place(engine, wanted->second, *service.engine);
+    }
+}
+
+void placer::assume(const registered_target& engine, held_layers layers, milliseconds lasting)
+{
+    this->pending[engine.id] = {layers, event_loop::now() + lasting, engine.started};
+}
+
+// The report gives the sequence that the order must name, so that a late one of an earlier holder or of this
+// daemon is refused by the engine.
+void placer::place(const registered_target& engine, held_layers wanted, const engine_profile& profile)
+{
+    this->assume(engine, wanted, engine_timeout * 2);
+    this->calls.ask_report(engine.id, engine.address, engine_timeout,
+                           [this, engine, wanted, profile](const std::optional<engine_report>& report) {
+                               if (!report) {
+                                   this->assume(engine, engine.layers, pause_after_refusal);
+                                   return;
+                               }
+                               if (report->is_busy) {
+                                   this->assume(engine, wanted, pause_after_refusal);
+                                   return;
+                               }
+                               if (!(report->layers == engine.layers)) {
+                                   // The registration lags behind; the next plan sees what is there.
+                                   this->assume(engine, report->layers, registration_lag);
+                                   return;
+                               }
+                               this->order(engine, wanted, *report, profile);
+                           });
+}
+
+void placer::order(const registered_target& engine, held_layers wanted, const engine_report& report,
+                   const engine_profile& profile)
+{
+    if (!holds_lease(this->lease, event_loop::now())) {
+        this->pending.erase(engine.id);
+        return;
+    }
+    const std::int64_t load_ms = profile.load_time.count * wanted.size() / std::max<std::int64_t>(1, profile.layers);
+    const milliseconds lasting = milliseconds{load_ms * 2} + registration_lag;
+    const place_order order{wanted, report.order_sequence, this->lease.known.fencing_number};
+    log_event("place_order", {{"target", engine.id.value},
+                              {"layers_begin", wanted.begin},
+                              {"layers_end", wanted.end},
+                              {"held_begin", report.layers.begin},
+                              {"held_end", report.layers.end},
+                              {"order_sequence", report.order_sequence},
+                              {"fencing_number", order.fencing_number}});
+    this->assume(engine, wanted, lasting);
+    this->calls.send(engine.address, this->context.dialect.place_call(engine.id, order), engine_timeout,
+                     [this, engine, lasting, wanted](const engine_answer& answer) {
+                         const bool accepted = answer.status == status_ok || answer.status == status_accepted;
+                         ++this->context.metrics.orders[accepted ? "accepted" : "failed"];
+                         if (accepted) {
+                             return;
+                         }
+                         log_event("place_order_failed", {{"target", engine.id.value}, {"status", answer.status}});
+                         // Without an answer the order may still be carried out.
+                         if (answer.status == 0) {
+                             this->assume(engine, wanted, lasting);
+                         } else {
+                             this->assume(engine, engine.layers, pause_after_refusal);
+                         }
+                     });
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/placer.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "entry/engine_calls.hpp"
+#include "entry/lease.hpp"
+#include "entry/store_client.hpp"
+#include "target/layer_placement.hpp"
+
+#include <map>
+
+namespace dandelionstep {
+
+//! Gives engines their layers, on the one daemon that holds the lease.
+class placer {
+public:
+    placer(entry_context& context, store_client& store);
+
+    void start();
+    //! Lets another daemon take the lease over at once.
+    void stop();
+
+private:
+    //! An engine that was asked or ordered, and what is assumed of it meanwhile.
+    struct pending_order {
+        held_layers layers;
+        time_point until;
+        incarnation started;
+    };
+
+    void follow_lease();
+    void take_lease_rows(const stored_rows& rows);
+    void write_lease();
+    void plan();
+    [[nodiscard]] bool has_settled(time_point now);
+    void plan_service(const entry_service& service);
+    [[nodiscard]] std::vector<registered_target> assumed_engines(const service_id& service, time_point now);
+    void place(const registered_target& engine, held_layers wanted, const engine_profile& profile);
+    void order(const registered_target& engine, held_layers wanted, const engine_report& report,
+               const engine_profile& profile);
+    void assume(const registered_target& engine, held_layers layers, milliseconds lasting);
+
+    entry_context& context;
+    store_client& store;
+    engine_calls calls;
+    lease_state lease;
+    lease_times times;
+    lease_record self;
+    std::int64_t lease_feed_version = 0;
+    std::map<target_id, pending_order> pending;
+    std::size_t engines_seen = 0;
+    time_point engines_changed_at{0};
+    event_loop::timer lease_timer;
+    event_loop::timer plan_timer;
+    bool stopped = false;
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/request_relay.cpp
@@ -0,0 +1,164 @@
+#include "entry/request_relay.hpp"
+
+#include "absl/strings/str_format.h"
+#include "adapters/log.hpp"
+#include "entry/call_runner.hpp"
+#include "entry/stream_runner.hpp"
+
+namespace dandelionstep {
+namespace {
+
+constexpr int status_unauthorised = 401;
+constexpr int status_not_found = 404;
+constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
+constexpr int first_failure_status = 400;
+// A daemon that has just started knows its configuration within about this time.
+constexpr milliseconds retry_after_start{400};
+// Another daemon takes the request at once.
+constexpr milliseconds retry_after_stop{50};
+
+std::string seconds_text(milliseconds span)
+{
+    constexpr double ms_per_second = 1000;
+    return absl::StrFormat("%.3f", static_cast<double>(span.count) / ms_per_second);
+}
+
+} // namespace
+
+std::string_view name_of(route_kind kind)
+{
+    switch (kind) {
+    case route_kind::idempotent:
+        return "idempotent";
+    case route_kind::at_most_once:
+        return "at_most_once";
+    case route_kind::stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+void record_request(entry_context& context, const accepted_request& request, int status,
+                    std::string_view result, const target_id& target)
+{
+    const std::string kind(request.route != nullptr ? name_of(request.route->kind) : "unrouted");
+    ++context.metrics.requests[kind][std::string(result)];
+    const time_point now = event_loop::now();
+    const bool failed = status >= first_failure_status || result == "cut";
+    if (!may_log(context.logs, failed ? log_weight::failure : log_weight::success, now)) {
+        return;
+    }
+    log_event("request", {{"id", request.facts.attempt_id},
+                          {"kind", kind},
+                          {"route", request.route != nullptr ? request.route->name : ""},
+                          {"config", request.config ? request.config->version.value : 0},
+                          {"organisation", request.organisation ? request.organisation->value : ""},
+                          {"status", status},
+                          {"result", result},
+                          {"target", target.value},
+                          {"ms", now - request.caller->began},
+                          {"left_ms", request.deadline - now}});
+}
+
+void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
+            milliseconds retry_after)
+{
+    http_headers headers;
+    if (retry_after > milliseconds{0}) {
+        headers.emplace_back("Retry-After", seconds_text(retry_after));
+    }
+    if (!request.facts.attempt_id.empty()) {
+        headers.emplace_back("Content-Type", "text/plain");
+    }
+    record_request(context, request, status, reason, {});
+    request.caller->answer(status, headers, std::string(reason) + "\n");
+}
+
+struct request_relay::state {
+    entry_context& context;
+    engine_calls& engines;
+
+    // Finds the organisation; false when the key is unknown.
+    bool identify(accepted_request& request) const
+    {
+        request.priority = request.route->priority;
+        if (!request.config->has_organisations || request.route->is_public) {
+            return true;
+        }
+        const auto owner = request.config->keys.find(request.facts.key);
+        if (owner == request.config->keys.end()) {
+            return false;
+        }
+        request.organisation = owner->second.organisation;
+        request.priority = owner->second.priority.value_or(request.priority);
+        return true;
+    }
+
+    void take(const std::shared_ptr<caller_exchange>& caller) const
+    {
+        accepted_request request;
+        request.caller = caller;
+        request.facts = this->context.dialect.read_request(caller->head.headers);
+        request.config = this->context.config;
+        request.deadline = caller->began;
+        if (this->context.stopping) {
+            refuse(this->context, request, status_unavailable, "stopping", retry_after_stop);
+            return;
+        }
+        if (!request.config || !this->context.targets_known) {
+            refuse(this->context, request, status_unavailable, "no_configuration_yet", retry_after_start);
+            return;
+        }
+        request.route = find_route(*request.config, caller->head.header("Host"), caller->head.target);
+        if (request.route == nullptr) {
+            refuse(this->context, request, status_not_found, "no_route", {0});
+            return;
+        }
+        if (!this->identify(request)) {
+            refuse(this->context, request, status_unauthorised, "unknown_key", {0});
+            return;
+        }
+        milliseconds allowed = request.route->timeout;
+        if (request.facts.patience) {
+            allowed = std::min(allowed, *request.facts.patience);
+        }
+        request.deadline = caller->began + allowed;
+        this->dispatch(request);
+    }
+
+    void dispatch(accepted_request& request) const
+    {
+        const service_id* service = pick_service(*request.route, this->context.draw());
+        if (service == nullptr) {
+            refuse(this->context, request, status_unavailable, "route_without_service", retry_after_start);
+            return;
+        }
+        request.service = *service;
+        note_request(budget_of(this->context, request.service));
+        const auto known = request.config->services.find(request.service);
+        const bool has_engines = known != request.config->services.end() && known->second.engine.has_value();
+        if (has_engines && request.facts.attempt_id.empty()) {
+            refuse(this->context, request, status_bad_request, "no_attempt_id", {0});
+            return;
+        }
+        if (request.route->kind == route_kind::stream) {
+            run_stream(this->context, this->engines, std::move(request));
+        } else {
+            run_call(this->context, std::move(request));
+        }
+    }
+};
+
+request_relay::request_relay(entry_context& context, engine_calls& engines)
+    : self(std::make_unique<state>(state{context, engines}))
+{}
+
+request_relay::~request_relay() = default;
+
+void request_relay::take(const std::shared_ptr<caller_exchange>& caller)
+{
+    this->self->take(caller);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/request_relay.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "adapters/caller_port.hpp"
+#include "entry/engine_calls.hpp"
+#include "entry/entry_context.hpp"
+
+#include <memory>
+
+namespace dandelionstep {
+
+//! A caller's request with the route and the organisation that it belongs to.
+struct accepted_request {
+    std::shared_ptr<caller_exchange> caller;
+    request_facts facts;
+    //! Keeps `route` alive.
+    std::shared_ptr<const entry_config> config;
+    const entry_route* route = nullptr;
+    service_id service;
+    std::optional<organisation_id> organisation;
+    int priority = 5;
+    //! When its caller or its route give it up.
+    time_point deadline;
+};
+
+//! Decides what a request is and hands it to the runner of its kind, or refuses it.
+class request_relay {
+public:
+    request_relay(entry_context& context, engine_calls& engines);
+    ~request_relay();
+    request_relay(const request_relay&) = delete;
+    request_relay& operator=(const request_relay&) = delete;
+    request_relay(request_relay&&) = delete;
+    request_relay& operator=(request_relay&&) = delete;
+
+    void take(const std::shared_ptr<caller_exchange>& caller);
+
+private:
+    struct state;
+    std::unique_ptr<state> self;
+};
+
+//! Answers with a failure of the router's own and records it. `retry_after` of zero sends no such header.
+void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
+            milliseconds retry_after);
+
+//! Records what became of a request in the metrics and, within bounds, in the log.
+void record_request(entry_context& context, const accepted_request& request, int status,
+                    std::string_view result, const target_id& target);
+
+//! The kind's name in metrics and logs.
+std::string_view name_of(route_kind kind);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/route/layer_path.cpp
@@ -0,0 +1,242 @@
+#include "route/layer_path.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace dandelionstep {
+namespace {
+
+constexpr double unreachable = std::numeric_limits<double>::infinity();
+// Handing a token on inside a data centre: the network's delay and the next engine's wait for its pass.
+constexpr double same_centre_hop_ms = 0.5;
+// Handing it to another data centre: a longer delay, and a pipe that all engines share.
+constexpr double other_centre_hop_ms = 4.0;
+// Engines whose memory is taken above this share preempt requests; they are chosen last.
+constexpr double comfortable_memory_share = 0.85;
+constexpr double memory_penalty = 40.0;
+constexpr double mb_in_bytes = 1e6;
+// Engines accept no longer paths.
+constexpr std::size_t max_parts = 32;
+
+// The best known way to have run all layers up to a boundary.
+struct arrival {
+    double cost = unreachable;
+    // Layer at which the last engine took over, and the engine before it.
+    std::int64_t entered_at = 0;
+    std::size_t from = SIZE_MAX;
+};
+
+std::vector<std::int64_t> boundaries_of(const path_query& query, const std::vector<path_candidate>& candidates)
+{
+    std::vector<std::int64_t> found = {query.from_layer, query.profile->layers};
+    for (const path_candidate& candidate : candidates) {
+        found.push_back(candidate.target->layers.begin);
+        found.push_back(candidate.target->layers.end);
+    }
+    std::erase_if(found, [&](std::int64_t layer) {
+        return layer < query.from_layer || layer > query.profile->layers;
+    });
+    std::ranges::sort(found);
+    found.erase(std::ranges::unique(found).begin(), found.end());
+    return found;
+}
+
+double hop_cost(const data_centre_id& from, const data_centre_id& to)
+{
+    return from == to ? same_centre_hop_ms : other_centre_hop_ms;
+}
+
+double layer_cost(const path_query& query, const path_candidate& candidate)
+{
+    const auto kind = query.profile->kinds.find(candidate.target->kind);
+    if (kind == query.profile->kinds.end()) {
+        return unreachable;
+    }
+    double cost = step_time_ms(*query.profile, kind->second, 1, candidate.running) * candidate.slowness;
+    if (candidate.memory_used > comfortable_memory_share) {
+        cost *= 1 + memory_penalty * (candidate.memory_used - comfortable_memory_share);
+    }
+    return cost;
+}
+
+// An engine that is left and entered again holds everything in between as well, so it keeps the request.
+std::vector<path_part> without_returns(std::vector<path_part> path)
+{
+    for (std::size_t first = 0; first < path.size(); ++first) {
+        for (std::size_t last = path.size() - 1; last > first; --last) {
+            if (path[first].target == path[last].target) {
+                path[first].layers.end = path[last].layers.end;
+                path.erase(path.begin() + static_cast<std::ptrdiff_t>(first) + 1,
+                           path.begin() + static_cast<std::ptrdiff_t>(last) + 1);
+                break;
+            }
+        }
+    }
+    return path;
+}
+
+class path_search {
+public:
+    path_search(const path_query& query_in, const std::vector<path_candidate>& candidates_in)
+        : query(query_in), candidates(candidates_in), boundaries(boundaries_of(query_in, candidates_in)),
+          arrivals(boundaries.size(), std::vector<arrival>(candidates_in.size()))
+    {
+        for (const path_candidate& candidate : candidates_in) {
+            this->costs.push_back(layer_cost(query_in, candidate));
+        }
+    }
+
+    std::vector<path_part> run()
+    {
+        for (std::size_t at = 0; at + 1 < this->boundaries.size(); ++at) {
+            this->advance(at);
+        }
+        return this->trace_back();
+    }
+
+private:
+    struct cheapest {
+        double cost = unreachable;
+        std::size_t engine = SIZE_MAX;
+    };
+
+    // The cheapest arrivals in each data centre stand for all of them when the engine changes.
+    [[nodiscard]] std::map<data_centre_id, cheapest> cheapest_by_centre(std::size_t at) const
+    {
+        std::map<data_centre_id, cheapest> best;
+        for (std::size_t engine = 0; engine < this->candidates.size(); ++engine) {
+            const double cost = this->arrivals[at][engine].cost;
+            cheapest& known = best[this->candidates[engine].target->data_centre];
+            if (cost < known.cost) {
+                known = {cost, engine};
+            }
+        }
+        return best;
+    }
+
+    // How engine `to` can take over at the boundary.
+    [[nodiscard]] arrival take_over(std::size_t at, std::size_t to,
+                                    const std::map<data_centre_id, cheapest>& best) const
+    {
+        const data_centre_id& centre = this->candidates[to].target->data_centre;
+        arrival result;
+        result.entered_at = this->boundaries[at];
+        if (at == 0) {
+            const data_centre_id& before =
+                this->query.previous != nullptr ? this->query.previous->data_centre : this->query.entry;
+            result.cost = hop_cost(before, centre);
+            return result;
+        }
+        for (const auto& [from_centre, from] : best) {
+            const double cost = from.cost + hop_cost(from_centre, centre);
+            if (cost < result.cost) {
+                result.cost = cost;
+                result.from = from.engine;
+            }
+        }
+        return result;
+    }
+
+    void advance(std::size_t at)
+    {
+        const std::map<data_centre_id, cheapest> best = this->cheapest_by_centre(at);
+        const std::int64_t begin = this->boundaries[at];
+        const std::int64_t end = this->boundaries[at + 1];
+        for (std::size_t engine = 0; engine < this->candidates.size(); ++engine) {
+            const held_layers& held = this->candidates[engine].target->layers;
+            if (held.begin > begin || held.end < end) {
+                continue;
+            }
+            arrival way = this->take_over(at, engine, best);
+            const arrival& stayed = this->arrivals[at][engine];
+            if (stayed.cost <= way.cost) {
+                way = stayed;
+            }
+            way.cost += this->costs[engine] * static_cast<double>(end - begin);
+            this->arrivals[at + 1][engine] = way;
+        }
+    }
+
+    [[nodiscard]] std::size_t index_of(std::int64_t boundary) const
+    {
+        return static_cast<std::size_t>(std::ranges::lower_bound(this->boundaries, boundary) -
+                                        this->boundaries.begin());
+    }
+
+    [[nodiscard]] std::vector<path_part> trace_back() const
+    {
+        std::size_t at = this->boundaries.size() - 1;
+        const auto& ends = this->arrivals[at];
+        std::size_t engine = 0;
+        for (std::size_t other = 1; other < ends.size(); ++other) {
+            if (ends[other].cost < ends[engine].cost) {
+                engine = other;
+            }
+        }
+        if (ends.empty() || ends[engine].cost == unreachable) {
+            return {};
+        }
+        std::vector<path_part> path;
+        while (at > 0) {
+            const arrival& way = this->arrivals[at][engine];
+            path.push_back({this->candidates[engine].target, {way.entered_at, this->boundaries[at]}});
+            at = this->index_of(way.entered_at);
+            engine = way.from;
+        }
+        std::ranges::reverse(path);
+        return without_returns(std::move(path));
+    }
+
+    const path_query& query;
+    const std::vector<path_candidate>& candidates;
+    std::vector<std::int64_t> boundaries;
+    std::vector<std::vector<arrival>> arrivals;
+    std::vector<double> costs;
+};
+
+} // namespace
+
+double step_time_ms(const engine_profile& profile, const accelerator_kind& kind, std::int64_t layers,
+                    double running)
+{
+    const double context_k = (profile.usual_prompt + profile.usual_answer / 2) / 1000;
+    const double whole = profile.step_ms +
+                         running * (profile.step_ms_per_request + profile.step_ms_per_context_k * context_k);
+    return whole * kind.step_factor * static_cast<double>(layers) / static_cast<double>(profile.layers);
+}
+
+double token_room(const engine_profile& profile, const accelerator_kind& kind, std::int64_t held)
+{
+    if (held <= 0) {
+        return 0;
+    }
+    const double left = kind.memory_mb - profile.layer_mb * static_cast<double>(held);
+    const double token_mb =
+        profile.token_bytes / mb_in_bytes * static_cast<double>(held) / static_cast<double>(profile.layers);
+    return token_mb <= 0 ? 0 : std::max(0.0, left / token_mb);
+}
+
+std::vector<path_part> find_layer_path(const path_query& query, const std::vector<path_candidate>& candidates)
+{
+    std::vector<path_part> path = path_search(query, candidates).run();
+    if (path.size() > max_parts) {
+        return {};
+    }
+    return path;
+}
+
+bool is_valid_path(const std::vector<path_part>& path, std::int64_t from_layer, std::int64_t layers)
+{
+    std::int64_t next = from_layer;
+    for (const path_part& part : path) {
+        if (part.layers.begin != next || part.layers.empty() ||
+            part.layers.begin < part.target->layers.begin || part.layers.end > part.target->layers.end) {
+            return false;
+        }
+        next = part.layers.end;
+    }
+    return next == layers;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/route/layer_path.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "route/entry_config.hpp"
+#include "target/entry_target.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace dandelionstep {
+
+//! An engine that may be part of a path, with its present load.
+struct path_candidate {
+    const registered_target* target = nullptr;
+    //! Requests that are estimated to run on it, of all daemons.
+    double running = 0;
+    //! Estimated share of its memory for requests that is taken, 0 to 1 and above.
+    double memory_used = 0;
+    //! Factor on its times; above 1 for an engine that was found slow.
+    double slowness = 1;
+};
+
+//! One engine's part of a path.
+struct path_part {
+    const registered_target* target = nullptr;
+    held_layers layers;
+};
+
+//! What a path is to cover.
+struct path_query {
+    const engine_profile* profile = nullptr;
+    //! First layer that is still to be placed.
+    std::int64_t from_layer = 0;
+    //! Engine that runs the layer before; null at the start.
+    const registered_target* previous = nullptr;
+    //! Where the request enters; paths begin there when that is as fast.
+    data_centre_id entry;
+};
+
+//! The path of least estimated time for one token over layers [from_layer, layers), every layer once and in
+//! order and no engine twice. Empty when some layer is held by no candidate.
+std::vector<path_part> find_layer_path(const path_query& query, const std::vector<path_candidate>& candidates);
+
+//! Whether the parts cover [from_layer, layers) without gap or overlap, within what their engines hold.
+bool is_valid_path(const std::vector<path_part>& path, std::int64_t from_layer, std::int64_t layers);
+
+//! Estimated time of one token step over `layers` layers on an accelerator with `running` requests.
+double step_time_ms(const engine_profile& profile, const accelerator_kind& kind, std::int64_t layers,
+                    double running);
+
+//! Tokens of requests that fit beside `held` layers, each over all the held layers.
+double token_room(const engine_profile& profile, const accelerator_kind& kind, std::int64_t held);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/route/pick_target.cpp
@@ -0,0 +1,68 @@
+#include "route/pick_target.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace dandelionstep {
+namespace {
+
+// Stands for the mean response time of targets that have not answered yet.
+constexpr double unknown_response_ms = 20;
+// What a failure costs the caller, against waiting for a response.
+constexpr double failure_cost_ms = 500;
+// A reported load older than this says nothing.
+constexpr milliseconds load_age_limit{1000};
+// Preference for the caller's own data centre, which saves traffic between data centres.
+constexpr double other_centre_cost_ms = 2;
+// Targets within this factor of the best share the requests.
+constexpr double near_best = 1.25;
+
+struct scored_target {
+    const registered_target* target = nullptr;
+    double cost = 0;
+};
+
+double expected_cost(const registered_target& target, const target_condition& condition,
+                     const target_query& query)
+{
+    const double response = condition.response_ms > 0 ? condition.response_ms : unknown_response_ms;
+    const bool is_fresh = query.now - condition.load_reported_at < load_age_limit;
+    const std::int64_t load =
+        std::max(condition.in_flight, is_fresh ? condition.reported_load : std::int64_t{0});
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
+    double cost = response * (1 + static_cast<double>(load) / slots);
+    cost += failure_cost_ms * present_failure_share(condition, query.now);
+    if (target.data_centre != query.entry) {
+        cost += other_centre_cost_ms;
+    }
+    return cost;
+}
+
+} // namespace
+
+const registered_target* pick_target(const target_query& query, const target_registry& registry,
+                                     const target_conditions& conditions)
+{
+    static const target_condition unknown;
+    std::vector<scored_target> usable;
+    std::vector<scored_target> last_resort;
+    for (const auto& [id, target] : registry) {
+        if (target.service != query.service || target.leaving || query.excluded.contains(id)) {
+            continue;
+        }
+        const auto found = conditions.find(id);
+        const target_condition& condition = found == conditions.end() ? unknown : found->second;
+        const scored_target scored{&target, expected_cost(target, condition, query)};
+        (is_usable(condition, query.now) ? usable : last_resort).push_back(scored);
+    }
+    std::vector<scored_target>& candidates = usable.empty() ? last_resort : usable;
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const double best = std::ranges::min_element(candidates, {}, &scored_target::cost)->cost;
+    std::erase_if(candidates, [best](const scored_target& one) { return one.cost > best * near_best; });
+    const auto index = static_cast<std::size_t>(query.draw * static_cast<double>(candidates.size()));
+    return candidates[std::min(index, candidates.size() - 1)].target;
+}
+
+} // namespace dandelionstep
