--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -42,6 +42,8 @@
     log_budget logs;
     std::mt19937_64 random;
     bool stopping = false;
+    //! Whether a stream has been asked for since this daemon started.
+    bool has_streams = false;
 
     entry_context(event_loop& loop_in, const entry_dialect& dialect_in, entry_settings settings_in)
         : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)), channels(loop_in),
--- a/src/entry/lease.cpp
+++ b/src/entry/lease.cpp
@@ -17,7 +17,8 @@
     return dump({{"holder", record.holder.value},
                  {"process", std::to_string(record.process)},
                  {"fencing_number", record.fencing_number},
-                 {"renewals", record.renewals}});
+                 {"renewals", record.renewals},
+                 {"serving", record.serving}});
 }
 
 absl::StatusOr<lease_record> parse_lease(std::string_view text)
@@ -36,6 +37,7 @@
     record.process = std::strtoull(string_or(*parsed, "process", "0").c_str(), nullptr, 10);
     record.fencing_number = *number;
     record.renewals = integer_or(*parsed, "renewals", 0);
+    record.serving = boolean_or(*parsed, "serving", false);
     return record;
 }
 
@@ -91,6 +93,7 @@
     const bool renews = is_same_process(state.known, self) && state.row_version > 0;
     next.fencing_number = renews ? state.known.fencing_number : state.known.fencing_number + 1;
     next.renewals = state.known.renewals + 1;
+    next.serving = self.serving || (state.row_version > 0 && state.known.serving);
     return next;
 }
 
--- a/src/entry/lease.hpp
+++ b/src/entry/lease.hpp
@@ -19,6 +19,8 @@
     std::int64_t fencing_number = 0;
     //! Grows with each renewal.
     std::int64_t renewals = 0;
+    //! Whether requests have been served since the system started; until then engines may be moved freely.
+    bool serving = false;
 
     friend bool operator==(const lease_record&, const lease_record&) = default;
 };
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -17,6 +17,8 @@
     // The requests of the data centre's daemons run on the same engines; each knows only its own.
     const auto sharers = static_cast<double>(context.siblings);
     candidate.running = static_cast<double>(found->second.in_flight) * sharers;
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
+    candidate.entry_used = static_cast<double>(found->second.entered) * sharers / slots;
     const auto kind = profile.kinds.find(target.kind);
     if (kind != profile.kinds.end()) {
         const double room = token_room(profile, kind->second, target.layers.size()) *
@@ -63,6 +65,7 @@
     for (const hop& part : hops) {
         target_condition& condition = context.conditions[part.id];
         ++condition.in_flight;
+        condition.entered += &part == &hops.front() ? 1 : 0;
         condition.token_layers += static_cast<double>(tokens * part.layers.size());
     }
 }
@@ -75,6 +78,8 @@
             continue;
         }
         found->second.in_flight = std::max<std::int64_t>(0, found->second.in_flight - 1);
+        const std::int64_t entered = &part == &hops.front() ? 1 : 0;
+        found->second.entered = std::max<std::int64_t>(0, found->second.entered - entered);
         found->second.token_layers =
             std::max(0.0, found->second.token_layers - static_cast<double>(tokens * part.layers.size()));
     }
--- a/src/entry/placer.cpp
+++ b/src/entry/placer.cpp
@@ -20,6 +20,14 @@
 constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
 
+std::vector<registered_target> emptied(std::vector<registered_target> engines)
+{
+    for (registered_target& engine : engines) {
+        engine.layers = {};
+    }
+    return engines;
+}
+
 } // namespace
 
 placer::placer(entry_context& context_in, store_client& store_in, std::uint64_t process)
@@ -172,11 +180,18 @@
     return engines;
 }
 
+// While nobody is served, engines that were placed before others registered are placed anew.
+bool placer::is_serving()
+{
+    this->self.serving = this->self.serving || this->context.has_streams;
+    return this->self.serving || this->lease.known.serving;
+}
+
 void placer::plan_service(const entry_service& service)
 {
     const time_point now = event_loop::now();
     const std::vector<registered_target> engines = this->assumed_engines(service.id, now);
-    const layer_placement plan = plan_layers(*service.engine, engines);
+    const layer_placement plan = plan_layers(*service.engine, this->is_serving() ? engines : emptied(engines));
     for (const registered_target& engine : engines) {
         const auto wanted = plan.find(engine.id);
         if (wanted == plan.end() || wanted->second == engine.layers || this->pending.contains(engine.id)) {
--- a/src/entry/placer.hpp
+++ b/src/entry/placer.hpp
@@ -37,6 +37,7 @@
     void write_lease();
     void plan();
     [[nodiscard]] bool has_settled(time_point now);
+    [[nodiscard]] bool is_serving();
     void plan_service(const entry_service& service);
     [[nodiscard]] std::vector<registered_target> assumed_engines(const service_id& service, time_point now);
     void place(const registered_target& engine, held_layers wanted, const engine_profile& profile);
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -534,6 +534,7 @@
         refuse(context, request, status_unavailable, "service_without_engines", retry_after_no_path);
         return;
     }
+    context.has_streams = true;
     std::make_shared<stream_runner>(context, engines, std::move(request))->start();
 }
 
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -12,9 +12,12 @@
 constexpr double same_centre_hop_ms = 0.5;
 // Handing it to another data centre: a longer delay, and a pipe that all engines share.
 constexpr double other_centre_hop_ms = 4.0;
-// Engines whose memory is taken above this share preempt requests; they are chosen last.
-constexpr double comfortable_memory_share = 0.85;
-constexpr double memory_penalty = 40.0;
+// Above this share of its memory or places an engine costs more and more, so that requests spread before it
+// preempts or refuses some; when it is full it costs (1 + crowding_penalty) times as much.
+constexpr double comfortable_share = 0.5;
+constexpr double crowding_penalty = 8.0;
+// What a full engine adds for a request that it would take in.
+constexpr double full_entry_ms = 40.0;
 constexpr double mb_in_bytes = 1e6;
 // Engines accept no longer paths.
 constexpr std::size_t max_parts = 32;
@@ -47,17 +50,21 @@
     return from == to ? same_centre_hop_ms : other_centre_hop_ms;
 }
 
+// 0 up to the comfortable share, 1 when full, growing with the square.
+double crowding(double used)
+{
+    const double excess = std::max(0.0, used - comfortable_share) / (1 - comfortable_share);
+    return excess * excess;
+}
+
 double layer_cost(const path_query& query, const path_candidate& candidate)
 {
     const auto kind = query.profile->kinds.find(candidate.target->kind);
     if (kind == query.profile->kinds.end()) {
         return unreachable;
     }
-    double cost = step_time_ms(*query.profile, kind->second, 1, candidate.running) * candidate.slowness;
-    if (candidate.memory_used > comfortable_memory_share) {
-        cost *= 1 + memory_penalty * (candidate.memory_used - comfortable_memory_share);
-    }
-    return cost;
+    const double cost = step_time_ms(*query.profile, kind->second, 1, candidate.running) * candidate.slowness;
+    return cost * (1 + crowding_penalty * crowding(candidate.memory_used));
 }
 
 // An engine that is left and entered again holds everything in between as well, so it keeps the request.
@@ -126,6 +133,9 @@
             const data_centre_id& before =
                 this->query.previous != nullptr ? this->query.previous->data_centre : this->query.entry;
             result.cost = hop_cost(before, centre);
+            if (this->query.previous == nullptr) {
+                result.cost += full_entry_ms * crowding(this->candidates[to].entry_used);
+            }
             return result;
         }
         for (const auto& [from_centre, from] : best) {
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -15,6 +15,8 @@
     double running = 0;
     //! Estimated share of its memory for requests that is taken, 0 to 1 and above.
     double memory_used = 0;
+    //! Estimated share of the requests that it can take in as the first engine of their paths.
+    double entry_used = 0;
     //! Factor on its times; above 1 for an engine that was found slow.
     double slowness = 1;
 };
