Refusals raise an engine's estimated load; crossing between data centres is dearer

The factor learned from refusals corrects the estimate where it is wrong; a crossing now costs what the shared pipe can bear. Ruled out: memory of the whole (670k of 1.4M tokens used).

--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -15,7 +15,8 @@
         return candidate;
     }
     // The requests of the data centre's daemons run on the same engines; each knows only its own.
-    const auto sharers = static_cast<double>(context.siblings);
+    const auto sharers =
+        static_cast<double>(context.siblings) * present_pressure(found->second, event_loop::now());
     candidate.running = static_cast<double>(found->second.in_flight) * sharers;
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
     candidate.entry_used = static_cast<double>(found->second.entered) * sharers / slots;
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -11,7 +11,7 @@
 // Handing a token on inside a data centre: the network's delay and the next engine's wait for its pass.
 constexpr double same_centre_hop_ms = 0.5;
 // Handing it to another data centre: a longer delay, and a pipe that all engines share.
-constexpr double other_centre_hop_ms = 4.0;
+constexpr double other_centre_hop_ms = 10.0;
 // Above this share of its memory or places an engine costs more and more, so that requests spread before it
 // preempts or refuses some; when it is full it costs (1 + crowding_penalty) times as much.
 constexpr double comfortable_share = 0.5;
