--- /dev/null
+++ b/tests/adapters/caller_port_test.cpp
@@ -0,0 +1,139 @@
+#include "adapters/caller_port.hpp"
+
+#include "support/cluster.hpp"
+#include "support/scripted_peer.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+struct served_port {
+    event_loop loop;
+    std::vector<std::shared_ptr<caller_exchange>> taken;
+    caller_port port;
+    endpoint at{"127.0.0.1", free_port()};
+
+    served_port() : port(loop, [this](const auto& exchange) { this->taken.push_back(exchange); })
+    {
+        REQUIRE(this->port.listen(this->at).ok());
+    }
+
+    std::shared_ptr<raw_connection> ask(const std::string& bytes)
+    {
+        const std::size_t before = this->taken.size();
+        auto caller = connect_raw(this->loop, this->at);
+        caller->write(bytes);
+        REQUIRE(run_until(this->loop, [&] { return this->taken.size() > before; }));
+        return caller;
+    }
+};
+
+constexpr const char* plain_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a kept connection carries one request after the other, also when they come together")
+{
+    served_port served;
+    const auto caller = served.ask(std::string(plain_request) + "POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
+    CHECK(served.taken.size() == 1);
+    served.taken[0]->answer(200, {}, "one");
+    REQUIRE(run_until(served.loop, [&] { return served.taken.size() == 2; }));
+    CHECK(served.taken[1]->head.target == "/b");
+    CHECK(served.taken[1]->body == "hi");
+    served.taken[1]->answer(200, {}, "two");
+    REQUIRE(run_until(served.loop, [&] { return caller->received.ends_with("two"); }));
+    CHECK(served.port.unfinished() == 0);
+    CHECK(served.port.connections() == 1);
+}
+
+TEST_CASE("an answer in parts is whole only when it was finished")
+{
+    served_port served;
+    const auto whole = served.ask(plain_request);
+    served.taken[0]->start(200, {});
+    served.taken[0]->write("part");
+    served.taken[0]->finish();
+    REQUIRE(run_until(served.loop, [&] { return whole->received.ends_with("4\r\npart\r\n0\r\n\r\n"); }));
+    const auto cut = served.ask(plain_request);
+    served.taken[1]->start(200, {});
+    served.taken[1]->write("part");
+    REQUIRE(run_until(served.loop, [&] { return cut->received.ends_with("part\r\n"); }));
+    served.taken[1]->abort();
+    REQUIRE(run_until(served.loop, [&] { return cut->closed; }));
+    CHECK_FALSE(cut->received.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a caller that goes away is noticed while its request is served")
+{
+    served_port served;
+    const auto caller = served.ask(plain_request);
+    bool gone = false;
+    served.taken[0]->on_gone = [&] { gone = true; };
+    caller->reset();
+    REQUIRE(run_until(served.loop, [&] { return gone; }));
+    CHECK(served.taken[0]->gone());
+    served.taken[0]->answer(200, {}, "nobody reads this");
+}
+
+TEST_CASE("requests beyond the bounds are refused and end their connection")
+{
+    struct bound_case {
+        const char* what;
+        std::string bytes;
+        const char* status;
+    };
+    const std::vector<bound_case> table{
+        {"a long head", "GET / HTTP/1.1\r\nX: " + std::string(2'000, 'a'), "HTTP/1.1 431"},
+        {"a long body", "POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" + std::string(3'000, 'a'),
+         "HTTP/1.1 413"},
+        {"no HTTP", "\x01\x02\r\n\r\n", "HTTP/1.1 400"},
+        {"a head that stays unfinished", "GET / HTTP/1.1\r\nX: y", "HTTP/1.1 408"},
+    };
+    for (const bound_case& one : table) {
+        CAPTURE(one.what);
+        served_port served;
+        served.port.set_bounds(
+            {.max_header_bytes = 1'000, .max_body_bytes = 2'000, .header_timeout = {100}, .idle_timeout = {60'000}});
+        const auto caller = connect_raw(served.loop, served.at);
+        caller->write(one.bytes);
+        REQUIRE(run_until(served.loop, [&] { return caller->closed; }));
+        CHECK(caller->received.starts_with(one.status));
+        CHECK(served.taken.empty());
+    }
+}
+
+TEST_CASE("an idle connection is closed after the idle time and not before")
+{
+    served_port served;
+    served.port.set_bounds({.max_header_bytes = 1'000,
+                            .max_body_bytes = 2'000,
+                            .header_timeout = {100},
+                            .idle_timeout = {600}});
+    const auto caller = served.ask(plain_request);
+    served.taken[0]->answer(200, {}, "x");
+    CHECK_FALSE(run_until(served.loop, [&] { return caller->closed; }, {450}));
+    CHECK(run_until(served.loop, [&] { return caller->closed; }, {2'000}));
+}
+
+TEST_CASE("a port that is being left answers what it has and closes")
+{
+    served_port served;
+    const auto busy = served.ask(plain_request);
+    const auto idle = served.ask(plain_request);
+    served.taken[1]->answer(200, {}, "x");
+    REQUIRE(run_until(served.loop, [&] { return idle->received.ends_with("x"); }));
+    served.port.close_after_answers();
+    served.port.close_idle();
+    REQUIRE(run_until(served.loop, [&] { return idle->closed; }));
+    CHECK_FALSE(busy->closed);
+    served.taken[0]->answer(200, {}, "late");
+    REQUIRE(run_until(served.loop, [&] { return busy->closed; }));
+    CHECK(busy->received.find("Connection: close") != std::string::npos);
+    CHECK(busy->received.ends_with("late"));
+    CHECK(served.port.connections() == 0);
+}
--- /dev/null
+++ b/tests/adapters/channel_pool_test.cpp
@@ -0,0 +1,248 @@
+#include "adapters/channel_pool.hpp"
+
+#include "support/scripted_peer.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr const char* plain_request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr const char* plain_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: 1\r\n\r\nok";
+
+struct observed {
+    std::vector<int> statuses;
+    std::string body;
+    int ends = 0;
+    exchange_end end = exchange_end::complete;
+    bool reused = false;
+};
+
+exchange_callbacks watch(observed& seen)
+{
+    exchange_callbacks callbacks;
+    callbacks.on_head = [&](const http_head& head) { seen.statuses.push_back(head.status); };
+    callbacks.on_body = [&](std::string_view part) { seen.body += part; };
+    callbacks.on_end = [&](exchange_end end, bool reused) {
+        ++seen.ends;
+        seen.end = end;
+        seen.reused = reused;
+    };
+    return callbacks;
+}
+
+observed exchange_once(event_loop& loop, channel_pool& pool, const endpoint& to, send_options options = {})
+{
+    observed seen;
+    pool.send(to, plain_request, options, watch(seen));
+    REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
+    return seen;
+}
+
+bool has_whole_request(raw_connection& connection)
+{
+    if (!connection.received.ends_with("\r\n\r\n")) {
+        return false;
+    }
+    connection.received.clear();
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a connection is kept and used again")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    CHECK_FALSE(exchange_once(loop, pool, server.address()).reused);
+    const observed second = exchange_once(loop, pool, server.address());
+    CHECK(second.reused);
+    CHECK(second.body == "ok");
+    CHECK(server.accepted() == 1);
+    CHECK(pool.counts().opened == 1);
+}
+
+TEST_CASE("a connection that was idle for longer than allowed is not used")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    exchange_once(loop, pool, server.address());
+    run_until(loop, [] { return false; }, {60});
+    CHECK_FALSE(exchange_once(loop, pool, server.address(), {.most_idle = {20}}).reused);
+}
+
+TEST_CASE("how an exchange ends")
+{
+    struct end_case {
+        const char* what;
+        std::function<void(raw_connection&)> script;
+        exchange_end expected;
+    };
+    const std::vector<end_case> table{
+        {"whole", [](raw_connection& c) { c.write(plain_answer); }, exchange_end::complete},
+        {"closed unanswered", [](raw_connection& c) { c.close(); }, exchange_end::broken},
+        {"reset unanswered", [](raw_connection& c) { c.reset(); }, exchange_end::broken},
+        {"not HTTP", [](raw_connection& c) { c.write("\x05garbage\r\n\r\n"); }, exchange_end::broken},
+        {"cut",
+         [](raw_connection& c) {
+             c.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+             c.close();
+         },
+         exchange_end::broken},
+        {"without a length, closed in order",
+         [](raw_connection& c) {
+             c.write("HTTP/1.1 200 OK\r\n\r\nok");
+             c.close();
+         },
+         exchange_end::complete},
+    };
+    for (const end_case& one : table) {
+        CAPTURE(one.what);
+        event_loop loop;
+        scripted_server server(loop, [&](raw_connection& connection) {
+            if (has_whole_request(connection)) {
+                one.script(connection);
+            }
+        });
+        channel_pool pool(loop);
+        const observed seen = exchange_once(loop, pool, server.address());
+        CHECK(seen.end == one.expected);
+        CHECK(seen.ends == 1);
+    }
+}
+
+TEST_CASE("a refused connection proves that nothing was sent")
+{
+    event_loop loop;
+    endpoint closed;
+    {
+        const scripted_server server(loop, [](raw_connection&) {});
+        closed = server.address();
+    }
+    channel_pool pool(loop);
+    CHECK(exchange_once(loop, pool, closed).end == exchange_end::not_sent);
+}
+
+TEST_CASE("bytes after a whole response belong to no request")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(std::string(plain_answer) + plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    CHECK(exchange_once(loop, pool, server.address()).body == "ok");
+    const observed second = exchange_once(loop, pool, server.address());
+    CHECK_FALSE(second.reused);
+    CHECK(second.body == "ok");
+}
+
+TEST_CASE("bytes that arrive on an idle connection end it")
+{
+    event_loop loop;
+    raw_connection* kept = nullptr;
+    scripted_server server(loop, [&](raw_connection& connection) {
+        kept = &connection;
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    exchange_once(loop, pool, server.address());
+    kept->write(plain_answer);
+    REQUIRE(run_until(loop, [&] { return pool.open_connections() == 0; }));
+    CHECK_FALSE(exchange_once(loop, pool, server.address()).reused);
+}
+
+TEST_CASE("a late response to another request is skipped")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nId: 0\r\n\r\nstale");
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    observed seen;
+    exchange_callbacks callbacks = watch(seen);
+    callbacks.is_own = [](const http_head& head) { return head.header("Id") == "1"; };
+    pool.send(server.address(), plain_request, {}, std::move(callbacks));
+    REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
+    CHECK(seen.body == "ok");
+    CHECK(pool.counts().skipped_responses == 1);
+}
+
+TEST_CASE("a cancelled exchange calls nothing back and its connection is not kept")
+{
+    event_loop loop;
+    raw_connection* server_side = nullptr;
+    scripted_server server(loop, [&](raw_connection& connection) { server_side = &connection; });
+    channel_pool pool(loop);
+    observed seen;
+    const auto running = pool.send(server.address(), plain_request, {}, watch(seen));
+    REQUIRE(run_until(loop, [&] { return server_side != nullptr; }));
+    pool.cancel(running);
+    REQUIRE(run_until(loop, [&] { return server_side->closed; }));
+    CHECK(seen.ends == 0);
+    CHECK(pool.open_connections() == 0);
+}
+
+TEST_CASE("an exchange may be cancelled while its response is being read")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    std::weak_ptr<channel_pool::exchange> running;
+    bool cancelled = false;
+    int ends = 0;
+    exchange_callbacks callbacks;
+    callbacks.on_body = [&](std::string_view) {
+        pool.cancel(running);
+        cancelled = true;
+    };
+    callbacks.on_end = [&](exchange_end, bool) { ++ends; };
+    running = pool.send(server.address(), plain_request, {}, std::move(callbacks));
+    REQUIRE(run_until(loop, [&] { return cancelled; }));
+    run_until(loop, [] { return false; }, {30});
+    CHECK(ends == 0);
+}
+
+TEST_CASE("a connection is not kept when its response came before the request had left")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (connection.received.find("\r\n\r\n") != std::string::npos && connection.received.size() < 200'000) {
+            connection.write(plain_answer);
+            connection.received.append(200'000, 'x');
+        }
+    });
+    channel_pool pool(loop);
+    observed seen;
+    const std::string long_body(32'000'000, 'y');
+    pool.send(server.address(),
+              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(long_body.size()) + "\r\n\r\n" +
+                  long_body,
+              {}, watch(seen));
+    REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
+    CHECK(seen.end == exchange_end::complete);
+    CHECK(pool.open_connections() == 0);
+}
--- /dev/null
+++ b/tests/platform/message_headers_test.cpp
@@ -0,0 +1,111 @@
+#include "message_headers.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::platform;
+
+TEST_CASE("a request's headers are read, odd ones as absent")
+{
+    const request_facts facts = read_request_headers({{"dandelionstep-attempt-id", "abc"},
+                                                      {"Dandelionstep-Credential", "key"},
+                                                      {"Dandelionstep-Deadline-Remaining", "2500"},
+                                                      {"Dandelionstep-Token-Counts", "1460,80"},
+                                                      {"Dandelionstep-Length-Hint", "60"},
+                                                      {"Last-Event-Id", "12"}});
+    CHECK(facts.attempt_id == "abc");
+    CHECK(facts.key == "key");
+    CHECK(facts.patience == milliseconds{2'500});
+    CHECK(facts.prompt_tokens.value == 1'460);
+    CHECK(facts.max_answer_tokens.value == 80);
+    CHECK(facts.answer_hint == 60);
+    CHECK(facts.last_event == 12);
+    const request_facts odd = read_request_headers({{"Dandelionstep-Deadline-Remaining", "soon"},
+                                                    {"Dandelionstep-Token-Counts", "7"},
+                                                    {"Last-Event-Id", ""}});
+    CHECK_FALSE(odd.patience.has_value());
+    CHECK(odd.prompt_tokens.value == 0);
+    CHECK_FALSE(odd.last_event.has_value());
+}
+
+TEST_CASE("a target's response states whether it ran the request")
+{
+    struct response_case {
+        int status;
+        http_headers headers;
+        bool did_not_run;
+    };
+    const std::vector<response_case> table{
+        {200, {{"Dandelionstep-Server-Signature", "s"}}, false},
+        {503, {{"Dandelionstep-Not-Executed", "1"}}, true},
+        {429, {{"Dandelionstep-Not-Executed", "1"}}, true},
+        {421, {}, true},
+        {503, {}, false},
+        {500, {{"Dandelionstep-Server-Signature", "s"}}, false},
+    };
+    for (const response_case& one : table) {
+        CAPTURE(one.status);
+        CHECK(read_response_headers(one.status, one.headers).did_not_run == one.did_not_run);
+    }
+}
+
+TEST_CASE("loads, engines at fault and encodings of responses are read")
+{
+    const response_facts facts = read_response_headers(503, {{"Dandelionstep-Replica-Load", "3,1,8"},
+                                                             {"At-Server", "10.2.64.3:8080"},
+                                                             {"Content-Encoding", "gzip"}});
+    REQUIRE(facts.load.has_value());
+    CHECK(facts.load->running == 3);
+    CHECK(facts.load->waiting == 1);
+    CHECK(facts.load->slots == 8);
+    CHECK(facts.at_fault == endpoint{"10.2.64.3", 8080});
+    CHECK(facts.is_encoded);
+    CHECK_FALSE(read_response_headers(200, {{"Content-Encoding", "identity"}}).is_encoded);
+    CHECK_FALSE(read_response_headers(200, {{"At-Server", "?"}}).at_fault.has_value());
+}
+
+TEST_CASE("what only the router may say is taken from a caller's headers, and its key is not passed on")
+{
+    forwarding added;
+    added.expected = target_id("i-1");
+    added.organisation = organisation_id("t1");
+    added.patience = {1'200};
+    added.last_event = 4;
+    added.urgency = 2;
+    added.path = {{target_id("i-1"), {"10.1.64.9", 8080}, {0, 20}}, {target_id("i-2"), {"10.2.64.3", 8080}, {20, 80}}};
+    const http_headers headers = forwarded_headers({{"Host", "a.example"},
+                                                    {"Dandelionstep-Attempt-Id", "abc"},
+                                                    {"Dandelionstep-Model", "m"},
+                                                    {"Dandelionstep-Credential", "key"},
+                                                    {"dandelionstep-tenant", "someone-else"},
+                                                    {"Dandelionstep-Expected-Instance", "other"},
+                                                    {"Dandelionstep-Hop-Count", "1.1.1.1:1=0-80"},
+                                                    {"Dandelionstep-Request-Urgency", "0"},
+                                                    {"Dandelionstep-Deadline-Remaining", "9999"},
+                                                    {"Last-Event-Id", "1"},
+                                                    {"Connection", "keep-alive"}},
+                                                   added);
+    CHECK(headers ==
+          http_headers{{"Host", "a.example"},
+                       {"Dandelionstep-Attempt-Id", "abc"},
+                       {"Dandelionstep-Model", "m"},
+                       {"Dandelionstep-Deadline-Remaining", "1200"},
+                       {"Dandelionstep-Expected-Instance", "i-1"},
+                       {"Dandelionstep-Tenant", "t1"},
+                       {"Last-Event-Id", "4"},
+                       {"Dandelionstep-Request-Urgency", "2"},
+                       {"Dandelionstep-Hop-Count", "10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"}});
+}
+
+TEST_CASE("a target's headers are passed on unchanged but for those of its connection and of the router")
+{
+    CHECK(answered_headers({{"Dandelionstep-Server-Signature", "s"},
+                            {"Dandelionstep-Weight-Versions", "3"},
+                            {"Dandelionstep-Replica-Load", "1,0,8"},
+                            {"Connection", "close"},
+                            {"Content-Type", "text/plain"}}) ==
+          http_headers{{"Dandelionstep-Server-Signature", "s"},
+                       {"Dandelionstep-Weight-Versions", "3"},
+                       {"Content-Type", "text/plain"}});
+}
--- /dev/null
+++ b/tests/request/event_splitter_test.cpp
@@ -0,0 +1,70 @@
+#include "request/event_splitter.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+
+namespace {
+
+const std::string three = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+} // namespace
+
+TEST_CASE("events are passed on whole, however their bytes arrive")
+{
+    for (std::size_t part = 1; part <= three.size(); ++part) {
+        event_splitter splitter;
+        std::string passed;
+        for (std::size_t at = 0; at < three.size(); at += part) {
+            passed += take_events(splitter, std::string_view(three).substr(at, part));
+            CHECK((passed.empty() || passed.ends_with("\n\n")));
+        }
+        CHECK(passed == three);
+        CHECK(splitter.pending.empty());
+        CHECK(splitter.last_id == 3);
+    }
+}
+
+TEST_CASE("a cut event is kept back")
+{
+    event_splitter splitter;
+    CHECK(take_events(splitter, "id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(splitter.last_id == 1);
+    CHECK(splitter.pending == "id: 2\nda");
+}
+
+TEST_CASE("after a resumption, events that were already passed on are left out")
+{
+    event_splitter splitter;
+    take_events(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(take_events(splitter, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("an event's id is read whatever stands before it")
+{
+    struct id_case {
+        const char* event;
+        std::optional<std::int64_t> id;
+    };
+    const std::vector<id_case> table{
+        {"id: 7\ndata: x\n\n", 7},
+        {"id:7\n\n", 7},
+        {"versions: 3\nid: 8\ndata: x\n\n", 8},
+        {"data: id: 9\n\n", std::nullopt},
+        {"data: x\n\n", std::nullopt},
+        {"id: x\n\n", std::nullopt},
+        {"id: 5\r\ndata: x\r\n\r\n", 5},
+    };
+    for (const id_case& one : table) {
+        CAPTURE(one.event);
+        CHECK(event_id(one.event) == one.id);
+    }
+}
+
+TEST_CASE("events without an id are passed on")
+{
+    event_splitter splitter;
+    CHECK(take_events(splitter, ": comment\n\n") == ": comment\n\n");
+    CHECK_FALSE(splitter.last_id.has_value());
+}
--- /dev/null
+++ b/tests/request/stall_policy_test.cpp
@@ -0,0 +1,38 @@
+#include "request/stall_policy.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+
+namespace {
+
+struct stall_case {
+    const char* what;
+    stream_progress progress;
+    std::int64_t now;
+    stall_step expected;
+};
+
+} // namespace
+
+TEST_CASE("what is done about a stream's silence")
+{
+    const stall_limits limits;
+    const std::vector<stall_case> table{
+        {"an event came just now", {{0}, {5'000}, {0}, true, false}, 5'100, stall_step::wait},
+        {"a long silence between events", {{0}, {5'000}, {0}, true, false}, 5'600, stall_step::ask_engine},
+        {"asked just now", {{0}, {5'000}, {5'550}, true, false}, 5'600, stall_step::wait},
+        {"asked a while ago", {{0}, {5'000}, {5'550}, true, false}, 6'000, stall_step::ask_engine},
+        {"the caller would soon give up", {{0}, {5'000}, {6'000}, true, false}, 6'400, stall_step::resume_elsewhere},
+        {"the path changed just now", {{6'300}, {5'000}, {6'000}, true, false}, 6'400, stall_step::wait},
+        {"waits for its first event", {{5'000}, {0}, {0}, false, false}, 6'000, stall_step::wait},
+        {"waits long for its first event", {{5'000}, {0}, {0}, false, false}, 6'600, stall_step::ask_engine},
+        {"an engine is known to be dead", {{0}, {5'000}, {0}, true, true}, 5'300, stall_step::change_path},
+        {"events still come by a dead engine", {{0}, {5'000}, {0}, true, true}, 5'100, stall_step::wait},
+    };
+    for (const stall_case& one : table) {
+        CAPTURE(one.what);
+        CHECK(next_stall_step(one.progress, limits, {one.now}) == one.expected);
+    }
+}
--- /dev/null
+++ b/tests/route/pick_target_test.cpp
@@ -0,0 +1,127 @@
+#include "route/pick_target.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace dandelionstep;
+
+namespace {
+
+registered_target replica(const std::string& id, const std::string& data_centre = "n")
+{
+    registered_target target;
+    target.id = target_id(id);
+    target.service = service_id("orders");
+    target.data_centre = data_centre_id(data_centre);
+    target.slots = 6;
+    return target;
+}
+
+target_registry registry_of(const std::vector<registered_target>& targets)
+{
+    target_registry registry;
+    for (const registered_target& target : targets) {
+        registry[target.id] = target;
+    }
+    return registry;
+}
+
+target_query query_at(time_point now)
+{
+    target_query query;
+    query.service = service_id("orders");
+    query.entry = data_centre_id("n");
+    query.now = now;
+    return query;
+}
+
+} // namespace
+
+TEST_CASE("targets that leave, serve another service or were tried are not picked")
+{
+    registered_target leaving = replica("leaving");
+    leaving.leaving = true;
+    registered_target other = replica("other");
+    other.service = service_id("else");
+    const target_registry registry = registry_of({leaving, other, replica("tried"), replica("good")});
+    target_query query = query_at({1'000});
+    query.excluded = {target_id("tried")};
+    const registered_target* picked = pick_target(query, registry, {});
+    REQUIRE(picked != nullptr);
+    CHECK(picked->id.value == "good");
+    query.excluded.insert(target_id("good"));
+    CHECK(pick_target(query, registry, {}) == nullptr);
+}
+
+TEST_CASE("a target that failed is used only when there is no other")
+{
+    const target_registry registry = registry_of({replica("a"), replica("b")});
+    target_conditions conditions;
+    const time_point now{1'000};
+    note_failure(conditions[target_id("a")], target_failure::unreachable, now);
+    CHECK(pick_target(query_at(now), registry, conditions)->id.value == "b");
+    note_failure(conditions[target_id("b")], target_failure::unreachable, now);
+    CHECK(pick_target(query_at(now), registry, conditions) != nullptr);
+}
+
+TEST_CASE("under load, requests wait less than with a random choice among targets of unequal speed")
+{
+    // Plays arrivals at a steady rate before one slow and two fast targets; each works on one request a slot.
+    const auto total_wait = [](bool random_choice) {
+        const target_registry registry = registry_of({replica("fast1"), replica("fast2"), replica("slow")});
+        const std::map<std::string, std::int64_t> work{{"fast1", 15}, {"fast2", 15}, {"slow", 90}};
+        target_conditions conditions;
+        std::mt19937_64 random(7);
+        std::vector<std::tuple<std::int64_t, target_id, std::int64_t>> running;
+        std::int64_t total = 0;
+        for (std::int64_t ms = 0; ms < 20'000; ms += 2) {
+            const time_point now{ms};
+            std::erase_if(running, [&](const auto& one) {
+                if (std::get<0>(one) > ms) {
+                    return false;
+                }
+                target_condition& condition = conditions[std::get<1>(one)];
+                --condition.in_flight;
+                note_response(condition, {std::get<2>(one)}, now);
+                return true;
+            });
+            target_query query = query_at(now);
+            query.draw = std::uniform_real_distribution<double>(0, 1)(random);
+            const registered_target* picked = pick_target(query, registry, conditions);
+            if (random_choice) {
+                auto at = registry.begin();
+                std::advance(at, random() % 3);
+                picked = &at->second;
+            }
+            target_condition& condition = conditions[picked->id];
+            const std::int64_t queue = condition.in_flight / picked->slots;
+            const std::int64_t took = work.at(picked->id.value) * (1 + queue);
+            ++condition.in_flight;
+            running.emplace_back(ms + took, picked->id, took);
+            total += took;
+        }
+        return total;
+    };
+    const std::int64_t chosen = total_wait(false);
+    const std::int64_t random = total_wait(true);
+    MESSAGE("total ms: ", chosen, " chosen, ", random, " at random");
+    CHECK(chosen * 2 < random);
+}
+
+TEST_CASE("equal targets share the requests")
+{
+    const target_registry registry = registry_of({replica("a"), replica("b"), replica("c")});
+    std::map<std::string, int> picks;
+    constexpr int draws = 300;
+    for (int i = 0; i < draws; ++i) {
+        target_query query = query_at({1'000});
+        query.draw = static_cast<double>(i) / draws;
+        ++picks[pick_target(query, registry, {})->id.value];
+    }
+    for (const auto& [id, count] : picks) {
+        CAPTURE(id);
+        CHECK(count == draws / 3);
+    }
+}
