--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -68,8 +68,8 @@
 
     state(event_loop& loop_in, handler handle_in) : loop(loop_in), handle(std::move(handle_in)) {}
 
-    static void on_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/, int /*length*/,
-                          void* argument)
+    static void on_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/,
+                          int /*length*/, void* argument)
     {
         auto* self = static_cast<state*>(argument);
         auto connection = std::make_unique<caller_connection>();
@@ -333,12 +333,13 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(at.port);
     inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
-    this->self->listener = evconnlistener_new_bind(
-        this->self->loop.base(), state::on_accept, this->self.get(),
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
-        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    this->self->listener =
+        evconnlistener_new_bind(this->self->loop.base(), state::on_accept, this->self.get(),
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
+                                reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     if (this->self->listener == nullptr) {
-        return absl::UnavailableError(absl::StrCat("cannot listen on ", to_string(at), ": ", strerror(errno)));
+        return absl::UnavailableError(
+            absl::StrCat("cannot listen on ", to_string(at), ": ", strerror(errno)));
     }
     return absl::OkStatus();
 }
--- a/src/adapters/http_text.cpp
+++ b/src/adapters/http_text.cpp
@@ -99,9 +99,16 @@
 
 bool is_connection_header(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 10> names = {
-        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Expect"};
+    static constexpr std::array<std::string_view, 10> names = {"Connection",
+                                                               "Keep-Alive",
+                                                               "Proxy-Connection",
+                                                               "Proxy-Authenticate",
+                                                               "Proxy-Authorization",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Transfer-Encoding",
+                                                               "Upgrade",
+                                                               "Expect"};
     return std::ranges::any_of(names, [name](std::string_view known) { return equals(known, name); });
 }
 
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -75,8 +75,7 @@
         query.excluded = this->tried;
         query.now = event_loop::now();
         query.draw = this->context.draw();
-        const registered_target* target =
-            pick_target(query, this->context.targets, this->context.conditions);
+        const registered_target* target = pick_target(query, this->context.targets, this->context.conditions);
         if (target == nullptr && this->running == 0) {
             this->give_up("no_target");
             return;
@@ -106,8 +105,8 @@
         options.connect_timeout = connect_timeout;
         options.most_idle = this->is_idempotent() ? any_idle : fresh_idle;
         sent->exchange = this->context.channels.send(
-            target.address, request_text(head.method, head.target, headers, this->request.caller->body), options,
-            this->callbacks_of(sent));
+            target.address, request_text(head.method, head.target, headers, this->request.caller->body),
+            options, this->callbacks_of(sent));
         if (this->is_idempotent()) {
             this->watch_silence(sent);
         }
@@ -285,7 +284,8 @@
             refuse(this->context, this->request, status_bad_gateway, reason, {0});
             return;
         }
-        const milliseconds pause = reason == "refused_by_targets" ? retry_after_refusal : retry_after_no_target;
+        const milliseconds pause =
+            reason == "refused_by_targets" ? retry_after_refusal : retry_after_no_target;
         refuse(this->context, this->request, status_unavailable, reason, pause);
     }
 
--- a/src/entry/engine_calls.cpp
+++ b/src/entry/engine_calls.cpp
@@ -69,8 +69,8 @@
                    const absl::StatusOr<engine_report> report =
                        this->context.dialect.parse_report(answer.body);
                    if (!report.ok()) {
-                       log_event("report_unreadable", {{"target", id.value},
-                                                       {"reason", std::string(report.status().message())}});
+                       log_event("report_unreadable",
+                                 {{"target", id.value}, {"reason", std::string(report.status().message())}});
                        done(std::nullopt);
                        return;
                    }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -22,7 +22,8 @@
 constexpr milliseconds housekeeping_interval{250};
 // The balancer asks once a second and takes a daemon out after two misses.
 constexpr milliseconds balancer_notice{2'600};
-// Requests that were taken in during the notice are finished until shortly before the end of the grace period.
+// Requests that were taken in during the notice are finished until shortly before the end of the grace
+// period.
 constexpr milliseconds end_margin{400};
 constexpr milliseconds farewell{100};
 
@@ -31,8 +32,9 @@
     entry_daemon(const entry_dialect& dialect, entry_settings settings, std::string settings_path_in)
         : settings_path(std::move(settings_path_in)), context(this->loop, dialect, std::move(settings)),
           store(this->context), watch(this->context, this->store), process(this->context.random()),
-          rows(this->context, this->store, this->process), placement(this->context, this->store, this->process),
-          engines(this->context), relay(this->context, this->engines),
+          rows(this->context, this->store, this->process),
+          placement(this->context, this->store, this->process), engines(this->context),
+          relay(this->context, this->engines),
           callers(this->loop,
                   [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
           readiness(this->loop), metrics(this->loop)
@@ -105,8 +107,8 @@
         gauges["target_connections"] = this->context.channels.open_connections();
         gauges["target_connections_opened"] = this->context.channels.counts().opened;
         gauges["responses_skipped"] = this->context.channels.counts().skipped_responses;
-        gauges["log_lines_dropped"] = dropped_log_lines() + this->context.logs.dropped_failures +
-                                      this->context.logs.dropped_successes;
+        gauges["log_lines_dropped"] =
+            dropped_log_lines() + this->context.logs.dropped_failures + this->context.logs.dropped_successes;
         return {status_ok, to_prometheus(this->context.metrics)};
     }
 
@@ -132,7 +134,8 @@
             return;
         }
         this->context.stop = stop_state{event_loop::now(), false, {0}};
-        this->context.stop_bounds = {balancer_notice, this->context.settings.grace_period - end_margin, farewell};
+        this->context.stop_bounds = {balancer_notice, this->context.settings.grace_period - end_margin,
+                                     farewell};
         log_event("stopping", {{"unfinished", this->callers.unfinished()}});
         this->callers.close_after_answers();
         this->placement.stop();
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -29,8 +29,8 @@
     append_counts(text, "dandelionstep_entry_store_calls_total", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
     for (const auto& [name, value] : metrics.gauges) {
-        absl::StrAppend(&text, "# TYPE dandelionstep_entry_", name, " gauge\n", "dandelionstep_entry_", name, " ",
-                        value, "\n");
+        absl::StrAppend(&text, "# TYPE dandelionstep_entry_", name, " gauge\n", "dandelionstep_entry_", name,
+                        " ", value, "\n");
     }
     absl::StrAppend(&text, "# TYPE dandelionstep_entry_first_part_seconds histogram\n");
     for (const auto& [kind, histogram] : metrics.first_part) {
--- a/src/entry/own_rows.cpp
+++ b/src/entry/own_rows.cpp
@@ -25,8 +25,8 @@
 void own_rows::start()
 {
     this->read();
-    this->renew_timer = this->context.loop.run_after(first_renewal * (1 + static_cast<int>(this->context.draw() * 3)),
-                                                     [this] { this->renew(); });
+    this->renew_timer = this->context.loop.run_after(
+        first_renewal * (1 + static_cast<int>(this->context.draw() * 3)), [this] { this->renew(); });
 }
 
 void own_rows::stop()
@@ -54,17 +54,16 @@
 void own_rows::read()
 {
     // The next reading is due even if this one's answer is overtaken.
-    this->store.call(this->context.dialect.rows_call(own_table, ""), call_timeout,
-                     [this](const store_answer& answer) {
-                         if (answer.result != store_result::ok) {
-                             this->read_after(retry_pause);
-                             return;
-                         }
-                         this->take(answer.rows);
-                         const double spread = 0.8 + 0.4 * this->context.draw();
-                         this->read_after({static_cast<std::int64_t>(
-                             static_cast<double>(read_interval.count) * spread)});
-                     });
+    this->store.call(
+        this->context.dialect.rows_call(own_table, ""), call_timeout, [this](const store_answer& answer) {
+            if (answer.result != store_result::ok) {
+                this->read_after(retry_pause);
+                return;
+            }
+            this->take(answer.rows);
+            const double spread = 0.8 + 0.4 * this->context.draw();
+            this->read_after({static_cast<std::int64_t>(static_cast<double>(read_interval.count) * spread)});
+        });
 }
 
 void own_rows::take(const stored_rows& rows)
@@ -77,7 +76,8 @@
         }
         const absl::StatusOr<vm_record> record = parse_vm_record(row.value);
         if (!record.ok()) {
-            log_event("vm_row_unreadable", {{"key", row.key}, {"reason", std::string(record.status().message())}});
+            log_event("vm_row_unreadable",
+                      {{"key", row.key}, {"reason", std::string(record.status().message())}});
             continue;
         }
         read.push_back(record->vm);
@@ -101,11 +101,12 @@
     this->self.config_version = this->context.config ? this->context.config->version.value : -1;
     conditional_write write;
     write.row = {own_table, std::string(vm_prefix) + this->self.vm.value, to_text(this->self), 0, false};
-    this->store.call(this->context.dialect.write_call({write}), call_timeout, [this](const store_answer& answer) {
-        const bool written = answer.result == store_result::ok;
-        this->renew_timer =
-            this->context.loop.run_after(written ? vm_renew_interval : retry_pause * 3, [this] { this->renew(); });
-    });
+    this->store.call(this->context.dialect.write_call({write}), call_timeout,
+                     [this](const store_answer& answer) {
+                         const bool written = answer.result == store_result::ok;
+                         this->renew_timer = this->context.loop.run_after(
+                             written ? vm_renew_interval : retry_pause * 3, [this] { this->renew(); });
+                     });
     if (this->is_janitor && this->is_janitor()) {
         this->remove_outdated();
     }
@@ -122,7 +123,8 @@
     }
     if (!removals.empty()) {
         log_event("vm_rows_removed", {{"count", static_cast<std::int64_t>(removals.size())}});
-        this->store.call(this->context.dialect.write_call(removals), call_timeout, [](const store_answer&) {});
+        this->store.call(this->context.dialect.write_call(removals), call_timeout,
+                         [](const store_answer&) {});
     }
 }
 
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -37,7 +37,8 @@
     const time_point now = event_loop::now();
     std::vector<path_candidate> candidates;
     for (const auto& [id, target] : context.targets) {
-        if (target.service != service.id || target.leaving || target.layers.empty() || excluded.contains(id)) {
+        if (target.service != service.id || target.leaving || target.layers.empty() ||
+            excluded.contains(id)) {
             continue;
         }
         const auto condition = context.conditions.find(id);
--- a/src/entry/path_choice.hpp
+++ b/src/entry/path_choice.hpp
@@ -13,8 +13,8 @@
     std::vector<hop> hops;
 };
 
-//! Chooses engines for layers [from_layer, layers) of the service's model, without the excluded ones. Empty when
-//! there is no path.
+//! Chooses engines for layers [from_layer, layers) of the service's model, without the excluded ones. Empty
+//! when there is no path.
 chosen_path choose_path(entry_context& context, const entry_service& service, std::int64_t from_layer,
                         const hop* previous, const std::set<target_id>& excluded);
 
--- a/src/entry/placer.cpp
+++ b/src/entry/placer.cpp
@@ -56,9 +56,10 @@
     conditional_write release;
     release.row = {own_table, lease_key, to_text(released_lease(this->lease)), 0, false};
     release.expected_version = this->lease.row_version;
-    this->store.call(this->context.dialect.write_call({release}), write_timeout, [](const store_answer& answer) {
-        log_event("lease_given_up", {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
-    });
+    this->store.call(
+        this->context.dialect.write_call({release}), write_timeout, [](const store_answer& answer) {
+            log_event("lease_given_up", {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
+        });
 }
 
 void placer::take_rows(const stored_rows& rows)
@@ -94,8 +95,7 @@
 void placer::write_lease()
 {
     const time_point now = event_loop::now();
-    if (this->stopped ||
-        !should_write_lease(this->lease, this->times, this->self, now)) {
+    if (this->stopped || !should_write_lease(this->lease, this->times, this->self, now)) {
         return;
     }
     const lease_record next = next_lease(this->lease, this->self);
@@ -120,9 +120,10 @@
                          } else if (this->on_unsure) {
                              this->on_unsure();
                          }
-                         log_event("lease_write_failed",
-                                   {{"result", answer.result == store_result::conflict ? "conflict" : "no_answer"},
-                                    {"held", held ? "yes" : "no"}});
+                         log_event(
+                             "lease_write_failed",
+                             {{"result", answer.result == store_result::conflict ? "conflict" : "no_answer"},
+                              {"held", held ? "yes" : "no"}});
                      });
 }
 
@@ -191,7 +192,8 @@
 {
     const time_point now = event_loop::now();
     const std::vector<registered_target> engines = this->assumed_engines(service.id, now);
-    const layer_placement plan = plan_layers(*service.engine, this->is_serving() ? engines : emptied(engines));
+    const layer_placement plan =
+        plan_layers(*service.engine, this->is_serving() ? engines : emptied(engines));
     for (const registered_target& engine : engines) {
         const auto wanted = plan.find(engine.id);
         if (wanted == plan.end() || wanted->second == engine.layers || this->pending.contains(engine.id)) {
@@ -237,7 +239,8 @@
         this->pending.erase(engine.id);
         return;
     }
-    const std::int64_t load_ms = profile.load_time.count * wanted.size() / std::max<std::int64_t>(1, profile.layers);
+    const std::int64_t load_ms =
+        profile.load_time.count * wanted.size() / std::max<std::int64_t>(1, profile.layers);
     const milliseconds lasting = milliseconds{load_ms * 2} + registration_lag;
     const place_order order{wanted, report.order_sequence, this->lease.known.fencing_number};
     log_event("place_order", {{"target", engine.id.value},
@@ -248,21 +251,22 @@
                               {"order_sequence", report.order_sequence},
                               {"fencing_number", order.fencing_number}});
     this->assume(engine, wanted, lasting);
-    this->calls.send(engine.address, this->context.dialect.place_call(engine.id, order), engine_timeout,
-                     [this, engine, lasting, wanted](const engine_answer& answer) {
-                         const bool accepted = answer.status == status_ok || answer.status == status_accepted;
-                         ++this->context.metrics.orders[accepted ? "accepted" : "failed"];
-                         if (accepted) {
-                             return;
-                         }
-                         log_event("place_order_failed", {{"target", engine.id.value}, {"status", answer.status}});
-                         // Without an answer the order may still be carried out.
-                         if (answer.status == 0) {
-                             this->assume(engine, wanted, lasting);
-                         } else {
-                             this->assume(engine, engine.layers, pause_after_refusal);
-                         }
-                     });
+    this->calls.send(
+        engine.address, this->context.dialect.place_call(engine.id, order), engine_timeout,
+        [this, engine, lasting, wanted](const engine_answer& answer) {
+            const bool accepted = answer.status == status_ok || answer.status == status_accepted;
+            ++this->context.metrics.orders[accepted ? "accepted" : "failed"];
+            if (accepted) {
+                return;
+            }
+            log_event("place_order_failed", {{"target", engine.id.value}, {"status", answer.status}});
+            // Without an answer the order may still be carried out.
+            if (answer.status == 0) {
+                this->assume(engine, wanted, lasting);
+            } else {
+                this->assume(engine, engine.layers, pause_after_refusal);
+            }
+        });
 }
 
 } // namespace dandelionstep
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -134,7 +134,8 @@
     [[nodiscard]] bool may_begin(const accepted_request& request) const
     {
         const time_point now = event_loop::now();
-        if (!this->context.stop || now - this->context.stop->began < this->context.stop_bounds.balancer_notice) {
+        if (!this->context.stop ||
+            now - this->context.stop->began < this->context.stop_bounds.balancer_notice) {
             return true;
         }
         if (request.route->services.empty()) {
@@ -150,7 +151,8 @@
     }
 
     // How long a stream lasts that is as long as it may be, at twice the pace of late.
-    [[nodiscard]] milliseconds longest_stream(const accepted_request& request, const engine_profile& engine) const
+    [[nodiscard]] milliseconds longest_stream(const accepted_request& request,
+                                              const engine_profile& engine) const
     {
         constexpr double slower = 2;
         const auto tokens = static_cast<double>(request.facts.max_answer_tokens.value);
--- a/src/entry/status_port.cpp
+++ b/src/entry/status_port.cpp
@@ -13,7 +13,8 @@
     const status_port::page page = (*static_cast<status_port::page_source*>(argument))();
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, page.text.data(), page.text.size());
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", "text/plain; version=0.0.4");
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
+                      "text/plain; version=0.0.4");
     evhttp_send_reply(request, page.status, nullptr, body);
     evbuffer_free(body);
 }
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -99,9 +99,9 @@
     });
     send_options options;
     options.connect_timeout = timeout;
-    pending->running = this->context.channels.send(
-        this->context.settings.store, request_text(call.method, call.target, headers, call.body), options,
-        std::move(callbacks));
+    pending->running = this->context.channels.send(this->context.settings.store,
+                                                   request_text(call.method, call.target, headers, call.body),
+                                                   options, std::move(callbacks));
 }
 
 void store_client::note(const store_answer& answer)
--- a/src/entry/store_watch.cpp
+++ b/src/entry/store_watch.cpp
@@ -51,7 +51,8 @@
     const outgoing_call call = this->context.dialect.rows_call(names.configuration_table, "");
     this->store.call(call, call_slack, [this](const store_answer& answer) {
         if (answer.result != store_result::ok) {
-            this->config_timer = this->context.loop.run_after(this->retry_pause(), [this] { this->read_config(); });
+            this->config_timer =
+                this->context.loop.run_after(this->retry_pause(), [this] { this->read_config(); });
             return;
         }
         this->failures = 0;
@@ -89,8 +90,8 @@
         }
         absl::StatusOr<entry_config> parsed = this->context.dialect.parse_config(row.value);
         if (!parsed.ok()) {
-            log_event("config_unreadable", {{"row_version", row.version},
-                                            {"reason", std::string(parsed.status().message())}});
+            log_event("config_unreadable",
+                      {{"row_version", row.version}, {"reason", std::string(parsed.status().message())}});
             continue;
         }
         const revision known = this->context.config ? this->context.config->version : revision{-1};
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -57,7 +57,8 @@
     {
         this->splitter.last_id = this->request.facts.last_event;
         this->limits.gap = std::max(this->limits.gap, this->request.route->gap_objective * 5 / 4);
-        this->limits.first_event = std::max(this->limits.first_event, this->request.route->latency_objective * 2);
+        this->limits.first_event =
+            std::max(this->limits.first_event, this->request.route->latency_objective * 2);
     }
 
     void start()
@@ -204,7 +205,8 @@
             const milliseconds gap = now - this->progress.last_event_at;
             this->longest_gap = std::max(this->longest_gap, gap);
             constexpr double newest_weight = 0.01;
-            this->context.event_gap_ms += newest_weight * (static_cast<double>(gap.count) - this->context.event_gap_ms);
+            this->context.event_gap_ms +=
+                newest_weight * (static_cast<double>(gap.count) - this->context.event_gap_ms);
             this->context.metrics.event_gap.add(gap);
         }
         this->progress.has_events = true;
@@ -436,9 +438,10 @@
         if (!this->is_repeatable() || this->sent_count >= this->request.route->max_attempts) {
             return;
         }
-        log_event("stream_silent", {{"id", this->request.facts.attempt_id},
-                                    {"target", this->path.front().id.value},
-                                    {"ms", now - std::max(this->progress.sent_at, this->progress.last_event_at)}});
+        log_event("stream_silent",
+                  {{"id", this->request.facts.attempt_id},
+                   {"target", this->path.front().id.value},
+                   {"ms", now - std::max(this->progress.sent_at, this->progress.last_event_at)}});
         this->resume("silence");
     }
 
@@ -455,8 +458,7 @@
         ++this->path_changes;
         std::set<target_id> others = this->excluded;
         others.insert(first.id);
-        chosen_path rest =
-            choose_path(this->context, this->service, first.layers.end, &first, others);
+        chosen_path rest = choose_path(this->context, this->service, first.layers.end, &first, others);
         if (rest.hops.empty() && first.layers.end < this->service.engine->layers) {
             return;
         }
--- a/src/entry/stream_runner.hpp
+++ b/src/entry/stream_runner.hpp
@@ -4,9 +4,9 @@
 
 namespace dandelionstep {
 
-//! Carries a streaming request along a path of engines and its events back as they come. When an engine of the
-//! path dies, the path is changed behind the first engine, or the stream is resumed on another path after the
-//! last event that was passed on.
+//! Carries a streaming request along a path of engines and its events back as they come. When an engine of
+//! the path dies, the path is changed behind the first engine, or the stream is resumed on another path after
+//! the last event that was passed on.
 void run_stream(entry_context& context, engine_calls& engines, accepted_request request);
 
 } // namespace dandelionstep
--- a/src/entry/vm_directory.cpp
+++ b/src/entry/vm_directory.cpp
@@ -66,8 +66,8 @@
 
 std::int64_t live_vms(const vm_directory& directory, time_point now)
 {
-    const auto count =
-        std::ranges::count_if(directory.entries, [now](const auto& known) { return is_live(known.second, now); });
+    const auto count = std::ranges::count_if(directory.entries,
+                                             [now](const auto& known) { return is_live(known.second, now); });
     return std::max<std::int64_t>(1, count);
 }
 
--- a/src/request/event_splitter.hpp
+++ b/src/request/event_splitter.hpp
@@ -14,8 +14,8 @@
     std::optional<std::int64_t> last_id;
 };
 
-//! Adds bytes and returns all whole events that are now complete, as they were received. Events whose id is not
-//! above the last one are left out.
+//! Adds bytes and returns all whole events that are now complete, as they were received. Events whose id is
+//! not above the last one are left out.
 std::string take_events(event_splitter& splitter, std::string_view bytes);
 
 //! The id of one event; nullopt when it has none.
--- a/src/request/stall_policy.hpp
+++ b/src/request/stall_policy.hpp
@@ -33,8 +33,8 @@
 //! What to do about a stream's silence.
 enum class stall_step { wait, ask_engine, change_path, resume_elsewhere };
 
-//! Judges a silence: asks the first engine which engine it waits for, changes the path at once when a dead one is
-//! known, and gives the path up before the caller gives the stream up.
+//! Judges a silence: asks the first engine which engine it waits for, changes the path at once when a dead
+//! one is known, and gives the path up before the caller gives the stream up.
 stall_step next_stall_step(const stream_progress& progress, const stall_limits& limits, time_point now);
 
 } // namespace dandelionstep
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -30,16 +30,16 @@
     std::size_t from = SIZE_MAX;
 };
 
-std::vector<std::int64_t> boundaries_of(const path_query& query, const std::vector<path_candidate>& candidates)
+std::vector<std::int64_t> boundaries_of(const path_query& query,
+                                        const std::vector<path_candidate>& candidates)
 {
     std::vector<std::int64_t> found = {query.from_layer, query.profile->layers};
     for (const path_candidate& candidate : candidates) {
         found.push_back(candidate.target->layers.begin);
         found.push_back(candidate.target->layers.end);
     }
-    std::erase_if(found, [&](std::int64_t layer) {
-        return layer < query.from_layer || layer > query.profile->layers;
-    });
+    std::erase_if(
+        found, [&](std::int64_t layer) { return layer < query.from_layer || layer > query.profile->layers; });
     std::ranges::sort(found);
     found.erase(std::ranges::unique(found).begin(), found.end());
     return found;
@@ -211,8 +211,8 @@
                     double running)
 {
     const double context_k = (profile.usual_prompt + profile.usual_answer / 2) / 1000;
-    const double whole = profile.step_ms +
-                         running * (profile.step_ms_per_request + profile.step_ms_per_context_k * context_k);
+    const double whole =
+        profile.step_ms + running * (profile.step_ms_per_request + profile.step_ms_per_context_k * context_k);
     return whole * kind.step_factor * static_cast<double>(layers) / static_cast<double>(profile.layers);
 }
 
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -40,7 +40,8 @@
 
 //! The path of least estimated time for one token over layers [from_layer, layers), every layer once and in
 //! order and no engine twice. Empty when some layer is held by no candidate.
-std::vector<path_part> find_layer_path(const path_query& query, const std::vector<path_candidate>& candidates);
+std::vector<path_part> find_layer_path(const path_query& query,
+                                       const std::vector<path_candidate>& candidates);
 
 //! Whether the parts cover [from_layer, layers) without gap or overlap, within what their engines hold.
 bool is_valid_path(const std::vector<path_part>& path, std::int64_t from_layer, std::int64_t layers);
--- a/tests/adapters/caller_port_test.cpp
+++ b/tests/adapters/caller_port_test.cpp
@@ -39,7 +39,8 @@
 TEST_CASE("a kept connection carries one request after the other, also when they come together")
 {
     served_port served;
-    const auto caller = served.ask(std::string(plain_request) + "POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
+    const auto caller =
+        served.ask(std::string(plain_request) + "POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
     CHECK(served.taken.size() == 1);
     served.taken[0]->answer(200, {}, "one");
     REQUIRE(run_until(served.loop, [&] { return served.taken.size() == 2; }));
@@ -97,8 +98,10 @@
     for (const bound_case& one : table) {
         CAPTURE(one.what);
         served_port served;
-        served.port.set_bounds(
-            {.max_header_bytes = 1'000, .max_body_bytes = 2'000, .header_timeout = {100}, .idle_timeout = {60'000}});
+        served.port.set_bounds({.max_header_bytes = 1'000,
+                                .max_body_bytes = 2'000,
+                                .header_timeout = {100},
+                                .idle_timeout = {60'000}});
         const auto caller = connect_raw(served.loop, served.at);
         caller->write(one.bytes);
         REQUIRE(run_until(served.loop, [&] { return caller->closed; }));
@@ -110,10 +113,8 @@
 TEST_CASE("an idle connection is closed after the idle time and not before")
 {
     served_port served;
-    served.port.set_bounds({.max_header_bytes = 1'000,
-                            .max_body_bytes = 2'000,
-                            .header_timeout = {100},
-                            .idle_timeout = {600}});
+    served.port.set_bounds(
+        {.max_header_bytes = 1'000, .max_body_bytes = 2'000, .header_timeout = {100}, .idle_timeout = {600}});
     const auto caller = served.ask(plain_request);
     served.taken[0]->answer(200, {}, "x");
     CHECK_FALSE(run_until(served.loop, [&] { return caller->closed; }, {450}));
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -230,7 +230,8 @@
 {
     event_loop loop;
     scripted_server server(loop, [](raw_connection& connection) {
-        if (connection.received.find("\r\n\r\n") != std::string::npos && connection.received.size() < 200'000) {
+        if (connection.received.find("\r\n\r\n") != std::string::npos &&
+            connection.received.size() < 200'000) {
             connection.write(plain_answer);
             connection.received.append(200'000, 'x');
         }
@@ -239,8 +240,8 @@
     observed seen;
     const std::string long_body(32'000'000, 'y');
     pool.send(server.address(),
-              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(long_body.size()) + "\r\n\r\n" +
-                  long_body,
+              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(long_body.size()) +
+                  "\r\n\r\n" + long_body,
               {}, watch(seen));
     REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
     CHECK(seen.end == exchange_end::complete);
--- a/tests/adapters/http_reader_test.cpp
+++ b/tests/adapters/http_reader_test.cpp
@@ -41,8 +41,8 @@
 TEST_CASE("a request is read the same however its bytes arrive")
 {
     const std::string with_length = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
-    const std::string in_chunks =
-        "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+    const std::string in_chunks = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
     for (const std::string& bytes : {with_length, in_chunks}) {
         for (std::size_t part = 1; part <= bytes.size(); ++part) {
             const read_message read = read_in_parts(http_reader::kind::requests, bytes, part);
@@ -82,7 +82,7 @@
 TEST_CASE("bytes that are no message are found")
 {
     for (const std::string bytes : {"\x01\x02\x03 nonsense\r\n\r\n", "GET\r\n\r\n", "HTTP/9 x\r\n\r\n",
-                              "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
+                                    "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
         CAPTURE(bytes);
         CHECK(read_in_parts(http_reader::kind::requests, bytes, 1'000).malformed);
     }
@@ -117,8 +117,7 @@
 TEST_CASE("interim responses are passed over")
 {
     const read_message read = read_in_parts(
-        http_reader::kind::responses,
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", 1'000);
+        http_reader::kind::responses, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", 1'000);
     CHECK(read.complete);
     CHECK(read.head.status == 204);
 }
--- a/tests/adapters/line_writer_test.cpp
+++ b/tests/adapters/line_writer_test.cpp
@@ -74,7 +74,8 @@
     writer.add("after");
     writer.flush();
     text += pipe.read_all();
-    CHECK(text.find("event=lines_dropped count=" + std::to_string(dropped) + "\nafter\n") != std::string::npos);
+    CHECK(text.find("event=lines_dropped count=" + std::to_string(dropped) + "\nafter\n") !=
+          std::string::npos);
     // Every line that was written is whole.
     std::size_t at = 0;
     while (at < text.size()) {
--- a/tests/entry/lease_test.cpp
+++ b/tests/entry/lease_test.cpp
@@ -1,9 +1,9 @@
 #include "entry/lease.hpp"
 
-#include <doctest/doctest.h>
-#include <vector>
 #include <array>
+#include <doctest/doctest.h>
 #include <random>
+#include <vector>
 
 using namespace dandelionstep;
 
@@ -58,7 +58,8 @@
 
 TEST_CASE("rows that are no lease are refused")
 {
-    for (const char* text : {"", "x", "[]", "{}", R"({"holder":1,"fencing_number":2})", R"({"holder":"a"})"}) {
+    for (const char* text :
+         {"", "x", "[]", "{}", R"({"holder":1,"fencing_number":2})", R"({"holder":"a"})"}) {
         CAPTURE(text);
         CHECK_FALSE(parse_lease(text).ok());
     }
--- a/tests/platform/message_headers_test.cpp
+++ b/tests/platform/message_headers_test.cpp
@@ -73,7 +73,8 @@
     added.patience = {1'200};
     added.last_event = 4;
     added.urgency = 2;
-    added.path = {{target_id("i-1"), {"10.1.64.9", 8080}, {0, 20}}, {target_id("i-2"), {"10.2.64.3", 8080}, {20, 80}}};
+    added.path = {{target_id("i-1"), {"10.1.64.9", 8080}, {0, 20}},
+                  {target_id("i-2"), {"10.2.64.3", 8080}, {20, 80}}};
     const http_headers headers = forwarded_headers({{"Host", "a.example"},
                                                     {"Dandelionstep-Attempt-Id", "abc"},
                                                     {"Dandelionstep-Model", "m"},
@@ -86,16 +87,15 @@
                                                     {"Last-Event-Id", "1"},
                                                     {"Connection", "keep-alive"}},
                                                    added);
-    CHECK(headers ==
-          http_headers{{"Host", "a.example"},
-                       {"Dandelionstep-Attempt-Id", "abc"},
-                       {"Dandelionstep-Model", "m"},
-                       {"Dandelionstep-Deadline-Remaining", "1200"},
-                       {"Dandelionstep-Expected-Instance", "i-1"},
-                       {"Dandelionstep-Tenant", "t1"},
-                       {"Last-Event-Id", "4"},
-                       {"Dandelionstep-Request-Urgency", "2"},
-                       {"Dandelionstep-Hop-Count", "10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"}});
+    CHECK(headers == http_headers{{"Host", "a.example"},
+                                  {"Dandelionstep-Attempt-Id", "abc"},
+                                  {"Dandelionstep-Model", "m"},
+                                  {"Dandelionstep-Deadline-Remaining", "1200"},
+                                  {"Dandelionstep-Expected-Instance", "i-1"},
+                                  {"Dandelionstep-Tenant", "t1"},
+                                  {"Last-Event-Id", "4"},
+                                  {"Dandelionstep-Request-Urgency", "2"},
+                                  {"Dandelionstep-Hop-Count", "10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"}});
 }
 
 TEST_CASE("a target's headers are passed on unchanged but for those of its connection and of the router")
--- a/tests/platform/replica_entry_test.cpp
+++ b/tests/platform/replica_entry_test.cpp
@@ -46,7 +46,8 @@
 TEST_CASE("fields of another type are left at their defaults")
 {
     const auto read = parse_replica_entry(
-        "i-1", R"({"Service":"s","Address":"10.0.0.1:1","Zone":"n","State":"ready","Slots":"x","Layers":7,"born":"y"})");
+        "i-1",
+        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"n","State":"ready","Slots":"x","Layers":7,"born":"y"})");
     REQUIRE(read.ok());
     CHECK(read->slots == 0);
     CHECK(read->layers.empty());
--- a/tests/platform/store_calls_test.cpp
+++ b/tests/platform/store_calls_test.cpp
@@ -42,7 +42,8 @@
     CHECK(call.target == "/rows-tx");
     const auto body = parse_json(call.body);
     REQUIRE(body.ok());
-    CHECK(*body == json::parse(R"({"ExpectedRevision":[{"Table":"my","part":"","Key":"owner","ApiVersion":412}],
+    CHECK(*body ==
+          json::parse(R"({"ExpectedRevision":[{"Table":"my","part":"","Key":"owner","ApiVersion":412}],
 "Puts":[{"Table":"my","part":"","Key":"owner","Value":"bm9kZS0x"}],
 "Remove":[{"Table":"my","part":"","Key":"old"}]})"));
 }
@@ -58,7 +59,8 @@
 {
     const outgoing_call call = place_call(target_id("i-1"), {{20, 31}, 2, 7});
     CHECK(call.target == "/order");
-    const http_headers expected{{"Content-Type", "application/json"}, {"Dandelionstep-Expected-Instance", "i-1"}};
+    const http_headers expected{{"Content-Type", "application/json"},
+                                {"Dandelionstep-Expected-Instance", "i-1"}};
     CHECK(call.headers == expected);
     CHECK(json::parse(call.body) ==
           json::parse(R"({"Operation":"place","From":20,"To":31,"HandoffMode":"wait","ExpectedRevision":2,
--- /dev/null
+++ b/tests/process/entry_failures_proof_test.cpp
@@ -0,0 +1,233 @@
+#include "support/cluster.hpp"
+#include "support/entry_cluster.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+// The engines of the attempt's path, from the ledger of the one that it entered.
+std::string path_of(entry_cluster& cluster, const std::string& attempt)
+{
+    for (const std::string& id : cluster.replica_ids()) {
+        const json runs = cluster.ledger(id).value("runs", json::object());
+        if (runs.contains(attempt)) {
+            return runs[attempt].value("path", "");
+        }
+    }
+    return "";
+}
+
+std::string engine_in(entry_cluster& cluster, const std::string& path, bool first)
+{
+    for (const std::string& id : cluster.replica_ids()) {
+        const std::size_t at = path.find(to_string(cluster.address_of(id)) + "=");
+        if (at != std::string::npos && (at == 0) == first) {
+            return id;
+        }
+    }
+    return "";
+}
+
+// Streams one question while `strike` is carried out after its path is known.
+caller_answer stream_while(entry_cluster& cluster, const std::string& attempt, const std::string& body,
+                           const std::function<void(const std::string& path)>& strike)
+{
+    caller_answer answer;
+    std::thread asking([&] { answer = cluster.stream(0, attempt, body); });
+    std::string path;
+    eventually([&] {
+        path = path_of(cluster, attempt);
+        return !path.empty();
+    });
+    strike(path);
+    asking.join();
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("a stream goes on behind its first engine when a later engine dies")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.event_ms = 60;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    const caller_answer answer = stream_while(cluster, "s1", "question one", [&](const std::string& path) {
+        const std::string later = engine_in(cluster, path, false);
+        REQUIRE_FALSE(later.empty());
+        cluster.processes.at(later).kill();
+    });
+    CHECK(is_whole_stream(answer, "question one"));
+}
+
+TEST_CASE("a stream is resumed elsewhere when its first engine dies")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.event_ms = 60;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    const caller_answer answer = stream_while(cluster, "s2", "question two", [&](const std::string& path) {
+        const std::string first = engine_in(cluster, path, true);
+        REQUIRE_FALSE(first.empty());
+        cluster.processes.at(first).kill();
+    });
+    CHECK(is_whole_stream(answer, "question two"));
+}
+
+TEST_CASE("a stream goes on when an engine falls silent")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.event_ms = 60;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    std::string silent;
+    const caller_answer answer = stream_while(cluster, "s3", "question three", [&](const std::string& path) {
+        silent = engine_in(cluster, path, false);
+        REQUIRE_FALSE(silent.empty());
+        cluster.processes.at(silent).signal(SIGSTOP);
+    });
+    cluster.processes.at(silent).signal(SIGCONT);
+    CHECK(is_whole_stream(answer, "question three"));
+}
+
+TEST_CASE("an order runs at most once, whatever its replica does, and a refusal is true")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    struct order_case {
+        std::string fault;
+        int status;
+        std::int64_t runs;
+    };
+    const std::vector<order_case> table{
+        {"drop_answers", 502, 1}, {"hang", 504, 1}, {"refuse", 503, 0}, {"unsigned", 502, 1}, {"", 200, 1}};
+    for (const order_case& one : table) {
+        CAPTURE(one.fault);
+        for (const char* id : {"i-o1", "i-o2", "i-o3"}) {
+            cluster.set_faults(id, {{"drop_answers", 0}, {"hang", 0}, {"refuse", 0}, {"unsigned", 0}});
+            if (!one.fault.empty()) {
+                cluster.set_faults(id, {{one.fault, 1}});
+            }
+        }
+        const std::string attempt = "order-" + one.fault;
+        const caller_answer answer = cluster.order(0, attempt, "x");
+        CHECK(answer.status == one.status);
+        CHECK(cluster.runs_of(attempt) == one.runs);
+        CHECK((one.status != 503 || !find_header(answer.headers, "Retry-After").empty()));
+    }
+}
+
+TEST_CASE("a lookup is answered by another replica when one drops or holds it")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    for (const char* fault : {"drop_answers", "hang", "refuse", "unsigned"}) {
+        CAPTURE(fault);
+        cluster.set_faults("i-o1", {{fault, 1}});
+        for (int i = 0; i < 9; ++i) {
+            CHECK(cluster.look_up(0, "l").status == 200);
+        }
+    }
+}
+
+TEST_CASE("what is known is served while the store is away, and changes are in force after its return")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    for (const char* fault : {"busy", "reset", "silent"}) {
+        CAPTURE(fault);
+        cluster.set_faults("store", {{fault, true}});
+        for (int i = 0; i < 5; ++i) {
+            CHECK(cluster.order(0, std::string("o-") + fault + std::to_string(i), "x").status == 200);
+            CHECK(
+                is_whole_stream(cluster.stream(0, std::string("s-") + fault + std::to_string(i), "q"), "q"));
+        }
+        const std::string key = std::string("key-") + fault;
+        cluster.write_config([&](json& config) {
+            config["Tenants"][0]["ApiKeys"] = json::array({entry_key, key});
+        });
+        cluster.set_faults("store", {{fault, false}});
+        CHECK(eventually(
+            [&] {
+                return cluster.ask(0, "GET", "/look/x", "k", "", {{"Dandelionstep-Credential", key}})
+                           .status == 200;
+            },
+            {3'000}));
+    }
+}
+
+TEST_CASE("a dropped history of the store hides no change")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    for (int round = 0; round < 3; ++round) {
+        const std::string key = "key-round" + std::to_string(round);
+        cluster.set_faults("store", {{"forget", 1}});
+        cluster.write_config([&](json& config) {
+            config["Tenants"][0]["ApiKeys"] = json::array({entry_key, key});
+        });
+        CHECK(eventually(
+            [&] {
+                return cluster.ask(0, "GET", "/look/x", "k", "", {{"Dandelionstep-Credential", key}})
+                           .status == 200;
+            },
+            {2'000}));
+    }
+}
+
+TEST_CASE("a replica that leaves gets nothing more after the drain time")
+{
+    entry_plan plan = usual_entry_plan();
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    cluster.set_faults("i-o1", {{"draining", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(plan.drain_ms));
+    const std::size_t before = cluster.ledger("i-o1")["runs"].size();
+    for (int i = 0; i < 30; ++i) {
+        CHECK(cluster.order(0, "d" + std::to_string(i), "x").status == 200);
+    }
+    CHECK(cluster.ledger("i-o1")["runs"].size() == before);
+}
+
+TEST_CASE("a planned stop finishes the streams that run and ends with status 0")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.daemons = {"n", "n"};
+    plan.event_ms = 60;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    const caller_answer answer = stream_while(cluster, "s4", "question four", [&](const std::string&) {
+        cluster.processes.at("daemon0").signal(SIGTERM);
+        CHECK(eventually([&] { return !cluster.is_ready(0); }, {500}));
+    });
+    CHECK(is_whole_stream(answer, "question four"));
+    CHECK(cluster.processes.at("daemon0").wait() == 0);
+    CHECK(is_whole_stream(cluster.stream(1, "s5", "question five"), "question five"));
+}
+
+TEST_CASE(
+    "another daemon places layers after the holder of the lease was killed, with a higher fencing number")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.daemons = {"n", "n"};
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    // Killed together: the lease lapses, and an engine comes back empty.
+    cluster.processes.at("daemon0").kill();
+    cluster.processes.at("i-e1").kill();
+    cluster.start_replica("i-e1");
+    cluster.start_daemon(0);
+    CHECK(eventually(
+        [&] {
+            const json placed = cluster.ledger("i-e1").value("placed", json::array());
+            return !placed.empty();
+        },
+        {15'000}));
+    CHECK(
+        eventually([&] { return is_whole_stream(cluster.stream(1, "s6", "question six"), "question six"); }));
+}
--- a/tests/route/entry_config_test.cpp
+++ b/tests/route/entry_config_test.cpp
@@ -37,11 +37,16 @@
     const entry_config config =
         config_with({route_with("short", "/a/"), route_with("long", "/a/b/"), route_with("other", "/c/")});
     const std::vector<match_case> table{
-        {"a.example", "/a/x", "short"},      {"a.example", "/a/b/x", "long"},
-        {"a.example", "/a/b/", "long"},      {"a.example", "/a/b", "short"},
-        {"a.example", "/a/bc/x", "short"},   {"a.example", "/c/x?y=/a/b/", "other"},
-        {"a.example", "/d/x", ""},           {"a.example", "/a", ""},
-        {"a.example", "", ""},               {"b.example", "/a/x", ""},
+        {"a.example", "/a/x", "short"},
+        {"a.example", "/a/b/x", "long"},
+        {"a.example", "/a/b/", "long"},
+        {"a.example", "/a/b", "short"},
+        {"a.example", "/a/bc/x", "short"},
+        {"a.example", "/c/x?y=/a/b/", "other"},
+        {"a.example", "/d/x", ""},
+        {"a.example", "/a", ""},
+        {"a.example", "", ""},
+        {"b.example", "/a/x", ""},
         {"a.example:8080", "/a/x", "short"},
     };
     for (const match_case& one : table) {
--- a/tests/route/layer_path_differential_test.cpp
+++ b/tests/route/layer_path_differential_test.cpp
@@ -50,7 +50,8 @@
             return;
         }
         for (const registered_target& engine : this->engines) {
-            if (this->used.contains(engine.id) || engine.layers.begin > covered || engine.layers.end <= covered) {
+            if (this->used.contains(engine.id) || engine.layers.begin > covered ||
+                engine.layers.end <= covered) {
                 continue;
             }
             this->used.insert(engine.id);
@@ -79,8 +80,9 @@
     for (int i = 0; i < count; ++i) {
         const auto begin = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(layers));
         const auto size = 1 + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(layers));
-        engines.push_back(engine_with(absl::StrCat("e", i), kinds[random() % 3], random() % 2 == 0 ? "n" : "p",
-                                      random() % 3 == 0 ? 0 : begin, std::min(layers, begin + size)));
+        engines.push_back(engine_with(absl::StrCat("e", i), kinds[random() % 3],
+                                      random() % 2 == 0 ? "n" : "p", random() % 3 == 0 ? 0 : begin,
+                                      std::min(layers, begin + size)));
     }
     return engines;
 }
--- a/tests/route/layer_path_test.cpp
+++ b/tests/route/layer_path_test.cpp
@@ -67,8 +67,10 @@
         engine_with("n1", "middle", "n", 0, 40), engine_with("n2", "middle", "n", 40, 80),
         engine_with("p1", "middle", "p", 0, 40), engine_with("p2", "middle", "p", 40, 80)};
     const auto candidates = candidates_of(engines);
-    CHECK(ids_of(find_layer_path(query_from(profile, "n"), candidates)) == std::vector<std::string>{"n1", "n2"});
-    CHECK(ids_of(find_layer_path(query_from(profile, "p"), candidates)) == std::vector<std::string>{"p1", "p2"});
+    CHECK(ids_of(find_layer_path(query_from(profile, "n"), candidates)) ==
+          std::vector<std::string>{"n1", "n2"});
+    CHECK(ids_of(find_layer_path(query_from(profile, "p"), candidates)) ==
+          std::vector<std::string>{"p1", "p2"});
 }
 
 TEST_CASE("another data centre lends the layers that are missing in one's own")
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,5 +1,7 @@
 #include "engine_standin.hpp"
 #include "platform_standin.hpp"
+#include "replica_standin.hpp"
+#include "row_store_standin.hpp"
 #include "service_standin.hpp"
 
 #include <CLI/CLI.hpp>
@@ -50,6 +52,23 @@
     CLI::App* run_service_command = app.add_subcommand("service", "A plain service");
     run_service_command->add_option("--name", service.name);
 
+    row_store_options row_store;
+    CLI::App* run_row_store_command = app.add_subcommand("row-store", "The users' store of rows");
+
+    replica_options replica;
+    std::string store_address;
+    std::string registered_address;
+    CLI::App* run_replica_command = app.add_subcommand("replica", "A replica on the users' platform");
+    run_replica_command->add_option("--id", replica.id);
+    run_replica_command->add_option("--service", replica.service);
+    run_replica_command->add_option("--store", store_address, "Address of the row store")->required();
+    run_replica_command->add_option("--registered", registered_address, "Where others reach it");
+    run_replica_command->add_option("--data-centre", replica.data_centre);
+    run_replica_command->add_option("--kind", replica.kind, "Accelerator kind; an engine when it is given");
+    run_replica_command->add_option("--layers", replica.layers, "Layers of the model");
+    run_replica_command->add_option("--event-ms", replica.event_ms);
+    run_replica_command->add_option("--stall-ms", replica.stall_ms);
+
     CLI11_PARSE(app, argument_count, arguments);
     if (run_platform_command->parsed()) {
         platform.listen = listen;
@@ -59,6 +78,22 @@
         engine.listen = listen;
         return finish(run_engine(engine));
     }
+    if (run_row_store_command->parsed()) {
+        row_store.listen = listen;
+        return finish(run_row_store(row_store));
+    }
+    if (run_replica_command->parsed()) {
+        const absl::StatusOr<endpoint> store = parse_endpoint(store_address);
+        const absl::StatusOr<endpoint> registered =
+            registered_address.empty() ? endpoint{} : parse_endpoint(registered_address);
+        if (!store.ok() || !registered.ok()) {
+            return finish(store.ok() ? registered.status() : store.status());
+        }
+        replica.listen = listen;
+        replica.store = *store;
+        replica.registered = *registered;
+        return finish(run_replica(replica));
+    }
     service.listen = listen;
     return finish(run_service(service));
 }
--- /dev/null
+++ b/tests/standins/replica_standin.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "target/endpoint.hpp"
+
+#include <string>
+
+namespace dandelionstep::standins {
+
+//! A replica on the users' platform; an engine when it has an accelerator kind.
+struct replica_options {
+    endpoint listen;
+    endpoint store;
+    //! Where others reach it; its own address unless a proxy stands before it.
+    endpoint registered;
+    std::string id = "i-1";
+    std::string service = "service";
+    std::string data_centre = "n";
+    std::string kind;
+    std::int64_t layers = 8;
+    std::int64_t slots = 16;
+    std::int64_t heartbeat_ms = 200;
+    std::int64_t event_ms = 20;
+    std::int64_t stall_ms = 3000;
+    std::int64_t load_ms = 50;
+};
+
+//! The data of event `index` of the stream that answers the body; the same on every replica.
+std::string event_data(const std::string& body, std::int64_t index);
+//! Number of events of the stream that answers the body.
+std::int64_t event_count(const std::string& body);
+
+//! Runs a stand-in for a replica until SIGTERM: it registers itself in the store, answers calls with the echo
+//! of their body, answers streams along a path of engines, takes orders and reports.
+//!
+//! `GET /ledger` tells what it ran: for each attempt how often, with which organisation, path and body. Fault
+//! switches: `draining`, `refuse` (count), `hang` (count), `drop_answers` (count), `delay_ms`, `unsigned`
+//! (count).
+absl::Status run_replica(const replica_options& options);
+
+} // namespace dandelionstep::standins
--- /dev/null
+++ b/tests/support/entry_cluster.cpp
@@ -0,0 +1,352 @@
+#include "support/entry_cluster.hpp"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "replica_standin.hpp"
+#include "support/cluster.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace dandelionstep::testing {
+namespace {
+
+constexpr milliseconds ask_timeout{15'000};
+// The HTTP client names the address as the host.
+constexpr const char* host = "127.0.0.1";
+
+http_result post(const endpoint& to, const std::string& path, const json& body, http_headers headers = {})
+{
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = std::move(headers);
+    request.body = dump(body);
+    return call(to, std::move(request));
+}
+
+http_result get(const endpoint& to, const std::string& path)
+{
+    http_request request;
+    request.path = path;
+    request.timeout = {1'000};
+    return call(to, std::move(request));
+}
+
+std::string daemon_name(std::size_t index)
+{
+    return absl::StrCat("daemon", index);
+}
+
+json route_json(const std::string& prefix, const std::string& kind, const std::string& service, int attempts)
+{
+    return {{"Name", absl::StrCat("route", prefix)},
+            {"Host", host},
+            {"Prefix", prefix},
+            {"Kind", kind},
+            {"TimeoutMs", kind == "streaming" ? 20'000 : 2'000},
+            {"TargetLatencyMs", kind == "streaming" ? 500 : 100},
+            {"TargetGapMs", 200},
+            {"Priority", 1},
+            {"Service", service},
+            {"MaxAttempts", attempts},
+            {"Public", false},
+            {"Resumable", kind == "streaming"}};
+}
+
+} // namespace
+
+entry_plan usual_entry_plan()
+{
+    entry_plan plan;
+    plan.replicas = {
+        {"i-e1", "assistant", "small"}, {"i-e2", "assistant", "small"}, {"i-e3", "assistant", "small"},
+        {"i-e4", "assistant", "small"}, {"i-e5", "assistant", "small"}, {"i-e6", "assistant", "small"},
+        {"i-e7", "assistant", "small"}, {"i-e8", "assistant", "small"}, {"i-o1", "orders", ""},
+        {"i-o2", "orders", ""},         {"i-o3", "orders", ""}};
+    return plan;
+}
+
+entry_cluster::entry_cluster(entry_plan plan_in) : plan(std::move(plan_in))
+{
+    this->processes.emplace(std::piecewise_construct, std::forward_as_tuple("store"),
+                            std::forward_as_tuple("dandelionstep-standin",
+                                                  std::vector<std::string>{"row-store"},
+                                                  this->folder.path("store.log")));
+    this->read_port("store");
+    for (const replica_plan& replica : this->plan.replicas) {
+        this->start_replica(replica.id);
+    }
+    for (std::size_t i = 0; i < this->plan.daemons.size(); ++i) {
+        this->daemons.push_back({{"127.0.0.1", free_port()}, {"127.0.0.1", free_port()}});
+        this->start_daemon(i);
+    }
+}
+
+void entry_cluster::read_port(const std::string& name)
+{
+    const std::string line = this->processes.at(name).read_line();
+    constexpr std::string_view prefix = "port=";
+    if (!line.starts_with(prefix)) {
+        throw std::runtime_error(absl::StrCat(name, " did not start: ", line));
+    }
+    this->addresses[name] = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(line.substr(prefix.size())))};
+}
+
+void entry_cluster::start_replica(const std::string& id)
+{
+    const auto replica = std::ranges::find(this->plan.replicas, id, &replica_plan::id);
+    const auto known = this->addresses.find(id);
+    const std::string port = known == this->addresses.end() ? "0" : std::to_string(known->second.port);
+    std::vector<std::string> arguments{"--port",
+                                       port,
+                                       "replica",
+                                       "--id",
+                                       id,
+                                       "--service",
+                                       replica->service,
+                                       "--store",
+                                       to_string(this->addresses.at("store")),
+                                       "--data-centre",
+                                       replica->data_centre,
+                                       "--layers",
+                                       std::to_string(entry_layers),
+                                       "--event-ms",
+                                       std::to_string(this->plan.event_ms),
+                                       "--stall-ms",
+                                       std::to_string(this->plan.stall_ms)};
+    if (!replica->kind.empty()) {
+        arguments.insert(arguments.end(), {"--kind", replica->kind});
+    }
+    this->processes.erase(id);
+    this->processes.emplace(
+        std::piecewise_construct, std::forward_as_tuple(id),
+        std::forward_as_tuple("dandelionstep-standin", arguments, this->folder.path(id + ".log")));
+    this->read_port(id);
+}
+
+std::string entry_cluster::settings_text(std::size_t index) const
+{
+    const std::string name = daemon_name(index);
+    const auto seen = this->plan.store_seen_at.find(name);
+    const endpoint store =
+        seen == this->plan.store_seen_at.end() ? this->addresses.at("store") : seen->second;
+    return absl::StrCat(
+        "NodeName = \"", name, "\"\nZone = \"", this->plan.daemons[index], "\"\nIpAddress = \"127.0.1.",
+        index + 1, "\"\n[ListenAddresses]\nFrontend = \"", to_string(this->daemons[index].callers),
+        "\"\nReady = \"", to_string(this->daemons[index].readiness),
+        "\"\n[Bounds]\nDrainMs = ", this->plan.drain_ms, "\nConfigurationApplyMs = ", this->plan.config_ms,
+        "\nStabilityWindowMs = ", this->plan.stability_ms, "\nGracePeriodS = ", this->plan.grace_s,
+        "\nRetryBudgetRatio = 0.2\nRetryBudgetSlack = 1000\n[Platform]\nAddress = \"", to_string(store),
+        "\"\n");
+}
+
+void entry_cluster::start_daemon(std::size_t index)
+{
+    const std::string name = daemon_name(index);
+    const std::string settings = this->folder.write(name + ".toml", this->settings_text(index));
+    this->processes.erase(name);
+    this->processes.emplace(std::piecewise_construct, std::forward_as_tuple(name),
+                            std::forward_as_tuple("dandelionstep-entryd", std::vector<std::string>{settings},
+                                                  this->folder.path(name + ".log")));
+}
+
+json entry_cluster::config_json() const
+{
+    const json engine = {
+        {"Slots", 16},
+        {"CacheTokenBytes", 80'000},
+        {"Stride", 1},
+        {"Models", json::array({{{"Name", "m"}, {"LoadS", 0.1}}})},
+        {"step_ms", 1.0},
+        {"per_seq_ms", 0.01},
+        {"context_per_k", 0.01},
+        {"read_per_s", 100'000.0},
+        {"usual", {{"prompt", 100}, {"answer", 20}}},
+        {"Layers", entry_layers},
+        {"LayerMb", 1'000.0},
+        {"Kinds",
+         json::array({{{"Name", "small"}, {"Megabytes", 6'000.0}, {"pace", 1.0}, {"ReadFactor", 1.0}}})}};
+    return {
+        {"Version", this->config_version},
+        {"Routes", json::array({route_json("/ask/", "streaming", "assistant", 2),
+                                route_json("/order/", "unsafe", "orders", 1),
+                                route_json("/look/", "safe", "orders", 2)})},
+        {"Services", json::array({{{"Name", "assistant"}, {"MaxConnections", 1'000}, {"Engine", engine}},
+                                  {{"Name", "orders"}, {"MaxConnections", 100}}})},
+        {"Limits", {{"MaxHeaderBytes", 16'384}, {"MaxBodyBytes", 100'000}, {"IdleTimeoutMs", 15'000}}},
+        {"Tenants", json::array({{{"Name", entry_organisation}, {"ApiKeys", json::array({entry_key})}}})}};
+}
+
+void entry_cluster::write_config(const std::function<void(json&)>& change)
+{
+    // Versions grow in uneven steps.
+    this->config_version += 3;
+    json config = this->config_json();
+    if (change) {
+        change(config);
+    }
+    const json row = {
+        {"Table", "op"}, {"part", ""}, {"Key", "config"}, {"Value", absl::Base64Escape(dump(config))}};
+    const http_result written =
+        post(this->addresses.at("store"), "/rows-tx",
+             {{"ExpectedRevision", json::array()}, {"Puts", json::array({row})}, {"Remove", json::array()}},
+             {{"Writer", "operator"}});
+    if (written.status != 200) {
+        throw std::runtime_error("the configuration was not written");
+    }
+}
+
+bool entry_cluster::is_ready(std::size_t index)
+{
+    return get(this->daemons.at(index).readiness, "/readiness").status == 200;
+}
+
+bool entry_cluster::become_ready()
+{
+    this->write_config();
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        if (!eventually([&] { return this->is_ready(i); })) {
+            return false;
+        }
+    }
+    if (!this->await_layers()) {
+        return false;
+    }
+    // Registrations reach the daemons with their next poll.
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        if (!eventually([&] { return is_whole_stream(this->stream(i, "warm-up", "warm"), "warm"); })) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool entry_cluster::await_layers()
+{
+    return eventually(
+        [this] {
+            std::vector<bool> held(entry_layers, false);
+            for (const replica_plan& replica : this->plan.replicas) {
+                if (replica.kind.empty() || !this->processes.at(replica.id).running()) {
+                    continue;
+                }
+                const absl::StatusOr<json> report =
+                    parse_json(get(this->address_of(replica.id), "/report").body);
+                if (!report.ok()) {
+                    continue;
+                }
+                const json layers = report->value("Layers", json::object());
+                for (std::int64_t layer = integer_or(layers, "From", 0); layer < integer_or(layers, "To", 0);
+                     ++layer) {
+                    held[static_cast<std::size_t>(layer)] = true;
+                }
+            }
+            return std::ranges::all_of(held, [](bool one) { return one; });
+        },
+        {20'000});
+}
+
+caller_answer entry_cluster::ask(std::size_t daemon, const std::string& method, const std::string& path,
+                                 const std::string& attempt, const std::string& body, http_headers extra)
+{
+    event_loop loop;
+    http_client client(loop);
+    caller_answer answer;
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.timeout = ask_timeout;
+    request.headers = std::move(extra);
+    const auto add = [&request](const char* name, const std::string& value) {
+        if (find_header(request.headers, name).empty()) {
+            request.headers.emplace_back(name, value);
+        }
+    };
+    add("Dandelionstep-Attempt-Id", attempt);
+    add("Dandelionstep-Credential", entry_key);
+    add("Dandelionstep-Token-Counts", "100,40");
+    add("Dandelionstep-Deadline-Remaining", "10000");
+    client.stream(
+        this->callers_of(daemon), std::move(request), [&](std::string_view part) { answer.body += part; },
+        [&](const http_result& result) {
+            answer.status = result.status;
+            answer.headers = result.headers;
+            answer.whole = result.answered();
+            answer.body += result.body;
+            loop.stop();
+        });
+    loop.run();
+    return answer;
+}
+
+caller_answer entry_cluster::stream(std::size_t daemon, const std::string& attempt, const std::string& body)
+{
+    return this->ask(daemon, "POST", "/ask/x", attempt, body);
+}
+
+caller_answer entry_cluster::order(std::size_t daemon, const std::string& attempt, const std::string& body)
+{
+    return this->ask(daemon, "POST", "/order/x", attempt, body);
+}
+
+caller_answer entry_cluster::look_up(std::size_t daemon, const std::string& attempt)
+{
+    return this->ask(daemon, "GET", "/look/x", attempt);
+}
+
+std::vector<std::string> entry_cluster::replica_ids() const
+{
+    std::vector<std::string> ids;
+    for (const replica_plan& replica : this->plan.replicas) {
+        ids.push_back(replica.id);
+    }
+    return ids;
+}
+
+json entry_cluster::ledger(const std::string& id)
+{
+    const absl::StatusOr<json> parsed = parse_json(get(this->address_of(id), "/ledger").body);
+    return parsed.ok() ? *parsed : json::object();
+}
+
+std::int64_t entry_cluster::runs_of(const std::string& attempt)
+{
+    std::int64_t total = 0;
+    for (const replica_plan& replica : this->plan.replicas) {
+        const json runs = this->ledger(replica.id).value("runs", json::object());
+        total += runs.contains(attempt) ? integer_or(runs[attempt], "count", 0) : 0;
+    }
+    return total;
+}
+
+void entry_cluster::set_faults(const std::string& name, const json& faults)
+{
+    post(this->address_of(name), "/faults", faults);
+}
+
+std::string entry_cluster::output_of(std::size_t daemon)
+{
+    // Reads to the end, so the daemon must have been told to stop.
+    return this->processes.at(daemon_name(daemon)).read_rest();
+}
+
+bool is_stream_prefix(const std::string& received, const std::string& request_body)
+{
+    std::string expected;
+    for (std::int64_t i = 1; i <= standins::event_count(request_body); ++i) {
+        absl::StrAppend(&expected, "id: ", i, "\ndata: ", standins::event_data(request_body, i), "\n\n");
+    }
+    return expected.starts_with(received);
+}
+
+bool is_whole_stream(const caller_answer& answer, const std::string& request_body)
+{
+    const std::string last = absl::StrCat(
+        "data: ", standins::event_data(request_body, standins::event_count(request_body)), "\n\n");
+    return answer.whole && answer.status == 200 && is_stream_prefix(answer.body, request_body) &&
+           answer.body.ends_with(last);
+}
+
+} // namespace dandelionstep::testing
--- /dev/null
+++ b/tests/support/entry_cluster.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "adapters/http_client.hpp"
+#include "common/json.hpp"
+#include "support/child_process.hpp"
+#include "target/endpoint.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionstep::testing {
+
+//! The key of the only organisation that the test configuration declares, and its name.
+inline constexpr const char* entry_key = "key-1";
+inline constexpr const char* entry_organisation = "organisation-1";
+//! Layers of the model on the users' stand-ins.
+inline constexpr std::int64_t entry_layers = 8;
+
+//! One replica of a test cluster; an engine when it has an accelerator kind ("big" or "small").
+struct replica_plan {
+    std::string id;
+    std::string service;
+    std::string kind;
+    std::string data_centre = "n";
+};
+
+//! What a cluster of entry daemons consists of.
+struct entry_plan {
+    //! The data centre of each daemon.
+    std::vector<std::string> daemons{"n"};
+    std::vector<replica_plan> replicas;
+    std::int64_t drain_ms = 600;
+    std::int64_t config_ms = 1'000;
+    std::int64_t stability_ms = 1'500;
+    std::int64_t grace_s = 8;
+    std::int64_t stall_ms = 3'000;
+    std::int64_t event_ms = 20;
+    //! Where the daemons reach the store, if not directly; by its real address.
+    std::map<std::string, endpoint> store_seen_at;
+};
+
+//! Two copies of the model on small engines, and three replicas of the service "orders".
+entry_plan usual_entry_plan();
+
+//! An answer to a request, as its caller saw it.
+struct caller_answer {
+    int status = 0;
+    std::string body;
+    http_headers headers;
+    bool whole = false;
+};
+
+//! The users' store, replicas and entry daemons as separate processes on loopback.
+class entry_cluster {
+public:
+    explicit entry_cluster(entry_plan plan);
+
+    void start_replica(const std::string& id);
+    void start_daemon(std::size_t index);
+    //! Writes the configuration with the next version; `change` may alter it first.
+    void write_config(const std::function<void(json&)>& change = {});
+    //! Whether the daemon says that it is ready.
+    bool is_ready(std::size_t index);
+    //! Writes a configuration and waits until every daemon serves streams.
+    bool become_ready();
+    //! Waits until each layer is held by an engine that the daemons know.
+    bool await_layers();
+
+    //! Sends a request to a daemon and waits for its answer. `extra` headers go before the usual ones.
+    caller_answer ask(std::size_t daemon, const std::string& method, const std::string& path,
+                      const std::string& attempt, const std::string& body = "", http_headers extra = {});
+    caller_answer stream(std::size_t daemon, const std::string& attempt, const std::string& body);
+    caller_answer order(std::size_t daemon, const std::string& attempt, const std::string& body);
+    caller_answer look_up(std::size_t daemon, const std::string& attempt);
+
+    [[nodiscard]] std::vector<std::string> replica_ids() const;
+    //! What a replica ran.
+    json ledger(const std::string& id);
+    //! How often all replicas together ran an attempt.
+    std::int64_t runs_of(const std::string& attempt);
+    //! Sets fault switches of "store" or a replica.
+    void set_faults(const std::string& name, const json& faults);
+    [[nodiscard]] std::string output_of(std::size_t daemon);
+    [[nodiscard]] endpoint callers_of(std::size_t daemon) const { return this->daemons.at(daemon).callers; }
+    [[nodiscard]] endpoint address_of(const std::string& name) const { return this->addresses.at(name); }
+
+    std::map<std::string, child_process> processes;
+
+private:
+    struct daemon_addresses {
+        endpoint callers;
+        endpoint readiness;
+    };
+
+    [[nodiscard]] std::string settings_text(std::size_t index) const;
+    [[nodiscard]] json config_json() const;
+    void read_port(const std::string& name);
+
+    entry_plan plan;
+    scratch_folder folder;
+    std::map<std::string, endpoint> addresses;
+    std::vector<daemon_addresses> daemons;
+    std::int64_t config_version = 0;
+};
+
+//! Whether the body is the whole stream that answers the request's body: every event once and in order.
+bool is_whole_stream(const caller_answer& answer, const std::string& request_body);
+
+//! Whether the events of the body, which may be cut, are the first of that stream, in order and none twice.
+bool is_stream_prefix(const std::string& received, const std::string& request_body);
+
+} // namespace dandelionstep::testing
--- a/tests/support/scripted_peer.cpp
+++ b/tests/support/scripted_peer.cpp
@@ -91,8 +91,8 @@
     std::vector<std::unique_ptr<raw_connection>> connections;
     std::vector<std::pair<state*, raw_connection*>*> arguments;
 
-    static void on_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/, int /*length*/,
-                          void* argument)
+    static void on_accept(evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*from*/,
+                          int /*length*/, void* argument)
     {
         auto* self = static_cast<state*>(argument);
         auto connection = std::make_unique<raw_connection>();
@@ -140,9 +140,9 @@
 {
     constexpr int backlog = 64;
     const sockaddr_in any = loopback(0);
-    this->self->listener = evconnlistener_new_bind(loop.base(), state::on_accept, this->self.get(),
-                                                   LEV_OPT_CLOSE_ON_FREE, backlog,
-                                                   reinterpret_cast<const sockaddr*>(&any), sizeof(any));
+    this->self->listener =
+        evconnlistener_new_bind(loop.base(), state::on_accept, this->self.get(), LEV_OPT_CLOSE_ON_FREE,
+                                backlog, reinterpret_cast<const sockaddr*>(&any), sizeof(any));
     if (this->self->listener == nullptr) {
         throw std::runtime_error("cannot listen on loopback");
     }
