--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -227,10 +227,9 @@
         }
         return;
     }
-    if (!this->reader.head_done() && this->reading &&
-        now - this->reading->began > this->owner->bounds.header_timeout) {
-        this->refuse(status_request_timeout);
-    } else if (quiet > this->owner->bounds.idle_timeout) {
+    const bool head_is_late = !this->reader.head_done() && this->reading &&
+                              now - this->reading->began > this->owner->bounds.header_timeout;
+    if (head_is_late || quiet > this->owner->bounds.idle_timeout) {
         this->refuse(status_request_timeout);
     }
 }
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -152,6 +152,7 @@
             if (self && !self->finished && !sent->ended) {
                 note_failure(self->context.conditions[sent->target.id], target_failure::silent,
                              event_loop::now());
+                self->log_failed(*sent, "silent");
                 if (self->may_send_again("silence")) {
                     self->send_next();
                 }
@@ -169,6 +170,25 @@
         return true;
     }
 
+    // One line for each attempt that gave no answer, with what the choice was made from.
+    void log_failed(const attempt& failed, std::string_view how)
+    {
+        const time_point now = event_loop::now();
+        if (!may_log(this->context.logs, log_weight::failure, now)) {
+            return;
+        }
+        const target_condition& condition = this->context.conditions[failed.target.id];
+        log_event("attempt_failed", {{"id", this->request.facts.attempt_id},
+                                     {"target", failed.target.id.value},
+                                     {"how", how},
+                                     {"status", failed.head.status},
+                                     {"ms", now - failed.sent_at},
+                                     {"attempt", this->sent_count},
+                                     {"in_flight", condition.in_flight},
+                                     {"failures_in_a_row", condition.failures_in_a_row},
+                                     {"config", this->request.config->version.value}});
+    }
+
     void release(attempt& ended)
     {
         if (ended.ended) {
@@ -192,6 +212,7 @@
         target_condition& condition = this->context.conditions[ended.target.id];
         if (end == exchange_end::not_sent) {
             note_failure(condition, target_failure::unreachable, now);
+            this->log_failed(ended, "unreachable");
             this->context.channels.forget(ended.target.address);
             this->unconnected();
         } else if (end == exchange_end::broken) {
@@ -200,6 +221,7 @@
                 note_failure(condition, target_failure::broken, now);
             }
             this->maybe_ran = true;
+            this->log_failed(ended, reused ? "broken_reused" : "broken");
             this->after_failure("broken", reused);
         } else {
             this->answered(ended, condition, now);
@@ -223,6 +245,7 @@
         }
         if (ended.facts.did_not_run) {
             note_refusal(condition, pause_after_refusal, now);
+            this->log_failed(ended, "refused");
             this->refused_by_target();
             return;
         }
@@ -230,6 +253,7 @@
         if ((is_success && !ended.facts.is_signed) || ended.facts.is_encoded) {
             note_failure(condition, target_failure::faulty, now);
             this->maybe_ran = true;
+            this->log_failed(ended, "faulty");
             this->after_failure("faulty", false);
             return;
         }
@@ -299,6 +323,7 @@
             if (!open->ended) {
                 this->maybe_ran = true;
                 note_failure(this->context.conditions[open->target.id], target_failure::silent, now);
+                this->log_failed(*open, "silent");
                 this->context.channels.forget(open->target.address);
             }
         }
--- a/src/entry/store_watch.cpp
+++ b/src/entry/store_watch.cpp
@@ -214,7 +214,7 @@
         this->context.conditions.erase(parsed->id);
         this->context.channels.forget(parsed->address);
     }
-    this->context.targets[parsed->id] = *std::move(parsed);
+    this->context.targets.insert_or_assign(target_id(row.key), *std::move(parsed));
 }
 
 void store_watch::remove_target(const std::string& key)
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -57,8 +57,7 @@
     {
         this->splitter.last_id = this->request.facts.last_event;
         this->limits.gap = std::max(this->limits.gap, this->request.route->gap_objective * 5 / 4);
-        this->limits.first_event =
-            std::max(this->limits.first_event, this->request.route->latency_objective * 2);
+        this->limits.first_event = std::max(this->limits.first_event, this->request.route->latency_objective);
     }
 
     void start()
@@ -343,11 +342,14 @@
     // Goes on after the last event that was passed on, on another path.
     void resume(const char* reason)
     {
+        const std::string left = path_text(this->path);
         this->end_exchange();
         if (this->is_repeatable() && this->may_send_again(reason)) {
             log_event("stream_resumed", {{"id", this->request.facts.attempt_id},
                                          {"reason", reason},
-                                         {"after_event", this->splitter.last_id.value_or(0)}});
+                                         {"left", left},
+                                         {"after_event", this->splitter.last_id.value_or(0)},
+                                         {"attempt", this->sent_count}});
             this->send_next();
             return;
         }
@@ -463,7 +465,11 @@
             return;
         }
         rest.hops.insert(rest.hops.begin(), first);
-        log_event("path_changed", {{"id", this->request.facts.attempt_id}, {"dead", dead.value}});
+        log_event("path_changed", {{"id", this->request.facts.attempt_id},
+                                   {"dead", dead.value},
+                                   {"silent_ms", event_loop::now() - std::max(this->progress.sent_at,
+                                                                              this->progress.last_event_at)},
+                                   {"path", path_text(rest.hops)}});
         this->take_path(rest.hops);
         this->progress.sent_at = event_loop::now();
         this->order_path(first);
@@ -537,6 +543,10 @@
         }
         this->end_attempt();
         if (this->request.caller->started()) {
+            log_event("stream_cut", {{"id", this->request.facts.attempt_id},
+                                     {"reason", reason},
+                                     {"after_event", this->splitter.last_id.value_or(0)},
+                                     {"attempt", this->sent_count}});
             record_request(this->context, this->request, status, "cut", {});
             this->request.caller->abort();
             return;
--- a/src/request/stall_policy.hpp
+++ b/src/request/stall_policy.hpp
@@ -21,7 +21,7 @@
 //! Silences that streams are allowed.
 struct stall_limits {
     //! Before the first event.
-    milliseconds first_event{1'500};
+    milliseconds first_event{500};
     //! Between events.
     milliseconds gap{250};
     //! Between two questions to the same engine.
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,45 @@
+#include "soak/soak_run.hpp"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+int main(int argument_count, char** arguments)
+{
+    using namespace dandelionstep::soak;
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app("Runs daemons, replicas and store as processes under faults and checks the promises.");
+    soak_options options;
+    std::uint64_t first = 0;
+    int count = 1;
+    app.add_option("--seed", first, "First seed; a fresh one if it is not given");
+    app.add_option("--count", count, "Number of seeds");
+    app.add_option("--seconds", options.seconds, "Time of faults in each run");
+    app.add_option("--daemons", options.daemons, "Number of daemons");
+    app.add_option("--callers", options.callers, "Number of callers");
+    CLI11_PARSE(app, argument_count, arguments);
+    if (first == 0) {
+        constexpr std::uint64_t most_seeds = 1'000'000;
+        first = std::random_device()() % most_seeds + 1;
+    }
+    int failed = 0;
+    for (int i = 0; i < count; ++i) {
+        options.seed = first + static_cast<std::uint64_t>(i);
+        const soak_result result = run_soak(options);
+        std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served
+                  << " served, " << result.violations.size() << " violations" << std::endl;
+        if (result.violations.empty()) {
+            continue;
+        }
+        ++failed;
+        for (const std::string& action : result.actions) {
+            std::cout << "  " << action << "\n";
+        }
+        for (const std::string& violation : result.violations) {
+            std::cout << "  VIOLATION " << violation << std::endl;
+        }
+    }
+    std::cout << count - failed << " passed, " << failed << " failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,436 @@
+#include "soak/soak_run.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "soak/fault_proxy.hpp"
+#include "support/cluster.hpp"
+#include "support/entry_cluster.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace dandelionstep::soak {
+namespace {
+
+using namespace dandelionstep::testing;
+
+constexpr milliseconds heal_time{2'500};
+constexpr milliseconds recovery_limit{15'000};
+// Longest that a single fault lasts.
+constexpr int most_fault_ms = 2'500;
+
+// One request of a caller and what came of it.
+struct asked {
+    std::string attempt;
+    std::string kind;
+    std::string body;
+    caller_answer answer;
+};
+
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void pause_ms(std::int64_t ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+class soak_run {
+public:
+    explicit soak_run(const soak_options& options_in) : options(options_in), random(options_in.seed)
+    {
+        entry_plan plan = usual_entry_plan();
+        plan.daemons.assign(options_in.daemons, "n");
+        plan.event_ms = 30;
+        for (std::size_t i = 0; i < options_in.daemons; ++i) {
+            const std::string name = absl::StrCat("daemon", i);
+            this->proxies[name] = std::make_unique<fault_proxy>();
+            plan.store_seen_at[name] = this->proxies[name]->address();
+        }
+        for (const replica_plan& replica : plan.replicas) {
+            this->proxies[replica.id] = std::make_unique<fault_proxy>();
+            plan.replica_seen_at[replica.id] = this->proxies[replica.id]->address();
+            (replica.kind.empty() ? this->services : this->engines).push_back(replica.id);
+        }
+        plan.on_address = [this](const std::string& name, const endpoint& at) {
+            this->connect_proxy(name, at);
+        };
+        this->cluster = std::make_unique<entry_cluster>(plan);
+    }
+
+    soak_result run()
+    {
+        if (!this->cluster->become_ready()) {
+            this->violation("the cluster did not become ready");
+            return std::move(this->result);
+        }
+        std::vector<std::thread> callers;
+        for (int i = 0; i < this->options.callers; ++i) {
+            callers.emplace_back([this, i] { this->call_until_stopped(i); });
+        }
+        this->inject();
+        this->heal();
+        pause_ms(heal_time.count);
+        this->stopped = true;
+        for (std::thread& caller : callers) {
+            caller.join();
+        }
+        this->check_recovery();
+        this->check_answers();
+        this->check_processes();
+        return std::move(this->result);
+    }
+
+private:
+    void connect_proxy(const std::string& name, const endpoint& at)
+    {
+        if (name == "store") {
+            for (std::size_t i = 0; i < this->options.daemons; ++i) {
+                this->proxies.at(absl::StrCat("daemon", i))->set_server(at);
+            }
+        } else if (this->proxies.contains(name)) {
+            this->proxies.at(name)->set_server(at);
+        }
+    }
+
+    std::uint64_t below(std::uint64_t limit) { return this->random() % limit; }
+
+    template <class Items>
+    const std::string& pick(const Items& items)
+    {
+        return items[this->below(items.size())];
+    }
+
+    void violation(const std::string& text) { this->result.violations.push_back(text); }
+
+    void note(const std::string& action)
+    {
+        const auto since = std::chrono::steady_clock::now() - this->began;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+        this->result.actions.push_back(absl::StrCat(ms, " ms: ", action));
+    }
+
+    void call_until_stopped(int caller)
+    {
+        std::mt19937_64 draws(this->options.seed * 1'000 + static_cast<std::uint64_t>(caller));
+        for (int i = 0; !this->stopped; ++i) {
+            asked one;
+            one.attempt = absl::StrCat("c", caller, "-", i);
+            one.body = absl::StrCat("body of ", one.attempt);
+            const std::size_t daemon = draws() % this->options.daemons;
+            const std::uint64_t kind = draws() % 3;
+            if (kind == 0) {
+                one.kind = "stream";
+                one.answer = this->cluster->stream(daemon, one.attempt, one.body);
+            } else if (kind == 1) {
+                one.kind = "order";
+                one.answer = this->cluster->order(daemon, one.attempt, one.body);
+            } else {
+                one.kind = "lookup";
+                one.answer = this->cluster->look_up(daemon, one.attempt);
+            }
+            const std::lock_guard guard(this->lock);
+            this->requests.push_back(std::move(one));
+        }
+    }
+
+    // Each action undoes itself after its time, while others begin.
+    void inject()
+    {
+        const auto end = this->began + std::chrono::seconds(this->options.seconds);
+        while (std::chrono::steady_clock::now() < end) {
+            this->undo_due();
+            this->strike();
+            pause_ms(static_cast<std::int64_t>(100 + this->below(600)));
+        }
+    }
+
+    void later(const std::function<void()>& undo)
+    {
+        const auto at = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(300 + this->below(most_fault_ms - 300));
+        this->undos.emplace(at, undo);
+    }
+
+    void undo_due()
+    {
+        while (!this->undos.empty() && this->undos.begin()->first <= std::chrono::steady_clock::now()) {
+            const std::function<void()> undo = this->undos.begin()->second;
+            this->undos.erase(this->undos.begin());
+            undo();
+        }
+    }
+
+    void strike()
+    {
+        switch (this->below(9)) {
+        case 0:
+        case 1:
+            this->strike_link();
+            break;
+        case 2:
+            this->strike_store();
+            break;
+        case 3:
+            this->pause_process();
+            break;
+        case 4:
+            this->kill_daemon(SIGKILL);
+            break;
+        case 5:
+            this->kill_daemon(SIGTERM);
+            break;
+        case 6:
+            this->kill_engine();
+            break;
+        case 7:
+            this->strike_replica();
+            break;
+        default:
+            this->change_config();
+            break;
+        }
+    }
+
+    void strike_link()
+    {
+        auto chosen = this->proxies.begin();
+        std::advance(chosen, this->below(this->proxies.size()));
+        const auto fault = static_cast<proxy_fault>(1 + this->below(5));
+        fault_proxy* proxy = chosen->second.get();
+        this->note(absl::StrCat("link ", chosen->first, " ", to_string(fault)));
+        proxy->set_fault(fault);
+        this->later([proxy] { proxy->set_fault(proxy_fault::none); });
+    }
+
+    void strike_store()
+    {
+        static const std::vector<json> faults{
+            {{"busy", true}},     {{"reset", true}},   {{"silent", true}}, {{"lose_answers", 5}},
+            {{"late_ms", 1'500}}, {{"delay_ms", 300}}, {{"forget", 1}}};
+        const json& fault = faults[this->below(faults.size())];
+        this->note(absl::StrCat("store ", fault.dump()));
+        this->cluster->set_faults("store", fault);
+        this->later([this] { this->cluster->set_faults("store", sound_store()); });
+    }
+
+    static json sound_store()
+    {
+        return {{"busy", false},     {"reset", false}, {"silent", false},
+                {"lose_answers", 0}, {"late_ms", 0},   {"delay_ms", 0}};
+    }
+
+    void pause_process()
+    {
+        std::vector<std::string> names = this->cluster->replica_ids();
+        for (std::size_t i = 0; i < this->options.daemons; ++i) {
+            names.push_back(absl::StrCat("daemon", i));
+        }
+        const std::string name = this->pick(names);
+        this->note(absl::StrCat("pause ", name));
+        this->cluster->processes.at(name).signal(SIGSTOP);
+        this->later([this, name] { this->cluster->processes.at(name).signal(SIGCONT); });
+    }
+
+    void kill_daemon(int signal)
+    {
+        const std::size_t index = this->below(this->options.daemons);
+        const std::string name = absl::StrCat("daemon", index);
+        if (this->down.contains(name)) {
+            return;
+        }
+        this->note(absl::StrCat(signal == SIGKILL ? "kill " : "stop ", name));
+        this->down.insert(name);
+        child_process& process = this->cluster->processes.at(name);
+        process.signal(SIGCONT);
+        process.signal(signal);
+        if (signal == SIGKILL) {
+            process.wait();
+        }
+        this->later([this, index, name, signal] {
+            child_process& stopped_one = this->cluster->processes.at(name);
+            if (signal == SIGTERM) {
+                stopped_one.signal(SIGCONT);
+                const int status = stopped_one.wait();
+                if (status != 0) {
+                    this->violation(absl::StrCat(name, " ended a planned stop with status ", status));
+                }
+            }
+            this->cluster->start_daemon(index);
+            this->down.erase(name);
+        });
+    }
+
+    void kill_engine()
+    {
+        const std::string id = this->pick(this->engines);
+        if (this->down.contains(id)) {
+            return;
+        }
+        this->note(absl::StrCat("kill ", id));
+        this->down.insert(id);
+        this->cluster->processes.at(id).kill();
+        this->later([this, id] {
+            this->cluster->start_replica(id);
+            this->down.erase(id);
+        });
+    }
+
+    void strike_replica()
+    {
+        static const std::vector<json> faults{
+            {{"refuse", 3}}, {{"hang", 2}}, {{"drop_answers", 3}}, {{"unsigned", 2}}, {{"draining", true}}};
+        const std::string id = this->pick(this->services);
+        const json& fault = faults[this->below(faults.size())];
+        this->note(absl::StrCat("replica ", id, " ", fault.dump()));
+        this->cluster->set_faults(id, fault);
+        this->later([this, id] {
+            this->cluster->set_faults(
+                id, {{"refuse", 0}, {"hang", 0}, {"drop_answers", 0}, {"unsigned", 0}, {"draining", false}});
+        });
+    }
+
+    // Each configuration has one more key, and not the one before.
+    void change_config()
+    {
+        ++this->keys;
+        this->note(absl::StrCat("configuration with key-", this->keys));
+        this->cluster->write_config([this](json& config) {
+            config["Tenants"][0]["ApiKeys"] = json::array({entry_key, absl::StrCat("extra-", this->keys)});
+        });
+    }
+
+    void heal()
+    {
+        this->note("heal");
+        while (!this->undos.empty()) {
+            const std::function<void()> undo = this->undos.begin()->second;
+            this->undos.erase(this->undos.begin());
+            undo();
+        }
+        for (const auto& [name, proxy] : this->proxies) {
+            proxy->set_fault(proxy_fault::none);
+        }
+        this->cluster->set_faults("store", sound_store());
+    }
+
+    void check_recovery()
+    {
+        this->change_config();
+        const std::string newest = absl::StrCat("extra-", this->keys);
+        for (std::size_t i = 0; i < this->options.daemons; ++i) {
+            const bool serves = eventually(
+                [&] {
+                    const caller_answer found = this->cluster->ask(i, "GET", "/look/x", "after", "",
+                                                                   {{"Dandelionstep-Credential", newest}});
+                    return found.status == 200 &&
+                           is_whole_stream(this->cluster->stream(i, absl::StrCat("after-", i), "after"),
+                                           "after");
+                },
+                recovery_limit);
+            if (!serves) {
+                this->violation(absl::StrCat("daemon", i, " does not serve after all faults are over"));
+            }
+            if (this->keys > 1) {
+                const std::string before = absl::StrCat("extra-", this->keys - 1);
+                const caller_answer old = this->cluster->ask(i, "GET", "/look/x", "old", "",
+                                                             {{"Dandelionstep-Credential", before}});
+                if (old.status != 401) {
+                    this->violation(absl::StrCat("daemon", i, " accepts a key that was taken away"));
+                }
+            }
+        }
+    }
+
+    void check_answers()
+    {
+        std::map<std::string, std::int64_t> runs;
+        for (const std::string& id : this->cluster->replica_ids()) {
+            const json ledger = this->cluster->ledger(id);
+            for (const auto& [attempt, run] : ledger.value("runs", json::object()).items()) {
+                runs[attempt] += integer_or(run, "count", 0);
+            }
+            if (!ledger.value("bad_paths", json::array()).empty()) {
+                this->violation(absl::StrCat(id, " was given a path that does not run every layer once"));
+            }
+        }
+        for (const asked& one : this->requests) {
+            ++this->result.requests;
+            this->result.served += one.answer.status == 200 && one.answer.whole ? 1 : 0;
+            this->check_answer(one, runs[one.attempt]);
+        }
+    }
+
+    void check_answer(const asked& one, std::int64_t runs)
+    {
+        const std::string what = absl::StrCat(one.kind, " ", one.attempt, " (status ", one.answer.status,
+                                              ", ran ", runs, " times)");
+        if (one.kind == "order" && runs > 1) {
+            this->violation(absl::StrCat(what, " ran more than once"));
+        }
+        if (one.kind == "order" && promises_not_run(one.answer.status) && runs > 0) {
+            this->violation(absl::StrCat(what, " was said not to have run"));
+        }
+        if (one.kind == "order" && one.answer.status == 200 && one.answer.whole &&
+            one.answer.body != absl::StrCat("echo:", one.body)) {
+            this->violation(absl::StrCat(what, " got another answer"));
+        }
+        if (one.kind == "lookup" && one.answer.status == 200 && one.answer.whole &&
+            one.answer.body != "echo:") {
+            this->violation(absl::StrCat(what, " got another answer"));
+        }
+        if (one.kind == "stream" && one.answer.status == 200 &&
+            !is_stream_prefix(one.answer.body, one.body)) {
+            this->violation(absl::StrCat(what, " lost, repeated or mixed events"));
+        }
+        if (one.kind == "stream" && one.answer.status == 200 && one.answer.whole &&
+            !is_whole_stream(one.answer, one.body)) {
+            this->violation(absl::StrCat(what, " looks complete and is not"));
+        }
+        if (one.answer.status == 401 || one.answer.status == 404) {
+            this->violation(absl::StrCat(what, " was denied though every configuration allows it"));
+        }
+    }
+
+    void check_processes()
+    {
+        for (std::size_t i = 0; i < this->options.daemons; ++i) {
+            const std::string name = absl::StrCat("daemon", i);
+            if (!this->cluster->processes.at(name).running()) {
+                this->violation(absl::StrCat(name, " ended by itself"));
+            }
+        }
+    }
+
+    soak_options options;
+    std::mt19937_64 random;
+    // Proxies outlive the processes that connect through them.
+    std::map<std::string, std::unique_ptr<fault_proxy>> proxies;
+    std::unique_ptr<entry_cluster> cluster;
+    std::vector<std::string> engines;
+    std::vector<std::string> services;
+    std::multimap<std::chrono::steady_clock::time_point, std::function<void()>> undos;
+    std::set<std::string> down;
+    std::atomic<bool> stopped = false;
+    std::mutex lock;
+    std::vector<asked> requests;
+    int keys = 0;
+    std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    soak_result result;
+};
+
+} // namespace
+
+soak_result run_soak(const soak_options& options)
+{
+    return soak_run(options).run();
+}
+
+} // namespace dandelionstep::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandelionstep::soak {
+
+//! Size of a run.
+struct soak_options {
+    std::uint64_t seed = 1;
+    //! How long faults are injected.
+    int seconds = 8;
+    std::size_t daemons = 3;
+    int callers = 6;
+};
+
+//! What a run found.
+struct soak_result {
+    //! Broken promises, one line each.
+    std::vector<std::string> violations;
+    //! What was done, in order.
+    std::vector<std::string> actions;
+    std::int64_t requests = 0;
+    std::int64_t served = 0;
+};
+
+//! Runs store, replicas and daemons as processes with proxies between them, injects faults drawn from the
+//! seed in series and overlapping, and checks what callers and replicas saw.
+soak_result run_soak(const soak_options& options);
+
+} // namespace dandelionstep::soak
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -91,6 +91,9 @@
         throw std::runtime_error(absl::StrCat(name, " did not start: ", line));
     }
     this->addresses[name] = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(line.substr(prefix.size())))};
+    if (this->plan.on_address) {
+        this->plan.on_address(name, this->addresses[name]);
+    }
 }
 
 void entry_cluster::start_replica(const std::string& id)
@@ -118,6 +121,10 @@
     if (!replica->kind.empty()) {
         arguments.insert(arguments.end(), {"--kind", replica->kind});
     }
+    const auto seen = this->plan.replica_seen_at.find(id);
+    if (seen != this->plan.replica_seen_at.end()) {
+        arguments.insert(arguments.end(), {"--registered", to_string(seen->second)});
+    }
     this->processes.erase(id);
     this->processes.emplace(
         std::piecewise_construct, std::forward_as_tuple(id),
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -40,6 +40,10 @@
     std::int64_t event_ms = 20;
     //! Where the daemons reach the store, if not directly; by its real address.
     std::map<std::string, endpoint> store_seen_at;
+    //! Where each replica registers itself, if not at its own address.
+    std::map<std::string, endpoint> replica_seen_at;
+    //! Called with the address of the store and of each replica when it has started.
+    std::function<void(const std::string& name, const endpoint& at)> on_address;
 };
 
 //! Two copies of the model on small engines, and three replicas of the service "orders".
