--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds connect_timeout{250};
 // Connections that have been idle for longer may have been dropped without notice; requests that may run only
 // once go over newer ones.
-constexpr milliseconds fresh_idle{1'000};
+constexpr milliseconds fresh_idle{200};
 constexpr milliseconds any_idle{60'000};
 // Failures to connect prove that nothing ran, so they don't count as attempts; this bounds them.
 constexpr int max_unconnected = 3;
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -238,7 +238,9 @@
     });
     channel_pool pool(loop);
     observed seen;
-    const std::string long_body(32'000'000, 'y');
+    constexpr std::size_t more_than_buffers_hold = 32'000'000;
+    std::string long_body;
+    long_body.resize(more_than_buffers_hold, 'y');
     pool.send(server.address(),
               "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(long_body.size()) +
                   "\r\n\r\n" + long_body,
--- a/tests/request/stall_policy_test.cpp
+++ b/tests/request/stall_policy_test.cpp
@@ -32,7 +32,10 @@
         {"the path changed just now", {{6'300}, {5'000}, {6'000}, true, false}, 6'400, stall_step::wait},
         {"waits for its first event", {{5'000}, {0}, {0}, false, false}, 5'450, stall_step::wait},
         {"waits long for its first event", {{5'000}, {0}, {0}, false, false}, 5'600, stall_step::ask_engine},
-        {"waits very long for its first event", {{5'000}, {0}, {6'950}, false, false}, 7'000, stall_step::wait},
+        {"waits very long for its first event",
+         {{5'000}, {0}, {6'950}, false, false},
+         7'000,
+         stall_step::wait},
         {"an engine is known to be dead", {{0}, {5'000}, {0}, true, true}, 5'300, stall_step::change_path},
         {"events still come by a dead engine", {{0}, {5'000}, {0}, true, true}, 5'100, stall_step::wait},
     };
--- a/tests/route/layer_path_differential_test.cpp
+++ b/tests/route/layer_path_differential_test.cpp
@@ -104,6 +104,7 @@
         query.profile = &profile;
         query.entry = data_centre_id("n");
         std::vector<path_candidate> candidates;
+        candidates.reserve(engines.size());
         for (const registered_target& engine : engines) {
             candidates.push_back({&engine, 0, 0, 0, 1});
         }
--- a/tests/route/layer_path_test.cpp
+++ b/tests/route/layer_path_test.cpp
@@ -12,6 +12,7 @@
 std::vector<path_candidate> candidates_of(const std::vector<registered_target>& engines)
 {
     std::vector<path_candidate> candidates;
+    candidates.reserve(engines.size());
     for (const registered_target& engine : engines) {
         candidates.push_back({&engine, 0, 0, 0, 1});
     }
@@ -21,6 +22,7 @@
 std::vector<std::string> ids_of(const std::vector<path_part>& path)
 {
     std::vector<std::string> ids;
+    ids.reserve(path.size());
     for (const path_part& part : path) {
         ids.push_back(part.target->id.value);
     }
--- a/tests/route/pick_target_test.cpp
+++ b/tests/route/pick_target_test.cpp
@@ -120,8 +120,5 @@
         query.draw = static_cast<double>(i) / draws;
         ++picks[pick_target(query, registry, {})->id.value];
     }
-    for (const auto& [id, count] : picks) {
-        CAPTURE(id);
-        CHECK(count == draws / 3);
-    }
+    CHECK(picks == std::map<std::string, int>{{"a", draws / 3}, {"b", draws / 3}, {"c", draws / 3}});
 }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -61,6 +61,9 @@
         bufferevent* server = nullptr;
         // Goes on swallowing bytes after the fault is over: a silent connection never speaks again.
         bool is_dead = false;
+        // Parts on their delayed way; what follows them must not overtake.
+        int delayed_to_caller = 0;
+        int delayed_to_server = 0;
     };
 
     event_loop loop;
@@ -121,15 +124,18 @@
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
-        if (this->fault != proxy_fault::delay) {
+        const int delayed = to_server ? through.delayed_to_server : through.delayed_to_caller;
+        if (this->fault != proxy_fault::delay && delayed == 0) {
             bufferevent_write_buffer(to, input);
             return;
         }
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
         // Another connection may be at the same address by then.
-        this->later([watched = std::weak_ptr(this->pipes.at(&through)), to, bytes] {
-            if (!watched.expired()) {
+        ++(to_server ? through.delayed_to_server : through.delayed_to_caller);
+        this->later([to_server, watched = std::weak_ptr(this->pipes.at(&through)), to, bytes] {
+            if (const auto self = watched.lock()) {
+                --(to_server ? self->delayed_to_server : self->delayed_to_caller);
                 bufferevent_write(to, bytes.data(), bytes.size());
             }
         });
@@ -146,6 +152,14 @@
 
     void end(pipe& through, bool by_reset)
     {
+        if (!by_reset && through.delayed_to_caller + through.delayed_to_server > 0) {
+            this->later([this, by_reset, watched = std::weak_ptr(this->pipes.at(&through))] {
+                if (const auto self = watched.lock()) {
+                    this->end(*self, by_reset);
+                }
+            });
+            return;
+        }
         const auto found = this->pipes.find(&through);
         if (found == this->pipes.end()) {
             return;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -264,6 +264,8 @@
                 }
             }
             this->cluster->start_daemon(index);
+            // Its first line comes once it handles signals.
+            this->cluster->processes.at(name).read_line();
             this->down.erase(name);
         });
     }
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace dandelionstep::standins {
@@ -25,7 +26,11 @@
     std::string part;
     std::string key;
 
-    friend auto operator<=>(const row_name&, const row_name&) = default;
+    friend bool operator==(const row_name&, const row_name&) = default;
+    friend bool operator<(const row_name& a, const row_name& b)
+    {
+        return std::tie(a.table, a.part, a.key) < std::tie(b.table, b.part, b.key);
+    }
 };
 
 struct kept_row {
--- a/tests/support/mixed_engines.cpp
+++ b/tests/support/mixed_engines.cpp
@@ -50,6 +50,7 @@
     constexpr int middle = 6;
     constexpr int small = 8;
     std::vector<registered_target> engines;
+    engines.reserve(large + middle + small);
     for (int i = 0; i < large; ++i) {
         engines.push_back(engine_of(absl::StrCat(data_centre, "-large", i), "large", data_centre));
     }
