--- /dev/null
+++ b/tests/soak/soak_check.cpp
@@ -0,0 +1,25 @@
+#include "soak/soak_check.hpp"
+
+#include "soak/soak_run.hpp"
+
+#include <doctest/doctest.h>
+
+namespace dandelionstep::soak {
+
+void check_seed(std::uint64_t seed, int seconds)
+{
+    CAPTURE(seed);
+    const soak_result result = run_soak({.seed = seed, .seconds = seconds, .daemons = 3, .callers = 4});
+    for (const std::string& violation : result.violations) {
+        FAIL_CHECK(violation);
+    }
+    if (!result.violations.empty()) {
+        for (const std::string& action : result.actions) {
+            MESSAGE(action);
+        }
+    }
+    CHECK(result.requests > 20);
+    CHECK(result.served > 0);
+}
+
+} // namespace dandelionstep::soak
