--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -53,7 +53,7 @@
         this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
         this->watch.start();
         this->rows.on_rows = [this](const stored_rows& read) { this->placement.take_rows(read); };
-        this->rows.is_janitor = [this] { return this->placement.is_holder(); };
+        this->rows.removes_outdated = [this] { return this->placement.is_holder(); };
         this->placement.on_unsure = [this] { this->rows.read_soon(); };
         this->rows.start();
         this->placement.start();
--- a/src/entry/own_rows.cpp
+++ b/src/entry/own_rows.cpp
@@ -107,7 +107,7 @@
                          this->renew_timer = this->context.loop.run_after(
                              written ? vm_renew_interval : retry_pause * 3, [this] { this->renew(); });
                      });
-    if (this->is_janitor && this->is_janitor()) {
+    if (this->removes_outdated && this->removes_outdated()) {
         this->remove_outdated();
     }
 }
--- a/src/entry/own_rows.hpp
+++ b/src/entry/own_rows.hpp
@@ -20,7 +20,7 @@
     //! Called with all rows each time they were read.
     std::function<void(const stored_rows&)> on_rows;
     //! Whether this daemon is to remove the rows of daemons that are gone.
-    std::function<bool()> is_janitor;
+    std::function<bool()> removes_outdated;
 
     void start();
     //! Removes this daemon's row.
