--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -41,7 +41,7 @@
     std::erase_if(
         found, [&](std::int64_t layer) { return layer < query.from_layer || layer > query.profile->layers; });
     std::ranges::sort(found);
-    found.erase(std::ranges::unique(found).begin(), found.end());
+    found.erase(std::unique(found.begin(), found.end()), found.end());
     return found;
 }
 
--- a/tests/adapters/line_writer_test.cpp
+++ b/tests/adapters/line_writer_test.cpp
@@ -58,7 +58,7 @@
 
 TEST_CASE("a reader that stops never blocks the writer; what it misses is counted and told")
 {
-    constexpr std::size_t max_buffered = 64 * 1024;
+    constexpr std::size_t max_buffered = 65'536;
     idle_pipe pipe;
     line_writer writer(pipe.writer(), max_buffered);
     const std::string line(100, 'x');
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -72,6 +72,7 @@
             return std::move(this->result);
         }
         std::vector<std::thread> callers;
+        callers.reserve(static_cast<std::size_t>(this->options.callers));
         for (int i = 0; i < this->options.callers; ++i) {
             callers.emplace_back([this, i] { this->call_until_stopped(i); });
         }
