--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -357,7 +357,9 @@
         std::map<std::string, std::int64_t> runs;
         for (const std::string& id : this->cluster->replica_ids()) {
             const json ledger = this->cluster->ledger(id);
-            for (const auto& [attempt, run] : ledger.value("runs", json::object()).items()) {
+            // items() refers to its object, which must outlive the loop.
+            const json all = ledger.value("runs", json::object());
+            for (const auto& [attempt, run] : all.items()) {
                 runs[attempt] += integer_or(run, "count", 0);
             }
             if (!ledger.value("bad_paths", json::array()).empty()) {
