--- /dev/null
+++ b/src/target/entry_target.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "common/ids.hpp"
+#include "target/endpoint.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace dandelionstep {
+
+//! Layers [begin, end) of a model; empty when begin == end.
+struct held_layers {
+    std::int64_t begin = 0;
+    std::int64_t end = 0;
+
+    [[nodiscard]] std::int64_t size() const { return this->end - this->begin; }
+    [[nodiscard]] bool empty() const { return this->end <= this->begin; }
+    friend bool operator==(const held_layers&, const held_layers&) = default;
+};
+
+//! A target as it registered itself.
+struct registered_target {
+    target_id id;
+    service_id service;
+    endpoint address;
+    data_centre_id data_centre;
+    //! Requests that it processes at once.
+    std::int64_t slots = 0;
+    bool leaving = false;
+    //! How much longer it remains slow after its start.
+    milliseconds cold_for{0};
+    //! Accelerator kind; empty for plain services.
+    std::string kind;
+    held_layers layers;
+    //! Number of its renewals since its start.
+    std::int64_t heartbeat_sequence = 0;
+    //! Its start on its own civil clock; a new value under the same id is a new process.
+    incarnation started;
+};
+
+//! All registered targets by id.
+using target_registry = std::map<target_id, registered_target>;
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/target/target_condition.cpp
@@ -0,0 +1,86 @@
+#include "target/target_condition.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dandelionstep {
+namespace {
+
+// Weight of the newest observation in the running means.
+constexpr double newest_weight = 0.2;
+// Time in which half of the past experience is forgotten, so that a recovered target is tried again.
+constexpr double half_life_ms = 4000;
+// First time out of use after a failure; doubled with each further one up to the longest.
+constexpr milliseconds first_pause{400};
+constexpr milliseconds longest_pause{3000};
+constexpr std::int64_t most_doublings = 3;
+// Each refusal shows that the load was estimated too low; the factor falls to half its excess in this time.
+constexpr double pressure_growth = 1.25;
+constexpr double most_pressure = 6;
+constexpr double pressure_half_life_ms = 6000;
+// An error in one response says little; several in a row take the target out of use.
+constexpr std::int64_t tolerated_faulty_responses = 4;
+
+void update_share(target_condition& condition, double observed, time_point now)
+{
+    condition.failure_share = present_failure_share(condition, now);
+    condition.failure_share += newest_weight * (observed - condition.failure_share);
+    condition.last_change = now;
+}
+
+} // namespace
+
+double present_pressure(const target_condition& condition, time_point now)
+{
+    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - condition.pressure_set_at).count));
+    return 1 + (condition.pressure - 1) * std::exp2(-age / pressure_half_life_ms);
+}
+
+double present_failure_share(const target_condition& condition, time_point now)
+{
+    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - condition.last_change).count));
+    return condition.failure_share * std::exp2(-age / half_life_ms);
+}
+
+void note_response(target_condition& condition, milliseconds took, time_point now)
+{
+    const auto observed = static_cast<double>(took.count);
+    condition.response_ms = condition.response_ms == 0
+                                ? observed
+                                : condition.response_ms + newest_weight * (observed - condition.response_ms);
+    condition.failures_in_a_row = 0;
+    condition.avoid_until = {0};
+    update_share(condition, 0, now);
+}
+
+void note_failure(target_condition& condition, target_failure failure, time_point now)
+{
+    ++condition.failures_in_a_row;
+    update_share(condition, 1, now);
+    if (failure == target_failure::faulty && condition.failures_in_a_row < tolerated_faulty_responses) {
+        return;
+    }
+    const std::int64_t doublings = std::min(condition.failures_in_a_row - 1, most_doublings);
+    const milliseconds pause = std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
+    condition.avoid_until = std::max(condition.avoid_until, now + pause);
+}
+
+void note_refusal(target_condition& condition, milliseconds pause, time_point now)
+{
+    condition.avoid_until = std::max(condition.avoid_until, now + pause);
+    condition.pressure = std::min(most_pressure, present_pressure(condition, now) * pressure_growth);
+    condition.pressure_set_at = now;
+}
+
+void note_load(target_condition& condition, std::int64_t load, time_point now)
+{
+    condition.reported_load = load;
+    condition.load_reported_at = now;
+}
+
+bool is_usable(const target_condition& condition, time_point now)
+{
+    return now >= condition.avoid_until;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/target/target_condition.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "common/ids.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace dandelionstep {
+
+//! What one daemon has itself experienced with a target.
+struct target_condition {
+    //! Requests of this daemon that are on the target now.
+    std::int64_t in_flight = 0;
+    //! Those of them that enter their path there.
+    std::int64_t entered = 0;
+    //! Tokens times layers that they need at the end.
+    double token_layers = 0;
+    //! Mean time to a response, of those that came lately.
+    double response_ms = 0;
+    //! Share of lately sent requests that failed, 0 to 1.
+    double failure_share = 0;
+    std::int64_t failures_in_a_row = 0;
+    //! Factor on its estimated load, at least 1; grows with each refusal and falls again.
+    double pressure = 1;
+    time_point pressure_set_at{0};
+    //! Not used before this time, unless nothing else is left.
+    time_point avoid_until{0};
+    //! The last load that it reported, and when.
+    std::int64_t reported_load = 0;
+    time_point load_reported_at{0};
+    time_point last_change{0};
+    //! When it was last asked what its requests wait for.
+    time_point asked_at{0};
+};
+
+//! Conditions of all targets, by id.
+using target_conditions = std::map<target_id, target_condition>;
+
+//! Why a target gave no usable response.
+enum class target_failure {
+    unreachable, //!< No connection could be made.
+    broken,      //!< The connection ended without a whole response.
+    silent,      //!< Nothing came in time.
+    faulty,      //!< The response was not one of its own, or an error.
+};
+
+//! Notes a response after `took`.
+void note_response(target_condition& condition, milliseconds took, time_point now);
+
+//! Notes a failure; repeated ones keep the target out of use for longer, up to a few seconds.
+void note_failure(target_condition& condition, target_failure failure, time_point now);
+
+//! Notes that the target refused for want of room; it is left alone for a moment.
+void note_refusal(target_condition& condition, milliseconds pause, time_point now);
+
+//! Notes the load that a response told.
+void note_load(target_condition& condition, std::int64_t load, time_point now);
+
+//! Whether the target may be used now.
+bool is_usable(const target_condition& condition, time_point now);
+
+//! The factor on its estimated load as of now.
+double present_pressure(const target_condition& condition, time_point now);
+
+//! The share of failures as of now; old experience fades.
+double present_failure_share(const target_condition& condition, time_point now);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/tests/target/layer_placement_test.cpp
@@ -0,0 +1,195 @@
+#include "target/layer_placement.hpp"
+
+#include "route/layer_path.hpp"
+#include "support/mixed_engines.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+std::vector<registered_target> placed(std::vector<registered_target> engines, const layer_placement& plan)
+{
+    for (registered_target& engine : engines) {
+        const auto found = plan.find(engine.id);
+        if (found != plan.end()) {
+            engine.layers = found->second;
+        }
+    }
+    return engines;
+}
+
+int holders_of(std::int64_t layer, const std::vector<registered_target>& engines, const std::string& data_centre)
+{
+    return static_cast<int>(std::ranges::count_if(engines, [&](const registered_target& engine) {
+        return engine.data_centre.value == data_centre && engine.layers.begin <= layer &&
+               layer < engine.layers.end;
+    }));
+}
+
+int least_holders(const std::vector<registered_target>& engines, const std::string& data_centre)
+{
+    int least = INT32_MAX;
+    for (std::int64_t layer = 0; layer < mixed_profile().layers; ++layer) {
+        least = std::min(least, holders_of(layer, engines, data_centre));
+    }
+    return least;
+}
+
+// Tokens that fit on the engines of the layer that has least room.
+double room_of(const engine_profile& profile, const std::vector<registered_target>& engines)
+{
+    double least = 1e18;
+    for (std::int64_t layer = 0; layer < profile.layers; ++layer) {
+        double room = 0;
+        for (const registered_target& engine : engines) {
+            if (engine.layers.begin <= layer && layer < engine.layers.end) {
+                room += token_room(profile, profile.kinds.at(engine.kind), engine.layers.size());
+            }
+        }
+        least = std::min(least, room);
+    }
+    return least;
+}
+
+// Fills each engine to the brim, one after the other.
+std::vector<registered_target> filled_to_the_brim(const engine_profile& profile,
+                                                  std::vector<registered_target> engines)
+{
+    std::int64_t next = 0;
+    for (registered_target& engine : engines) {
+        const auto most =
+            static_cast<std::int64_t>(profile.kinds.at(engine.kind).memory_mb / profile.layer_mb);
+        engine.layers = {next, std::min(profile.layers, next + most)};
+        next = engine.layers.end == profile.layers ? 0 : engine.layers.end;
+    }
+    return engines;
+}
+
+void check_memory(const engine_profile& profile, const std::vector<registered_target>& engines)
+{
+    for (const registered_target& engine : engines) {
+        CAPTURE(engine.id.value);
+        CHECK(static_cast<double>(engine.layers.size()) * profile.layer_mb <=
+              profile.kinds.at(engine.kind).memory_mb);
+        CHECK(engine.layers.begin >= 0);
+        CHECK(engine.layers.end <= profile.layers);
+    }
+}
+
+} // namespace
+
+TEST_CASE("each data centre that can holds the whole model, so that it serves alone when it is cut off")
+{
+    const engine_profile profile = mixed_profile();
+    std::vector<registered_target> engines = mixed_engines("n");
+    const std::vector<registered_target> others = mixed_engines("p");
+    engines.insert(engines.end(), others.begin(), others.end());
+    const std::vector<registered_target> result = placed(engines, plan_layers(profile, engines));
+    CHECK(least_holders(result, "n") >= 1);
+    CHECK(least_holders(result, "p") >= 1);
+    check_memory(profile, result);
+}
+
+TEST_CASE("data centres that are too small alone hold the model together")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines{
+        engine_of("n1", "large", "n"),  engine_of("n2", "middle", "n"), engine_of("p1", "large", "p"),
+        engine_of("p2", "middle", "p"), engine_of("q1", "middle", "q"), engine_of("q2", "middle", "q")};
+    const std::vector<registered_target> result = placed(engines, plan_layers(profile, engines));
+    std::vector<registered_target> together = result;
+    for (registered_target& engine : together) {
+        engine.data_centre = data_centre_id("all");
+    }
+    CHECK(least_holders(together, "all") >= 1);
+    check_memory(profile, result);
+}
+
+TEST_CASE("a plan that is carried out asks for nothing more")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines = mixed_engines("n");
+    const std::vector<registered_target> result = placed(engines, plan_layers(profile, engines));
+    CHECK(plan_layers(profile, result).empty());
+}
+
+TEST_CASE("prompts get much more room than on engines that are filled to the brim")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines = mixed_engines("n");
+    const double planned = room_of(profile, placed(engines, plan_layers(profile, engines)));
+    const double naive = room_of(profile, filled_to_the_brim(profile, engines));
+    MESSAGE("room for tokens: planned ", planned, ", filled to the brim ", naive);
+    CHECK(planned > 2 * naive);
+}
+
+TEST_CASE("an engine that comes back empty takes the layers that are covered least")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines = mixed_engines("n");
+    std::vector<registered_target> result = placed(engines, plan_layers(profile, engines));
+    for (registered_target& engine : result) {
+        const held_layers lost = engine.layers;
+        engine.layers = {};
+        engine.started = {2};
+        const layer_placement repair = plan_layers(profile, result);
+        CAPTURE(engine.id.value);
+        REQUIRE(repair.contains(engine.id));
+        CHECK(least_holders(placed(result, repair), "n") >= 1);
+        engine.layers = lost;
+    }
+}
+
+TEST_CASE("whichever engine is lost, the others are made to hold its layers")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines = mixed_engines("n");
+    const std::vector<registered_target> result = placed(engines, plan_layers(profile, engines));
+    for (std::size_t lost = 0; lost < result.size(); ++lost) {
+        std::vector<registered_target> left = result;
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(lost));
+        CAPTURE(result[lost].id.value);
+        const std::vector<registered_target> repaired = placed(left, plan_layers(profile, left));
+        CHECK(least_holders(repaired, "n") >= 1);
+        check_memory(profile, repaired);
+    }
+}
+
+TEST_CASE("a repair takes no layer from an engine that alone holds it")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines = mixed_engines("n");
+    std::vector<registered_target> left = placed(engines, plan_layers(profile, engines));
+    left.erase(left.begin());
+    const layer_placement repair = plan_layers(profile, left);
+    const std::vector<registered_target> repaired = placed(left, repair);
+    for (std::int64_t layer = 0; layer < profile.layers; ++layer) {
+        CAPTURE(layer);
+        const bool was_held = holders_of(layer, left, "n") > 0;
+        CHECK((!was_held || holders_of(layer, repaired, "n") > 0));
+    }
+}
+
+TEST_CASE("a leaving engine is given nothing, and its layers go to others")
+{
+    const engine_profile profile = mixed_profile();
+    std::vector<registered_target> engines = placed(mixed_engines("n"), plan_layers(profile, mixed_engines("n")));
+    engines[0].leaving = true;
+    const layer_placement plan = plan_layers(profile, engines);
+    CHECK_FALSE(plan.contains(engines[0].id));
+    std::vector<registered_target> staying = placed(engines, plan);
+    staying.erase(staying.begin());
+    CHECK(least_holders(staying, "n") >= 1);
+}
+
+TEST_CASE("engines of unknown kinds and models without layers give no plan")
+{
+    engine_profile profile = mixed_profile();
+    CHECK(plan_layers(profile, {engine_of("x", "unheard-of", "n")}).empty());
+    profile.layers = 0;
+    CHECK(plan_layers(profile, mixed_engines("n")).empty());
+}
--- /dev/null
+++ b/tests/target/target_condition_test.cpp
@@ -0,0 +1,75 @@
+#include "target/target_condition.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+
+TEST_CASE("a target that can't be reached is left alone for longer each time, up to a few seconds")
+{
+    target_condition condition;
+    time_point now{10'000};
+    milliseconds last_pause{0};
+    for (int i = 0; i < 6; ++i) {
+        note_failure(condition, target_failure::unreachable, now);
+        const milliseconds pause = condition.avoid_until - now;
+        CHECK_FALSE(is_usable(condition, now));
+        CHECK(pause >= last_pause);
+        CHECK(pause <= milliseconds{3'000});
+        CHECK(is_usable(condition, condition.avoid_until));
+        last_pause = pause;
+        now = condition.avoid_until;
+    }
+}
+
+TEST_CASE("a response puts a target back into use at once")
+{
+    target_condition condition;
+    const time_point now{10'000};
+    note_failure(condition, target_failure::silent, now);
+    note_response(condition, {20}, now);
+    CHECK(is_usable(condition, now));
+    CHECK(condition.failures_in_a_row == 0);
+}
+
+TEST_CASE("single errors in responses keep a target in use, several in a row do not")
+{
+    target_condition condition;
+    const time_point now{10'000};
+    for (int i = 0; i < 3; ++i) {
+        note_failure(condition, target_failure::faulty, now);
+        CHECK(is_usable(condition, now));
+    }
+    note_failure(condition, target_failure::faulty, now);
+    CHECK_FALSE(is_usable(condition, now));
+}
+
+TEST_CASE("failures of the past fade, so that a recovered target is tried again")
+{
+    target_condition condition;
+    const time_point now{10'000};
+    for (int i = 0; i < 10; ++i) {
+        note_failure(condition, target_failure::faulty, now);
+    }
+    const double then = present_failure_share(condition, now);
+    CHECK(then > 0.8);
+    CHECK(present_failure_share(condition, now + milliseconds{20'000}) < then / 20);
+}
+
+TEST_CASE("refusals raise the factor on the estimated load, which falls again")
+{
+    target_condition condition;
+    const time_point now{10'000};
+    CHECK(present_pressure(condition, now) == 1);
+    double last = 1;
+    for (int i = 0; i < 3; ++i) {
+        note_refusal(condition, {300}, now);
+        CHECK(present_pressure(condition, now) > last);
+        last = present_pressure(condition, now);
+    }
+    CHECK(condition.avoid_until == now + milliseconds{300});
+    CHECK(present_pressure(condition, now + milliseconds{60'000}) < 1.01);
+    for (int i = 0; i < 100; ++i) {
+        note_refusal(condition, {300}, now);
+    }
+    CHECK(present_pressure(condition, now) <= 6);
+}
