--- a/src/target/layer_placement.cpp
+++ b/src/target/layer_placement.cpp
@@ -122,7 +122,8 @@
                 this->cover(*engine, engine->layers);
             }
         }
-        std::ranges::stable_sort(empty, [this](const auto* a, const auto* b) { return this->is_faster(*a, *b); });
+        std::ranges::stable_sort(empty,
+                                 [this](const auto* a, const auto* b) { return this->is_faster(*a, *b); });
         for (const registered_target* engine : empty) {
             this->place(*engine);
         }
@@ -208,7 +209,7 @@
     [[nodiscard]] std::optional<held_layers> first_gap() const
     {
         std::int64_t begin = 0;
-        while (begin < this->profile.layers && this->cover_of(begin).holders > 0) {
+        while (begin<this->profile.layers&& this->cover_of(begin).holders> 0) {
             ++begin;
         }
         if (begin == this->profile.layers) {
@@ -244,7 +245,8 @@
             }
             const accelerator_kind& kind = *kind_of(this->profile, *engine);
             const std::int64_t fill = std::min(gap, layers_with_room(this->profile, kind, least_token_room));
-            if (fill > best_fill || (fill == best_fill && best != nullptr && this->is_faster(*engine, *best))) {
+            if (fill > best_fill ||
+                (fill == best_fill && best != nullptr && this->is_faster(*engine, *best))) {
                 best = engine;
                 best_fill = fill;
             }
--- a/tests/target/layer_placement_test.cpp
+++ b/tests/target/layer_placement_test.cpp
@@ -22,7 +22,8 @@
     return engines;
 }
 
-int holders_of(std::int64_t layer, const std::vector<registered_target>& engines, const std::string& data_centre)
+int holders_of(std::int64_t layer, const std::vector<registered_target>& engines,
+               const std::string& data_centre)
 {
     return static_cast<int>(std::ranges::count_if(engines, [&](const registered_target& engine) {
         return engine.data_centre.value == data_centre && engine.layers.begin <= layer &&
@@ -177,7 +178,8 @@
 TEST_CASE("a leaving engine is given nothing, and its layers go to others")
 {
     const engine_profile profile = mixed_profile();
-    std::vector<registered_target> engines = placed(mixed_engines("n"), plan_layers(profile, mixed_engines("n")));
+    std::vector<registered_target> engines =
+        placed(mixed_engines("n"), plan_layers(profile, mixed_engines("n")));
     engines[0].leaving = true;
     const layer_placement plan = plan_layers(profile, engines);
     CHECK_FALSE(plan.contains(engines[0].id));
