--- a/src/adapters/http_text.cpp
+++ b/src/adapters/http_text.cpp
@@ -55,10 +55,8 @@
 
 bool equals(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size() && std::ranges::equal(a, b, [](char x, char y) {
-               return absl::ascii_tolower(static_cast<unsigned char>(x)) ==
-                      absl::ascii_tolower(static_cast<unsigned char>(y));
-           });
+    return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                  absl::string_view(b.data(), b.size()));
 }
 
 } // namespace
