Streams that move spread by reading speed; silences are looked into sooner

After daemons had started together, engines refused 600 to 750 requests, as each daemon took the others' use of engines for nothing until they had told it.

Change: a stream that moves draws its engines in proportion to how fast they read (route/moving_weight). A silence is looked into after 1.5 usual gaps instead of 2, at most 2/5 of the objective instead of 1/2; a missed event is enough where the engine is known to be dead; engines are given 40 ms to answer instead of 60, silences are judged every 20 ms instead of 30. Uses that not all daemons have told are taken for at least one's own times the daemons.

--- a/src/entry/engine_probes.cpp
+++ b/src/entry/engine_probes.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Engines answer within a few milliseconds; a lost packet is sent again after some 200.
-constexpr milliseconds probe_timeout{60};
+constexpr milliseconds probe_timeout{40};
 // An engine is asked again after the first pause, then after ever longer ones, as long as its answers, or its
 // silence, stay the same. Slow streams alone would ask all engines all the time.
 constexpr milliseconds first_pause{120};
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -66,6 +66,8 @@
     //! What the requests of the data centre's other daemons take of engines, and when that was known.
     engine_uses others;
     time_point others_at{0};
+    //! Until when not all of those daemons have told: they have just started, or their reader has.
+    time_point others_partial_until{0};
     entry_metrics metrics;
     log_budget logs;
     std::mt19937_64 random;
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -47,6 +47,7 @@
     void caller_gone();
     void end();
     [[nodiscard]] path_wish wish() const;
+    [[nodiscard]] path_wish move_wish() const;
     [[nodiscard]] std::int64_t tokens_read() const;
 
     // stream_repair.cpp
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "route/local_path.hpp"
+#include "route/moving_weight.hpp"
 
 #include <algorithm>
 
@@ -19,21 +20,21 @@
 engine_use estimated_use(const entry_context& context, const target_id& id, const target_condition& own,
                          time_point now)
 {
-    engine_use use = present_use(own, now);
-    double factor = present_pressure(own, now);
+    const engine_use own_use = present_use(own, now);
+    const engine_use alike = scaled(own_use, static_cast<double>(context.siblings));
+    engine_use use = alike;
     if (now - context.others_at < others_validity) {
+        use = own_use;
         const auto others = context.others.find(id);
         if (others != context.others.end()) {
             add_use(use, others->second);
         }
-    } else {
-        factor *= static_cast<double>(context.siblings);
+        if (now < context.others_partial_until) {
+            use = larger_of(use, alike);
+        }
     }
-    use.running = static_cast<std::int64_t>(static_cast<double>(use.running) * factor);
-    use.entered = static_cast<std::int64_t>(static_cast<double>(use.entered) * factor);
-    use.token_layers *= factor;
-    use.reading *= factor;
-    return use;
+    const double factor = present_pressure(own, now);
+    return scaled(use, factor);
 }
 
 path_candidate candidate_of(const entry_context& context, const engine_profile& profile,
@@ -75,12 +76,14 @@
         const target_condition& condition = condition_of(context.conditions, id);
         if (is_usable(condition, now)) {
             candidates.push_back(candidate_of(context, *service.engine, target, condition, now));
+            candidates.back().weight = wish.moved_tokens > 0 ? moving_weight(context.draw()) : 1;
         }
     }
     path_query query;
     query.profile = &*service.engine;
     query.from_layer = wish.from_layer;
     query.to_layer = wish.to_layer;
+    query.moved_tokens = static_cast<double>(wish.moved_tokens);
     query.entry = context.settings.data_centre;
     if (wish.previous != nullptr) {
         const auto found = context.targets.find(wish.previous->id);
--- a/src/entry/path_choice.hpp
+++ b/src/entry/path_choice.hpp
@@ -18,6 +18,8 @@
     //! Engine that runs the layer before; null at the start.
     const hop* previous = nullptr;
     std::set<target_id> excluded;
+    //! Tokens that have to be read again, of a stream that moves; 0 for a new request.
+    std::int64_t moved_tokens = 0;
     //! Longest pause between events for which the stream is on time.
     milliseconds gap_objective{200};
 };
--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peer_follower.cpp
@@ -16,6 +16,8 @@
 // Between two questions that tell what one's own requests take. It grows with the engines, and changes
 // slowly.
 constexpr milliseconds uses_interval{1'000};
+// Until all followers of a reader have told it theirs, and it has told the sum.
+constexpr milliseconds telling_time{2'500};
 
 // Shares of the drain time, in percent. What a reader knows is up to 35 old; a follower's wait, the time until
 // it finds its reader silent, and the way to the next one in line all have to fit in the rest.
@@ -185,6 +187,9 @@
                               {"targets_age_ms", answer.targets_age},
                               {"config_age_ms", answer.config_age}});
     }
+    if (!before || before->vm != asked.reader.vm) {
+        this->context.others_partial_until = event_loop::now() + telling_time;
+    }
     if (this->source != knowledge_source::reader) {
         ++this->turn;
         this->source = knowledge_source::reader;
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -197,7 +197,7 @@
         }
         return;
     }
-    const std::vector<hop> repaired = repair_path(this->context, this->wish(), this->current->path, lost);
+    const std::vector<hop> repaired = repair_path(this->context, this->move_wish(), this->current->path, lost);
     const time_point now = event_loop::now();
     if (repaired.empty()) {
         this->next_change_at = now + pause_without_path;
@@ -254,7 +254,7 @@
     }
     const time_point now = event_loop::now();
     this->next_change_at = now + pause_without_path;
-    const std::vector<hop> chosen = choose_path(this->context, this->wish());
+    const std::vector<hop> chosen = choose_path(this->context, this->move_wish());
     if (chosen.empty() || !this->may_resume(reason)) {
         return;
     }
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -3,6 +3,8 @@
 #include "adapters/log.hpp"
 #include "entry/internal/stream_carrier.hpp"
 
+#include <algorithm>
+
 namespace dandelionstep {
 namespace internal {
 namespace {
@@ -64,9 +66,18 @@
     return wish;
 }
 
+path_wish stream_carrier::move_wish() const
+{
+    path_wish moved = this->wish();
+    moved.moved_tokens = std::max<std::int64_t>(1, this->tokens_read());
+    return moved;
+}
+
 void stream_carrier::send_next()
 {
-    const std::vector<hop> chosen = choose_path(this->context, this->wish());
+    // A stream whose caller has events already, or comes back with some, moves.
+    const bool moves = this->splitter.last_id.has_value() || this->sent_count > 0;
+    const std::vector<hop> chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
     if (chosen.empty()) {
         this->give_up("no_path", retry_after_no_path);
         return;
--- a/src/entry/stream_tools.hpp
+++ b/src/entry/stream_tools.hpp
@@ -8,7 +8,7 @@
 //! What all streams of a daemon use together.
 struct stream_tools {
     // How often silences are judged; an engine that died is to be found within a gap objective.
-    static constexpr milliseconds watch_interval{30};
+    static constexpr milliseconds watch_interval{20};
 
     engine_probes probes;
     periodic_watch watch;
--- a/src/request/stall_policy.cpp
+++ b/src/request/stall_policy.cpp
@@ -9,7 +9,8 @@
     constexpr milliseconds shortest_probe{70};
     stall_limits limits;
     limits.first_probe = std::max(limits.first_probe, latency_objective * 2 / 5);
-    limits.probe = std::clamp(usual_gap * 2, shortest_probe, std::max(shortest_probe, gap_objective / 2));
+    limits.probe = std::clamp(usual_gap * 3 / 2, shortest_probe, std::max(shortest_probe, gap_objective * 2 / 5));
+    limits.missed_event = std::min(limits.probe, std::max(shortest_probe, usual_gap * 5 / 4));
     limits.first_event = std::max(limits.first_event, latency_objective);
     limits.gap = std::max(limits.gap, gap_objective * 5 / 4);
     return limits;
@@ -20,12 +21,13 @@
     const milliseconds silent = now - std::max(progress.sent_at, progress.last_event_at);
     const milliseconds probe = progress.has_events ? limits.probe : limits.first_probe;
     const milliseconds limit = progress.has_events ? limits.gap : limits.first_event;
+    const milliseconds known_dead = progress.has_events ? limits.missed_event : limits.first_probe;
+    if (progress.has_dead_engine && silent > known_dead) {
+        return stall_step::change_path;
+    }
     if (silent <= probe) {
         return stall_step::wait;
     }
-    if (progress.has_dead_engine) {
-        return stall_step::change_path;
-    }
     if (progress.has_events && silent > limits.give_up) {
         return stall_step::resume_elsewhere;
     }
--- a/src/request/stall_policy.hpp
+++ b/src/request/stall_policy.hpp
@@ -24,6 +24,8 @@
     milliseconds first_probe{200};
     //! Between events, until they are.
     milliseconds probe{100};
+    //! Between events, until the path is changed when one of its engines is known to be dead.
+    milliseconds missed_event{100};
     //! Before the first event, until the first engine is asked what it waits for.
     milliseconds first_event{500};
     //! Between events, until it is.
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -21,6 +21,8 @@
     double slowness = 1;
     //! Share of its time that it spends on reading prompts, 0 to 1 and above.
     double reading = 0;
+    //! Factor on its cost alone. Drawn anew for each choice, it spreads many that choose at the same time.
+    double weight = 1;
 };
 
 //! One engine's part of a path.
@@ -38,11 +40,14 @@
     std::int64_t to_layer = 0;
     //! Engine that runs the layer before; null at the start.
     const registered_target* previous = nullptr;
+    //! Tokens that each engine of the path has to read first, of a stream that moves; 0 for a new request. They
+    //! decide instead of the time of a token step.
+    double moved_tokens = 0;
     //! Where the request enters; paths begin there when that is as fast.
     data_centre_id entry;
 };
 
-//! The path of least estimated time for one token over layers [from_layer, to_layer), every layer once and in
+//! The path of least estimated time for one token, or for reading the moved tokens, over layers [from_layer, to_layer), every layer once and in
 //! order and no engine twice. Empty when some layer is held by no candidate.
 std::vector<path_part> find_layer_path(const path_query& query,
                                        const std::vector<path_candidate>& candidates);
--- /dev/null
+++ b/src/route/moving_weight.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace dandelionstep {
+
+//! A factor on an engine's cost for a stream that moves, from a draw uniform in [0, 1). Of engines with such
+//! factors each is cheapest with a probability in proportion to its speed. Answers the load of an engine that
+//! dies: all its streams move in the same moment, from many daemons that don't see each other's choices, and
+//! would all be read again by the one engine that was cheapest before.
+double moving_weight(double draw);
+
+} // namespace dandelionstep
--- a/src/target/engine_use.cpp
+++ b/src/target/engine_use.cpp
@@ -1,5 +1,7 @@
 #include "target/engine_use.hpp"
 
+#include <algorithm>
+
 namespace dandelionstep {
 
 void add_use(engine_use& sum, const engine_use& added)
@@ -10,4 +12,17 @@
     sum.reading += added.reading;
 }
 
+engine_use scaled(const engine_use& use, double factor)
+{
+    return {static_cast<std::int64_t>(static_cast<double>(use.running) * factor),
+            static_cast<std::int64_t>(static_cast<double>(use.entered) * factor), use.token_layers * factor,
+            use.reading * factor};
+}
+
+engine_use larger_of(const engine_use& a, const engine_use& b)
+{
+    return {std::max(a.running, b.running), std::max(a.entered, b.entered),
+            std::max(a.token_layers, b.token_layers), std::max(a.reading, b.reading)};
+}
+
 } // namespace dandelionstep
--- a/src/target/engine_use.hpp
+++ b/src/target/engine_use.hpp
@@ -23,6 +23,12 @@
 
 void add_use(engine_use& sum, const engine_use& added);
 
+//! The use of `factor` times as many requests of the same kind.
+engine_use scaled(const engine_use& use, double factor);
+
+//! The larger of both in each respect.
+engine_use larger_of(const engine_use& a, const engine_use& b);
+
 //! By engine; engines without use are left out.
 using engine_uses = std::map<target_id, engine_use>;
 
