A reader that lost the store says so at once; a new path that lacks an engine is mended once more

Now an answer tells whether the store answered the daemon since it began to read; one whose calls fail in a row is left at once, and a successor that is turned away is known by its first call. The refusal names the engine, which is replaced now.

--- a/src/common/packed_text.cpp
+++ b/src/common/packed_text.cpp
@@ -38,7 +38,8 @@
     }
     inflateEnd(&stream);
     if (text.size() > most_bytes) {
-        return absl::InvalidArgumentError(absl::StrCat("the packed text is longer than ", most_bytes, " bytes"));
+        return absl::InvalidArgumentError(
+            absl::StrCat("the packed text is longer than ", most_bytes, " bytes"));
     }
     if (result != Z_STREAM_END) {
         return absl::InvalidArgumentError("the packed text is damaged or cut");
--- a/src/entry/dialect.hpp
+++ b/src/entry/dialect.hpp
@@ -157,6 +157,8 @@
     outgoing_call (*place_call)(const target_id& to, const place_order& order);
     outgoing_call (*repath_call)(const target_id& to, const std::string& attempt_id,
                                  const std::vector<hop>& path);
+    //! The engine for whose sake a new path was refused, if the refusal names one.
+    std::optional<endpoint> (*parse_path_refusal)(std::string_view text);
 
     store_names (*names)();
     outgoing_call (*rows_call)(const std::string& table, const std::string& from_key);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -63,6 +63,8 @@
         this->rows.holds_lease = [this] { return this->placement.is_holder(); };
         this->rows.followers = [this] { return this->peers.followers(); };
         this->peers.is_reader = [this] { return this->follower.is_reader(); };
+        this->peers.contact = [this] { return this->contact_with_store(); };
+        this->follower.contact = [this] { return this->contact_with_store(); };
         this->peers.on_left = [this](const vm_id& left) { this->follower.take_over(left); };
         this->peers.own_reader = [this] { return this->follower.followed(); };
         this->follower.must_read = [this] {
@@ -200,6 +202,18 @@
         }
     }
 
+    [[nodiscard]] store_contact contact_with_store() const
+    {
+        const time_point began = this->follower.reads_since();
+        if (this->store.holds_back()) {
+            return store_contact::lost;
+        }
+        if (this->store.answered_at() >= began) {
+            return store_contact::reached;
+        }
+        return this->store.failed_at() >= began ? store_contact::lost : store_contact::unknown;
+    }
+
     // A reader knows what the others' requests take once all of its data centre follow it.
     void add_up_uses(time_point now)
     {
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/http_calls.hpp"
 #include "entry/path_choice.hpp"
 #include "entry/stream_attempt.hpp"
 #include "entry/stream_pace.hpp"
@@ -58,6 +59,7 @@
     void give_path_up(time_point now);
     void replace_engine(const target_id& lost, bool leaves);
     void order_path(const std::vector<hop>& before, bool leaves);
+    void path_refused(const http_answer& answer, const std::vector<hop>& before, bool leaves);
     void begin_succession(const char* reason, bool holds);
     void succeed();
     void take_successor();
--- a/src/entry/own_rows.cpp
+++ b/src/entry/own_rows.cpp
@@ -74,11 +74,11 @@
     }
     conditional_write removal;
     removal.row = {own_table, row_key(this->self.vm), "", 0, true};
-    this->store.call(this->context.dialect.write_call({removal}), call_timeout, store_reason::own_row,
-                     [](const store_answer& answer) {
-                         log_event("row_removed",
-                                   {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
-                     });
+    this->store.call(
+        this->context.dialect.write_call({removal}), call_timeout, store_reason::own_row,
+        [](const store_answer& answer) {
+            log_event("row_removed", {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
+        });
 }
 
 void own_rows::read_soon()
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -76,8 +76,8 @@
         const target_condition& condition = condition_of(context.conditions, id);
         if (is_usable(condition, now)) {
             candidates.push_back(candidate_of(context, *service.engine, target, condition, now));
-            candidates.back().weight = wish.moved_tokens > 0 ? moving_weight(context.draw())
-                                                                : fresh_weight(context.draw());
+            candidates.back().weight =
+                wish.moved_tokens > 0 ? moving_weight(context.draw()) : fresh_weight(context.draw());
         }
     }
     path_query query;
--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peer_follower.cpp
@@ -1,7 +1,6 @@
 #include "entry/peer_follower.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/peer_port.hpp"
 #include "entry/shared_uses.hpp"
 
 #include <algorithm>
@@ -19,8 +18,8 @@
 // Until all followers of a reader have told it theirs, and it has told the sum.
 constexpr milliseconds telling_time{2'500};
 
-// Shares of the drain time, in percent. What a reader knows is up to 35 old; a follower's wait, the time until
-// it finds its reader silent, and the way to the next one in line all have to fit in the rest.
+// Shares of the drain time, in percent. What a reader knows is up to 35 old; a follower's wait, the time
+// until it finds its reader silent, and the way to the next one in line all have to fit in the rest.
 constexpr std::int64_t oldest_knowledge = 60;
 constexpr std::int64_t usual_wait = 25;
 constexpr std::int64_t usual_silence = 12;
@@ -28,7 +27,7 @@
 constexpr std::int64_t line_wait = 6;
 constexpr std::int64_t line_silence = 6;
 constexpr std::int64_t check_interval = 8;
-constexpr std::int64_t round_pause = 20;
+constexpr std::int64_t round_pause = 10;
 // A daemon on a small vm needs that to answer, whatever the drain time is.
 constexpr milliseconds least_silence{100};
 // Readers that a starting daemon asks may be starting as well.
@@ -61,7 +60,8 @@
 
 bool peer_follower::knows_enough() const
 {
-    return is_current(this->context.settings, present_age(this->context, event_loop::now()));
+    const bool lost = this->is_reader() && this->contact && this->contact() == store_contact::lost;
+    return !lost && is_current(this->context.settings, present_age(this->context, event_loop::now()));
 }
 
 std::optional<peer> peer_follower::followed() const
@@ -167,6 +167,7 @@
     this->timer = {};
     this->hurry_timer = {};
     this->source = knowledge_source::store;
+    this->read_began = event_loop::now();
     this->reader_process = 0;
     log_event("reads_store", {{"left", this->left.value},
                               {"reason", reason},
@@ -245,7 +246,9 @@
     }
     const std::vector<peer> seniors = this->rows.senior_readers(excluded);
     if (!seniors.empty()) {
-        this->ask({seniors.front(), ask_kind::senior, {0},
+        this->ask({seniors.front(),
+                   ask_kind::senior,
+                   {0},
                    std::max(least_silence, this->share_of_drain(usual_silence))});
     }
 }
@@ -311,11 +314,12 @@
         peer_question told = this->question({});
         told.reads_store = true;
         outgoing_call call = peer_call(told);
-        send_call(this->context, other.at, call, {search_silence, search_silence}, [other](const http_answer& answered) {
-            if (answered.status == 0) {
-                log_event("announcement_lost", {{"to", other.vm.value}});
-            }
-        });
+        send_call(this->context, other.at, call, {search_silence, search_silence},
+                  [other](const http_answer& answered) {
+                      if (answered.status == 0) {
+                          log_event("announcement_lost", {{"to", other.vm.value}});
+                      }
+                  });
     }
 }
 
@@ -336,8 +340,8 @@
         return;
     }
     const milliseconds wait = this->share_of_drain(line_wait);
-    this->ask({next, ask_kind::line, wait,
-               wait + std::max(least_silence, this->share_of_drain(line_silence))});
+    this->ask(
+        {next, ask_kind::line, wait, wait + std::max(least_silence, this->share_of_drain(line_silence))});
 }
 
 peer_question peer_follower::question(const asking& asked)
@@ -352,8 +356,8 @@
     told.config_version = this->context.config ? this->context.config->version.value : -1;
     told.wait = asked.wait;
     told.takes_packed = true;
-    const bool knows_numbers = this->reader_process != 0 &&
-                               (asked.kind == ask_kind::usual || asked.kind == ask_kind::repeat);
+    const bool knows_numbers =
+        this->reader_process != 0 && (asked.kind == ask_kind::usual || asked.kind == ask_kind::repeat);
     if (!knows_numbers) {
         told.registry_digest = registry_digest(this->context.targets, this->context.doubtful);
     }
@@ -409,7 +413,9 @@
 {
     const bool was_silent = answered.status == 0 && answered.end == exchange_end::broken;
     if (asked.kind == ask_kind::usual && was_silent) {
-        this->ask({asked.reader, ask_kind::repeat, {0},
+        this->ask({asked.reader,
+                   ask_kind::repeat,
+                   {0},
                    std::max(least_silence, this->share_of_drain(repeated_silence))});
         return;
     }
@@ -436,7 +442,8 @@
 
 void peer_follower::take_answer(const asking& asked, time_point asked_at, const peer_answer& answer)
 {
-    const bool is_fresh = is_current(this->context.settings, {answer.targets_age, answer.config_age});
+    const bool is_fresh =
+        answer.reaches_store && is_current(this->context.settings, {answer.targets_age, answer.config_age});
     if (asked.kind == ask_kind::senior && (!is_fresh || (this->must_read && this->must_read()))) {
         this->failed[asked.reader.vm] = event_loop::now() + pause_after_failure;
         return;
@@ -452,8 +459,9 @@
     }
     if (this->left.value.empty()) {
         this->left = asked.reader.vm;
-        log_event("reader_outdated",
-                  {{"reader", asked.reader.vm.value}, {"targets_age_ms", answer.targets_age}});
+        log_event("reader_outdated", {{"reader", asked.reader.vm.value},
+                                      {"reaches_store", answer.reaches_store ? "yes" : "no"},
+                                      {"targets_age_ms", answer.targets_age}});
     }
     note_reply(this->succession, reader_reply::outdated);
     if (answer.better) {
--- a/src/entry/peer_follower.hpp
+++ b/src/entry/peer_follower.hpp
@@ -5,6 +5,7 @@
 #include "entry/known_state.hpp"
 #include "entry/own_rows.hpp"
 #include "entry/peer_messages.hpp"
+#include "entry/peer_port.hpp"
 #include "entry/store_watch.hpp"
 #include "vm/reader_search.hpp"
 #include "vm/reader_succession.hpp"
@@ -31,6 +32,8 @@
 
     //! Whether this daemon must read the store itself, whoever else does.
     std::function<bool()> must_read;
+    //! How the store answers this daemon.
+    std::function<store_contact()> contact;
     //! Those that take over from this daemon while it reads the store.
     std::function<std::vector<peer>()> successors;
 
@@ -41,6 +44,8 @@
     void take_over(const vm_id& left);
     //! Looks for a senior reader to follow; to be called after the rows of daemons were read.
     void consider_seniors();
+    //! Since when this daemon reads the store, if it does.
+    [[nodiscard]] time_point reads_since() const { return this->read_began; }
     [[nodiscard]] bool is_following() const { return this->source == knowledge_source::reader; }
     [[nodiscard]] bool is_reader() const { return this->source == knowledge_source::store; }
     //! The reader that is followed.
@@ -111,6 +116,7 @@
     //! Whether the others in line are to be told as soon as this daemon knows what is new.
     bool announce_due = false;
     time_point started_at;
+    time_point read_began{0};
     event_loop::timer timer;
     event_loop::timer check_timer;
     event_loop::timer hurry_timer;
--- a/src/entry/peer_messages.cpp
+++ b/src/entry/peer_messages.cpp
@@ -254,6 +254,7 @@
                     {"config", answer.config},
                     {"config_age_ms", answer.config_age.count},
                     {"targets_age_ms", answer.targets_age.count},
+                    {"reaches_store", answer.reaches_store},
                     {"config_position", answer.position.config},
                     {"targets_position", answer.position.targets},
                     {"daemons", answer.daemons},
@@ -298,6 +299,7 @@
         return config.status();
     }
     answer.config = *config;
+    answer.reaches_store = boolean_or(*parsed, "reaches_store", true);
     answer.position.config = integer_or(*parsed, "config_position", 0);
     answer.position.targets = integer_or(*parsed, "targets_position", 0);
     answer.successors = parse_peers(*parsed, "successors");
--- a/src/entry/peer_messages.hpp
+++ b/src/entry/peer_messages.hpp
@@ -51,6 +51,8 @@
     //! Time since which the store may hold a newer configuration, or newer registrations.
     milliseconds config_age{0};
     milliseconds targets_age{0};
+    //! Whether the store answered the answering daemon since it began to read, and its last calls.
+    bool reaches_store = true;
     //! From where the changes in the store go on that are not in this answer.
     store_position position;
     //! Daemons in all, and in this data centre.
--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -88,8 +88,8 @@
         }
     }
     const time_point now = event_loop::now();
-    const bool is_needed =
-        this->context.stop || !is_current(this->context.settings, present_age(this->context, now));
+    const bool is_needed = this->context.stop || this->present_contact() != store_contact::reached ||
+                           !is_current(this->context.settings, present_age(this->context, now));
     if (is_needed && this->announced && now - this->announced_at < announcement_time) {
         return this->announced;
     }
@@ -156,11 +156,25 @@
            question.config_version != this->context.config->version.value;
 }
 
-// A daemon that has just begun to read the store knows what is new a moment later.
+store_contact peer_port::present_contact() const
+{
+    return this->contact ? this->contact() : store_contact::reached;
+}
+
+// A daemon that has just begun to read the store knows what is new a moment later; one that lost it says so
+// at once.
 bool peer_port::may_answer(const peer_question& question) const
 {
-    return this->has_news_for(question) &&
-           is_current(this->context.settings, present_age(this->context, event_loop::now()));
+    switch (this->present_contact()) {
+    case store_contact::unknown:
+        return false;
+    case store_contact::reached:
+        return this->has_news_for(question) &&
+               is_current(this->context.settings, present_age(this->context, event_loop::now()));
+    case store_contact::lost:
+        return true;
+    }
+    return true;
 }
 
 void peer_port::answer(const std::shared_ptr<caller_exchange>& caller, const peer_question& question)
@@ -208,6 +222,7 @@
     answer.process = this->process;
     answer.config_age = age.config;
     answer.targets_age = age.targets;
+    answer.reaches_store = this->present_contact() == store_contact::reached;
     answer.position = this->context.position;
     if (!this->context.doubtful.empty()) {
         // Whether the doubtful ones come back is no change that another daemon would read.
@@ -220,8 +235,8 @@
     std::optional<std::string_view> packed_config;
     if (question.config_version < this->context.config->version.value) {
         if (question.takes_packed) {
-            packed_config = packed_config_of(this->answers, this->context.config->version,
-                                             this->context.config_text);
+            packed_config =
+                packed_config_of(this->answers, this->context.config->version, this->context.config_text);
         } else {
             answer.config = this->context.config_text;
         }
@@ -250,11 +265,11 @@
         return registry_text(nothing_new);
     }
     const time_point now = event_loop::now();
-    const shared_answers::full_list& all = full_list_of(
-        this->answers,
-        {changes, this->context.targets, this->context.doubtful, this->context.targets_as_of,
-         answer.position.targets},
-        now);
+    const shared_answers::full_list& all =
+        full_list_of(this->answers,
+                     {changes, this->context.targets, this->context.doubtful, this->context.targets_as_of,
+                      answer.position.targets},
+                     now);
     answer.targets_age = now - all.as_of;
     answer.position.targets = all.position;
     return question.takes_packed ? all.packed : all.text;
--- a/src/entry/peer_port.hpp
+++ b/src/entry/peer_port.hpp
@@ -14,6 +14,13 @@
 
 namespace dandelionstep {
 
+//! How the store answers a daemon that reads it.
+enum class store_contact {
+    unknown, //!< It has just begun, and no call was answered or failed yet.
+    reached,
+    lost //!< Calls fail one after the other.
+};
+
 //! Answers the daemons of the same data centre that follow this one instead of reading the store themselves.
 class peer_port {
 public:
@@ -22,6 +29,8 @@
     //! Whether this daemon reads the store itself; only then it answers, so that nothing is learnt
     //! third-hand.
     std::function<bool()> is_reader;
+    //! How the store answers this daemon while it reads.
+    std::function<store_contact()> contact;
     //! Called when a daemon whose reader failed wants this one to read the store.
     std::function<void(const vm_id& left)> on_left;
     //! The reader that this daemon itself follows.
@@ -56,6 +65,7 @@
     void answer_soon();
     void answer_waiting();
     [[nodiscard]] bool has_news_for(const peer_question& question) const;
+    [[nodiscard]] store_contact present_contact() const;
     [[nodiscard]] bool may_answer(const peer_question& question) const;
     std::string answer_to(const peer_question& question);
     std::string registry_part(const peer_question& question, peer_answer& answer);
--- a/src/entry/placer.cpp
+++ b/src/entry/placer.cpp
@@ -57,7 +57,8 @@
     release.row = {own_table, lease_key, to_text(released_lease(this->lease)), 0, false};
     release.expected_version = this->lease.row_version;
     this->store.call(
-        this->context.dialect.write_call({release}), write_timeout, store_reason::lease, [](const store_answer& answer) {
+        this->context.dialect.write_call({release}), write_timeout, store_reason::lease,
+        [](const store_answer& answer) {
             log_event("lease_given_up", {{"accepted", answer.result == store_result::ok ? "yes" : "no"}});
         });
 }
--- a/src/entry/shared_answers.cpp
+++ b/src/entry/shared_answers.cpp
@@ -24,7 +24,8 @@
     if (!answers.all || !is_valid(*answers.all, known, now)) {
         const registry_news news = news_since(known.changes, known.registry, known.doubtful, std::nullopt);
         const std::string text = registry_text(news);
-        answers.all = {text, packed_registry(text), news.sequence, known.doubtful, known.as_of, known.position, now};
+        answers.all = {
+            text, packed_registry(text), news.sequence, known.doubtful, known.as_of, known.position, now};
     }
     return *answers.all;
 }
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -80,22 +80,25 @@
     return "unknown";
 }
 
+bool store_client::holds_back() const
+{
+    return this->failures_in_a_row >= failures_before_holding_back;
+}
+
 bool store_client::must_hold_back() const
 {
-    return this->failures_in_a_row >= failures_before_holding_back && event_loop::now() < this->next_try_at;
+    return this->holds_back() && event_loop::now() < this->next_try_at;
 }
 
 void store_client::call(const outgoing_call& call, milliseconds timeout, store_reason reason,
                         done_callback done)
 {
     if (this->must_hold_back()) {
-        this->context.loop.post([done = std::move(done)] {
-            done({store_result::refused, {}, true});
-        });
+        this->context.loop.post([done = std::move(done)] { done({store_result::refused, {}, true}); });
         return;
     }
     // Until this call is answered, and a while longer if it is not, others are held back.
-    if (this->failures_in_a_row >= failures_before_holding_back) {
+    if (this->holds_back()) {
         this->next_try_at = event_loop::now() + timeout;
     }
     const std::string reason_name(name_of(reason));
@@ -119,8 +122,10 @@
 
 void store_client::note_failure()
 {
-    const int doublings = std::clamp(this->failures_in_a_row - failures_before_holding_back, 0, most_doublings);
+    const int doublings =
+        std::clamp(this->failures_in_a_row - failures_before_holding_back, 0, most_doublings);
     ++this->failures_in_a_row;
+    this->last_failure_at = event_loop::now();
     const milliseconds pause = std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
     // Daemons that lost the store together must not return together.
     const double spread = 0.5 + this->context.draw();
@@ -134,6 +139,7 @@
                           answer.result == store_result::history_is_gone;
     if (answered) {
         this->failures_in_a_row = 0;
+        this->last_answer_at = event_loop::now();
     } else {
         this->note_failure();
     }
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -48,6 +48,11 @@
     void call(const outgoing_call& call, milliseconds timeout, store_reason reason, done_callback done);
     //! Whether the store answered the last call.
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
+    //! Whether calls fail one after the other, so that most are held back.
+    [[nodiscard]] bool holds_back() const;
+    //! When it answered last, and when a call failed last.
+    [[nodiscard]] time_point answered_at() const { return this->last_answer_at; }
+    [[nodiscard]] time_point failed_at() const { return this->last_failure_at; }
     //! When the store answered again after calls had failed.
     [[nodiscard]] time_point reachable_since() const { return this->since; }
 
@@ -61,6 +66,8 @@
     int failures_in_a_row = 0;
     //! While the store does not answer: when the next call may be made.
     time_point next_try_at{0};
+    time_point last_answer_at{0};
+    time_point last_failure_at{0};
     time_point since{0};
 };
 
--- a/src/entry/stream_pace.cpp
+++ b/src/entry/stream_pace.cpp
@@ -17,7 +17,8 @@
     pace.longest_gap = std::max(pace.longest_gap, gap);
     constexpr double own_weight = 0.25;
     const auto gap_ms = static_cast<double>(gap.count);
-    pace.mean_gap_ms = pace.mean_gap_ms == 0 ? gap_ms : pace.mean_gap_ms + own_weight * (gap_ms - pace.mean_gap_ms);
+    pace.mean_gap_ms =
+        pace.mean_gap_ms == 0 ? gap_ms : pace.mean_gap_ms + own_weight * (gap_ms - pace.mean_gap_ms);
     constexpr double newest_weight = 0.01;
     context.event_gap_ms += newest_weight * (gap_ms - context.event_gap_ms);
     context.metrics.event_gap.add(gap);
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -15,6 +15,8 @@
 // An engine that was given up by another one is probably dead.
 constexpr milliseconds pause_after_stall{2'500};
 constexpr int max_path_changes = 4;
+// An engine that was not there for a new path may be dead or short of room.
+constexpr milliseconds pause_after_missing{300};
 // Until another path is looked for after none was found.
 constexpr milliseconds pause_without_path{250};
 // Shares of the drain time after which streams move off an engine that leaves. They spread, so that the
@@ -199,7 +201,8 @@
         }
         return;
     }
-    const std::vector<hop> repaired = repair_path(this->context, this->move_wish(), this->current->path, lost);
+    const std::vector<hop> repaired =
+        repair_path(this->context, this->move_wish(), this->current->path, lost);
     const time_point now = event_loop::now();
     if (repaired.empty()) {
         this->next_change_at = now + pause_without_path;
@@ -234,19 +237,38 @@
         }
         const bool accepted = answer.status == status_ok || answer.status == status_accepted;
         ++self->context.metrics.orders[accepted ? "path_accepted" : "path_failed"];
-        if (accepted) {
-            return;
-        }
-        log_event("path_change_failed", {{"id", self->request.facts.attempt_id}, {"status", answer.status}});
-        if (leaves) {
-            change_attempt_path(self->context, self->request, *changed, before);
-        } else {
-            self->begin_succession("path_change_failed", false);
+        if (!accepted) {
+            self->path_refused(answer, before, leaves);
         }
     };
     send_call(this->context, changed->path.front().address, call, engine_timeout, take);
 }
 
+// The refusal usually names a part that is not there: an engine that died together with the one that was
+// replaced, or one without room.
+void stream_carrier::path_refused(const http_answer& answer, const std::vector<hop>& before, bool leaves)
+{
+    const std::optional<endpoint> address = this->context.dialect.parse_path_refusal(answer.body);
+    const std::vector<hop>& path = this->current->path;
+    const auto at_fault = address ? std::ranges::find(path, *address, &hop::address) : path.end();
+    const target_id missing = at_fault == path.end() ? target_id() : at_fault->id;
+    log_event(
+        "path_change_failed",
+        {{"id", this->request.facts.attempt_id}, {"status", answer.status}, {"missing", missing.value}});
+    if (!missing.value.empty()) {
+        note_refusal(this->context.conditions[missing], pause_after_missing, event_loop::now());
+        this->tools.probes.ask_one(missing, at_fault->address);
+        this->excluded.insert(missing);
+    }
+    if (leaves) {
+        change_attempt_path(this->context, this->request, *this->current, before);
+    } else if (!missing.value.empty() && this->can_change_path(missing)) {
+        this->replace_engine(missing, false);
+    } else {
+        this->begin_succession("path_change_failed", false);
+    }
+}
+
 // Sends the request once more, to go on after the last event that was passed on. The current attempt stays
 // until the new one is accepted, so that a refusal costs the caller nothing.
 void stream_carrier::begin_succession(const char* reason, bool holds)
--- a/src/entry/vm_directory.hpp
+++ b/src/entry/vm_directory.hpp
@@ -30,8 +30,8 @@
     endpoint peers;
     //! How well it can answer others, in Mbit/s; 0 when it does not say.
     double capacity = 0;
-    //! The store's newest version when it began to read; of vms that can carry about as much, the lowest is the
-    //! senior reader.
+    //! The store's newest version when it began to read; of vms that can carry about as much, the lowest is
+    //! the senior reader.
     std::int64_t reads_since = 0;
     //! Daemons that get to know of changes from this one.
     std::int64_t followers = 0;
@@ -88,8 +88,8 @@
     std::set<vm_id> excluded;
 };
 
-//! The readers of the data centre that `self` may follow, the senior one first; none when `self` is to read the
-//! store. Two readers never choose each other.
+//! The readers of the data centre that `self` may follow, the senior one first; none when `self` is to read
+//! the store. Two readers never choose each other.
 std::vector<peer> readers_of(const vm_directory& directory, const reader_query& query, time_point now);
 
 //! How often a daemon renews its row.
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -81,9 +81,8 @@
     if (kind == nullptr) {
         return unreachable;
     }
-    const double time = query.moved_tokens > 0
-                            ? read_time_ms(*query.profile, *kind, 1, query.moved_tokens)
-                            : step_time_ms(*query.profile, *kind, 1, candidate.running);
+    const double time = query.moved_tokens > 0 ? read_time_ms(*query.profile, *kind, 1, query.moved_tokens)
+                                               : step_time_ms(*query.profile, *kind, 1, candidate.running);
     const double cost = time * step_stretch(candidate) * candidate.weight;
     return cost * (1 + crowding_penalty * crowding(candidate.memory_used));
 }
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -40,15 +40,16 @@
     std::int64_t to_layer = 0;
     //! Engine that runs the layer before; null at the start.
     const registered_target* previous = nullptr;
-    //! Tokens that each engine of the path has to read first, of a stream that moves; 0 for a new request. They
-    //! decide instead of the time of a token step.
+    //! Tokens that each engine of the path has to read first, of a stream that moves; 0 for a new request.
+    //! They decide instead of the time of a token step.
     double moved_tokens = 0;
     //! Where the request enters; paths begin there when that is as fast.
     data_centre_id entry;
 };
 
-//! The path of least estimated time for one token, or for reading the moved tokens, over layers [from_layer, to_layer), every layer once and in
-//! order and no engine twice. Empty when some layer is held by no candidate.
+//! The path of least estimated time for one token, or for reading the moved tokens, over layers [from_layer,
+//! to_layer), every layer once and in order and no engine twice. Empty when some layer is held by no
+//! candidate.
 std::vector<path_part> find_layer_path(const path_query& query,
                                        const std::vector<path_candidate>& candidates);
 
--- a/tests/process/entry_failures_proof_test.cpp
+++ b/tests/process/entry_failures_proof_test.cpp
@@ -112,6 +112,26 @@
     CHECK(number_in(changed, "silent_ms") <= plan.gap_objective_ms);
 }
 
+// The load that it answers: several engines of a path die together, and the path that replaces the first of
+// them still names another one.
+TEST_CASE("an engine that a new path lacks is replaced as well, and the request is not sent again")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.event_ms = 40;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    const caller_answer answer = stream_while(cluster, "s1d", "question", [&](const std::string& path) {
+        cluster.set_faults(engine_in(cluster, path, true), {{"refuse_paths", 1}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(4 * plan.event_ms));
+        cluster.processes.at(engine_in(cluster, path, false)).kill();
+    });
+    CHECK(is_whole_stream(answer, "question"));
+    CHECK(cluster.runs_of("s1d") == 1);
+    cluster.processes.at("daemon0").signal(SIGTERM);
+    const std::string refused = line_with(cluster.output_of(0), "event=path_change_failed id=s1d");
+    CHECK(refused.find("status=409 missing=i-e") != std::string::npos);
+}
+
 TEST_CASE("streams move off a later engine that leaves before it is gone")
 {
     const entry_plan plan = plan_of_long_streams();
--- a/tests/process/entry_followers_test.cpp
+++ b/tests/process/entry_followers_test.cpp
@@ -2,6 +2,7 @@
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <set>
@@ -144,3 +145,44 @@
         CHECK(eventually([&] { return cluster.accepts_key(i, "key-back"); }, {1'000}));
     }
 }
+
+// The load that it answers: the store turns some machines away, the reader and most of those in line among
+// them, and serves the others and the operators.
+TEST_CASE("a data centre of which the store lets in one daemon alone learns from that one in time")
+{
+    entry_plan plan = usual_entry_plan();
+    plan.daemons.assign(7, "n");
+    plan.own_store_addresses = true;
+    plan.drain_ms = 2'000;
+    plan.config_ms = 2'000;
+    plan.stability_ms = 3'000;
+    entry_cluster cluster(plan);
+    REQUIRE(cluster.become_ready());
+    const auto readers = [&] {
+        return plan.daemons.size() - followers_in(cluster, plan.daemons.size()).size();
+    };
+    REQUIRE(eventually([&] { return readers() == 1; }, {15'000}));
+    const std::set<std::size_t> followers = followers_in(cluster, plan.daemons.size());
+    for (const std::size_t let_in : {*followers.begin(), *followers.rbegin()}) {
+        CAPTURE(let_in);
+        json refused = json::array();
+        for (std::size_t i = 0; i < plan.daemons.size(); ++i) {
+            if (i != let_in) {
+                refused.push_back(to_string(cluster.store_of(i)));
+            }
+        }
+        cluster.set_faults("store", {{"busy_at", refused}});
+        const std::string key = "key-by-" + std::to_string(let_in);
+        cluster.write_key(key);
+        const auto written_at = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < plan.daemons.size(); ++i) {
+            CHECK(eventually([&] { return cluster.accepts_key(i, key); }, {3'000}));
+        }
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - written_at);
+        MESSAGE("the last daemon took the key after ", took.count(), " ms");
+        CHECK(took.count() <= plan.config_ms);
+        cluster.set_faults("store", {{"busy_at", json::array()}});
+        CHECK(eventually([&] { return readers() == 1; }, {15'000}));
+    }
+}
--- a/tests/standins/faults.cpp
+++ b/tests/standins/faults.cpp
@@ -1,5 +1,7 @@
 #include "faults.hpp"
 
+#include <algorithm>
+
 namespace dandelionstep::standins {
 
 bool fault_switches::handle(const received_request& request, const std::shared_ptr<http_reply>& reply)
@@ -19,6 +21,13 @@
     return true;
 }
 
+bool fault_switches::lists(const char* name, const std::string& value) const
+{
+    const auto found = this->values.find(name);
+    return found != this->values.end() && found->is_array() &&
+           std::find(found->begin(), found->end(), value) != found->end();
+}
+
 bool fault_switches::take(const char* name)
 {
     const std::int64_t left = this->number(name);
--- a/tests/standins/faults.hpp
+++ b/tests/standins/faults.hpp
@@ -19,6 +19,8 @@
         return integer_or(this->values, name, fallback);
     }
     [[nodiscard]] std::string text(const char* name) const { return string_or(this->values, name, ""); }
+    //! Whether the switch is a list that holds the value.
+    [[nodiscard]] bool lists(const char* name, const std::string& value) const;
     //! Counts a switch down; true while it was above 0.
     bool take(const char* name);
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -55,6 +55,7 @@
 
     row_store_options row_store;
     CLI::App* run_row_store_command = app.add_subcommand("row-store", "The users' store of rows");
+    run_row_store_command->add_option("--addresses", row_store.addresses, "Loopback addresses to listen at");
 
     replica_options replica;
     std::string store_address;
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -214,6 +214,10 @@
             return;
         }
         const std::vector<path_hop> path = parse_path(string_or(body, "Path", ""));
+        if (this->faults.take("refuse_paths") && path.size() > 1) {
+            reply->send(status_conflict, dump({{"Address", to_string(path[1].address)}}));
+            return;
+        }
         this->check_path(path, found->first);
         found->second->path = path;
         found->second->stalled_on.reset();
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -75,6 +75,12 @@
         if (!port.ok()) {
             return port.status();
         }
+        for (int i = 2; i <= this->options.addresses; ++i) {
+            const auto also = this->server.listen({absl::StrCat("127.0.0.", i), *port});
+            if (!also.ok()) {
+                return also.status();
+            }
+        }
         std::cout << "port=" << *port << std::endl;
         const event_loop::timer terminate = this->loop.on_signal(SIGTERM, [this] { this->loop.stop(); });
         this->loop.run();
@@ -107,6 +113,10 @@
             return;
         }
         const bool is_list = request.path == "/rows-get" && request.parameter("Table") != "dandelionstep";
+        if (!is_outside && this->faults.lists("busy_at", request.header("Host"))) {
+            reply->send(status_unavailable, "{}");
+            return;
+        }
         if (!is_outside && (this->faults.on("busy") || (is_list && this->faults.on("lists_busy")))) {
             reply->send(status_unavailable, "{}");
             return;
--- a/tests/standins/row_store_standin.hpp
+++ b/tests/standins/row_store_standin.hpp
@@ -7,14 +7,17 @@
 
 struct row_store_options {
     endpoint listen;
+    //! Loopback addresses, from 127.0.0.1 on, at which it listens on the same port.
+    int addresses = 1;
 };
 
 //! Runs a stand-in for the users' store until SIGTERM: rows with versions from one counter, transactions with
 //! conditions, a feed of changes. Writes to the tables `op` and `servers` need the header `Writer`.
 //!
-//! Fault switches: `busy` (503), `lists_busy` (503 to whoever reads all replicas or the configuration),
-//! `reset`, `silent` (no answer), `lose_answers` (writes are done, not answered), `late_ms` (writes are done
-//! so much later, not answered), `delay_ms`, `forget` (the history is dropped, once).
+//! Fault switches: `busy` (503), `busy_at` (503 to whoever calls one of these addresses, a list),
+//! `lists_busy` (503 to whoever reads all replicas or the configuration), `reset`, `silent` (no answer),
+//! `lose_answers` (writes are done, not answered), `late_ms` (writes are done so much later, not answered),
+//! `delay_ms`, `forget` (the history is dropped, once).
 absl::Status run_row_store(const row_store_options& options);
 
 } // namespace dandelionstep::standins
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -47,6 +47,11 @@
     return absl::StrCat("127.", first_net + process / nets % nets, ".", 1 + process % nets, ".", daemon + 1);
 }
 
+std::size_t store_addresses(const entry_plan& plan)
+{
+    return plan.own_store_addresses ? plan.daemons.size() : 1;
+}
+
 std::string daemon_name(std::size_t index)
 {
     return absl::StrCat("daemon", index);
@@ -82,10 +87,12 @@
 
 entry_cluster::entry_cluster(entry_plan plan_in) : plan(std::move(plan_in))
 {
-    this->processes.emplace(std::piecewise_construct, std::forward_as_tuple("store"),
-                            std::forward_as_tuple("dandelionstep-standin",
-                                                  std::vector<std::string>{"row-store"},
-                                                  this->folder.path("store.log")));
+    this->processes.emplace(
+        std::piecewise_construct, std::forward_as_tuple("store"),
+        std::forward_as_tuple(
+            "dandelionstep-standin",
+            std::vector<std::string>{"row-store", "--addresses", std::to_string(store_addresses(this->plan))},
+            this->folder.path("store.log")));
     this->read_port("store");
     for (const replica_plan& replica : this->plan.replicas) {
         this->start_replica(replica.id);
@@ -145,12 +152,23 @@
     this->read_port(id);
 }
 
+endpoint entry_cluster::store_of(std::size_t daemon) const
+{
+    const auto seen = this->plan.store_seen_at.find(daemon_name(daemon));
+    if (seen != this->plan.store_seen_at.end()) {
+        return seen->second;
+    }
+    endpoint store = this->addresses.at("store");
+    if (this->plan.own_store_addresses) {
+        store.address = absl::StrCat("127.0.0.", daemon + 1);
+    }
+    return store;
+}
+
 std::string entry_cluster::settings_text(std::size_t index) const
 {
     const std::string name = daemon_name(index);
-    const auto seen = this->plan.store_seen_at.find(name);
-    const endpoint store =
-        seen == this->plan.store_seen_at.end() ? this->addresses.at("store") : seen->second;
+    const endpoint store = this->store_of(index);
     const std::string ports = this->plan.has_peers
                                   ? absl::StrCat("InternalPortRange = [", this->daemons[index].peer_port,
                                                  ", ", this->daemons[index].peer_port, "]\n")
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -42,6 +42,8 @@
     bool has_peers = true;
     //! The longest pause between events that the streaming route allows.
     std::int64_t gap_objective_ms = 200;
+    //! Whether each daemon reaches the store at an address of its own, so that it can refuse some of them.
+    bool own_store_addresses = false;
     //! Where the daemons reach the store, if not directly; by its real address.
     std::map<std::string, endpoint> store_seen_at;
     //! Where each replica registers itself, if not at its own address.
@@ -100,6 +102,8 @@
     [[nodiscard]] std::int64_t gauge_of(std::size_t daemon, const std::string& name);
     //! The settings file of a daemon.
     [[nodiscard]] std::string settings_of(std::size_t daemon) const;
+    //! Where the daemon reaches the store.
+    [[nodiscard]] endpoint store_of(std::size_t daemon) const;
     //! Whether the daemon lets requests with that key through.
     bool accepts_key(std::size_t daemon, const std::string& key);
     //! Writes a configuration in which the key is valid beside the usual one.
