Callers of a starting daemon hurry it: it reads the store itself after 40 ms without a reader's answer

Change: a connection to a reader is given up after 60 ms while a daemon starts, callers wait up to 400 ms (250 before) for the first configuration, and a daemon at which they wait reads the store itself after 40 ms (150 before).

--- a/src/entry/http_calls.cpp
+++ b/src/entry/http_calls.cpp
@@ -54,7 +54,7 @@
     callbacks.on_end = [running](exchange_end end, bool /*reused*/) { finish(*running, end); };
     running->timeout = context.loop.run_after(times.head, give_up);
     send_options options;
-    options.connect_timeout = times.head;
+    options.connect_timeout = times.connect.value_or(times.head);
     running->exchange = context.channels.send(to, request_text(call.method, call.target, headers, call.body),
                                               options, std::move(callbacks));
 }
--- a/src/entry/http_calls.hpp
+++ b/src/entry/http_calls.hpp
@@ -3,6 +3,7 @@
 #include "entry/entry_context.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace dandelionstep {
@@ -17,10 +18,12 @@
 
 using http_answer_callback = std::function<void(const http_answer&)>;
 
-//! How long a call may take: until the head of its response, and until all of it has come.
+//! How long a call may take: until the head of its response, until all of it has come, and until a new
+//! connection is made, where that is shorter.
 struct call_times {
     milliseconds head{0};
     milliseconds whole{0};
+    std::optional<milliseconds> connect = std::nullopt;
 };
 
 //! Makes one call over a kept connection; `done` is called exactly once, in time.
--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peer_follower.cpp
@@ -32,8 +32,11 @@
 constexpr milliseconds least_silence{100};
 // Readers that a starting daemon asks may be starting as well.
 constexpr milliseconds search_silence{300};
-// How long callers of a starting daemon wait for a reader's answer before it reads the store itself.
-constexpr milliseconds hurry_after{150};
+// A vm that has no power yet takes no connection.
+constexpr milliseconds search_connect{60};
+// How long callers of a starting daemon wait for a reader's answer before it reads the store itself: what a
+// refusal would cost one of them is more than the two calls.
+constexpr milliseconds hurry_after{40};
 // Followers of a data centre that try the store after each round in which nobody in line reached it.
 constexpr double tries_per_round = 2;
 
@@ -379,7 +382,10 @@
     const time_point asked_at = event_loop::now();
     const peer_question told = this->question(asked);
     // A long answer is still on its way when its head has come.
-    const call_times times{asked.timeout, asked.timeout + this->context.settings.configuration_time / 4};
+    call_times times{asked.timeout, asked.timeout + this->context.settings.configuration_time / 4};
+    if (this->source == knowledge_source::search) {
+        times.connect = search_connect;
+    }
     send_call(this->context, asked.reader.at, peer_call(told), times,
               [this, began_in, asked, asked_at, told](const http_answer& answered) {
                   if (began_in == this->turn) {
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds retry_after_start{400};
 // Time from the start within which requests wait for the first configuration; the store answers within
 // milliseconds, or it is away.
-constexpr milliseconds longest_first_read{250};
+constexpr milliseconds longest_first_read{400};
 // Another daemon takes the request at once.
 constexpr milliseconds retry_after_stop{50};
 
