--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -26,6 +26,15 @@
 private:
     using attempt_pointer = std::shared_ptr<stream_attempt>;
 
+    //! A new path that was ordered.
+    struct path_change {
+        target_id lost;
+        //! The path that runs if the order is refused.
+        std::vector<hop> before;
+        //! Whether the lost engine still serves, as it leaves.
+        bool leaves = false;
+    };
+
     // stream_runner.cpp
     void send_next();
     attempt_pointer send_along(const std::vector<hop>& path);
@@ -57,8 +66,8 @@
 
     // stream_path_change.cpp
     void replace_engine(const target_id& lost, bool leaves);
-    void order_path(const std::vector<hop>& before, bool leaves);
-    void path_refused(const http_answer& answer, const std::vector<hop>& before, bool leaves);
+    void order_path(const path_change& change);
+    void path_refused(const http_answer& answer, const path_change& refused);
     [[nodiscard]] bool can_change_path(const target_id& lost) const;
 
     // stream_repair.cpp
--- a/src/entry/stream_path_change.cpp
+++ b/src/entry/stream_path_change.cpp
@@ -65,17 +65,17 @@
     if (!leaves) {
         this->progress.sent_at = now;
     }
-    this->order_path(before, leaves);
+    this->order_path({lost, before, leaves});
 }
 
 // An engine that leaves still serves the path before, if the change is not accepted.
-void stream_carrier::order_path(const std::vector<hop>& before, bool leaves)
+void stream_carrier::order_path(const path_change& change)
 {
     const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
     const attempt_pointer changed = this->current;
     const outgoing_call call = this->context.dialect.repath_call(
         changed->path.front().id, this->request.facts.attempt_id, changed->path);
-    const auto take = [watched, changed, before, leaves](const http_answer& answer) {
+    const auto take = [watched, changed, change](const http_answer& answer) {
         const auto self = watched.lock();
         if (!self || self->finished || self->current != changed) {
             return;
@@ -83,32 +83,34 @@
         const bool accepted = answer.status == status_ok || answer.status == status_accepted;
         ++self->context.metrics.orders[accepted ? "path_accepted" : "path_failed"];
         if (!accepted) {
-            self->path_refused(answer, before, leaves);
+            self->path_refused(answer, change);
         }
     };
     send_call(this->context, changed->path.front().address, call, order_timeout, take);
 }
 
-// The refusal usually names a part that is not there: an engine that died together with the one that was
-// replaced, or one without room.
-void stream_carrier::path_refused(const http_answer& answer, const std::vector<hop>& before, bool leaves)
+// The refusal usually names a part that is not there: an engine that died together with the lost one, or one
+// without room, which may have some a moment later. The path before is the one that runs.
+void stream_carrier::path_refused(const http_answer& answer, const path_change& refused)
 {
+    const time_point now = event_loop::now();
     const std::optional<endpoint> address = this->context.dialect.parse_path_refusal(answer.body);
     const std::vector<hop>& path = this->current->path;
     const auto at_fault = address ? std::ranges::find(path, *address, &hop::address) : path.end();
-    const target_id missing = at_fault == path.end() ? target_id() : at_fault->id;
-    log_event(
-        "path_change_failed",
-        {{"id", this->request.facts.attempt_id}, {"status", answer.status}, {"missing", missing.value}});
-    if (!missing.value.empty()) {
-        note_refusal(this->context.conditions[missing], pause_after_missing, event_loop::now());
-        this->tools.probes.ask_one(missing, at_fault->address);
-        this->excluded.insert(missing);
+    const bool is_named = at_fault != path.end();
+    log_event("path_change_failed", {{"id", this->request.facts.attempt_id},
+                                     {"status", answer.status},
+                                     {"missing", is_named ? at_fault->id.value : ""}});
+    if (is_named) {
+        note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
+        this->tools.probes.ask_one(at_fault->id, at_fault->address);
+    }
+    change_attempt_path(this->context, this->request, *this->current, refused.before);
+    if (refused.leaves) {
+        return;
     }
-    if (leaves) {
-        change_attempt_path(this->context, this->request, *this->current, before);
-    } else if (!missing.value.empty() && this->can_change_path(missing)) {
-        this->replace_engine(missing, false);
+    if (is_named && this->can_change_path(refused.lost)) {
+        this->replace_engine(refused.lost, false);
     } else {
         this->begin_succession("path_change_failed", false);
     }
--- a/tests/process/entry_failures_proof_test.cpp
+++ b/tests/process/entry_failures_proof_test.cpp
@@ -47,6 +47,20 @@
     return "";
 }
 
+// All of them, as they stand in the text.
+std::string lines_with(const std::string& text, const std::string& part)
+{
+    std::istringstream lines(text);
+    std::string line;
+    std::string found;
+    while (std::getline(lines, line)) {
+        if (line.find(part) != std::string::npos) {
+            found += line + "\n";
+        }
+    }
+    return found;
+}
+
 std::int64_t number_in(const std::string& line, const std::string& field)
 {
     const std::size_t at = line.find(field + "=");
@@ -125,10 +139,14 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(4 * plan.event_ms));
         cluster.processes.at(engine_in(cluster, path, false)).kill();
     });
-    CHECK(is_whole_stream(answer, "question"));
-    CHECK(cluster.runs_of("s1d") == 1);
+    const std::int64_t runs = cluster.runs_of("s1d");
     cluster.processes.at("daemon0").signal(SIGTERM);
-    const std::string refused = line_with(cluster.output_of(0), "event=path_change_failed id=s1d");
+    const std::string log = cluster.output_of(0);
+    CAPTURE(lines_with(log, "id=s1d"));
+    CAPTURE(lines_with(log, "event=engine_"));
+    CHECK(is_whole_stream(answer, "question"));
+    CHECK(runs == 1);
+    const std::string refused = line_with(log, "event=path_change_failed id=s1d");
     CHECK(refused.find("status=409 missing=i-e") != std::string::npos);
 }
 
