--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -84,7 +84,8 @@
 std::optional<peer> peer_port::better_reader() const
 {
     if (this->own_reader) {
-        if (const std::optional<peer> followed = this->own_reader()) {
+        std::optional<peer> followed = this->own_reader();
+        if (followed) {
             return followed;
         }
     }
--- a/src/entry/vm_directory.cpp
+++ b/src/entry/vm_directory.cpp
@@ -124,6 +124,7 @@
     }
     std::ranges::sort(ranked, {}, [](const auto& one) { return one.first; });
     std::vector<peer> readers;
+    readers.reserve(ranked.size());
     for (const auto& [rank, reader] : ranked) {
         readers.push_back(reader);
     }
--- a/tests/common/packed_text_test.cpp
+++ b/tests/common/packed_text_test.cpp
@@ -23,7 +23,7 @@
 
 TEST_CASE("a text is unpacked as it was packed")
 {
-    const std::string bytes("\0\xff\"quoted\"\n", 12);
+    const std::string bytes("\0\xff\"quoted\"\n", 11);
     for (const std::string& text : {std::string(), std::string("x"), bytes, many_routes(2'000)}) {
         CAPTURE(text.size());
         const absl::StatusOr<std::string> unpacked = unpack_text(pack_text(text), plenty);
--- a/tests/process/entry_store_calls_test.cpp
+++ b/tests/process/entry_store_calls_test.cpp
@@ -1,3 +1,4 @@
+#include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
 
@@ -20,6 +21,11 @@
 // Readers beside the first that an event may bring forth: those in line.
 constexpr std::int64_t most_readers = 5;
 
+constexpr std::int64_t calls_of_readers(std::int64_t seconds)
+{
+    return seconds * reader_calls_per_second * most_readers;
+}
+
 //! Sixty daemons of one data centre, with the times of the users' small deployments.
 entry_plan sixty_daemons(bool has_peers)
 {
@@ -118,23 +124,23 @@
     MESSAGE("the reader freezes and wakes again");
     reader = *find_reader(cluster);
     daemon_of(cluster, reader).signal(SIGSTOP);
-    CHECK(calls_within(cluster, 5) <= 5 * reader_calls_per_second * most_readers);
+    CHECK(calls_within(cluster, 5) <= calls_of_readers(5));
     CHECK(takes_new_key(cluster, "key-frozen", reader));
     daemon_of(cluster, reader).signal(SIGCONT);
     CHECK(await_one_reader(cluster));
 
     MESSAGE("the store is away for a while and returns");
     cluster.set_faults("store", {{"busy", true}});
-    CHECK(calls_within(cluster, 5) <= 5 * reader_calls_per_second * most_readers);
+    CHECK(calls_within(cluster, 5) <= calls_of_readers(5));
     cluster.set_faults("store", {{"busy", false}});
-    CHECK(calls_within(cluster, 3) <= 3 * 2 * reader_calls_per_second * most_readers);
+    CHECK(calls_within(cluster, 3) <= 2 * calls_of_readers(3));
     CHECK(takes_new_key(cluster, "key-back", daemons));
     CHECK(await_one_reader(cluster));
 
     MESSAGE("the reader is killed");
     reader = *find_reader(cluster);
     daemon_of(cluster, reader).kill();
-    CHECK(calls_within(cluster, 5) <= 5 * reader_calls_per_second * most_readers);
+    CHECK(calls_within(cluster, 5) <= calls_of_readers(5));
     CHECK(takes_new_key(cluster, "key-killed", reader));
     CHECK(count_followers(cluster) >= daemons - 1 - most_readers);
 }
@@ -146,9 +152,9 @@
     REQUIRE(cluster.become_ready());
     const std::int64_t calm = calls_within(cluster, 5);
     MESSAGE("calls in 5 s: calm ", calm);
-    CHECK(calm > 5 * reader_calls_per_second * most_readers);
+    CHECK(calm > calls_of_readers(5));
     cluster.set_faults("store", {{"busy", true}});
     const std::int64_t away = calls_within(cluster, 5);
     MESSAGE("calls in 5 s: the store away ", away);
-    CHECK(away > 5 * reader_calls_per_second * most_readers);
+    CHECK(away > calls_of_readers(5));
 }
--- a/tests/vm/reader_search_test.cpp
+++ b/tests/vm/reader_search_test.cpp
@@ -3,6 +3,7 @@
 #include "vm/vm_capacity.hpp"
 
 #include <doctest/doctest.h>
+#include <initializer_list>
 
 using namespace dandelionstep;
 
