Answers, heads and events of replicas in trouble have bounds; the fuzzers read what the entry daemon reads

Bodies of calls, of store, peers and reports, and events of streams were gathered without a bound.

Change: answers are gathered within a quarter of the vm's memory (common/gathered_text); each may hold a quarter of what all leave free, so that hundreds without end leave room for short ones. An event may take 64 KB, a response 256 headers, 16 interim responses and the parser's 80 KB of head, chunk extensions and trailers. What passes a bound is closed at once, counts as the target's failure, also on a kept connection, and is logged with its bytes (response_overlong); lookups and streams go on elsewhere. The end of an event is no longer searched from its start at each piece.

Ruled out: a fixed bound for each body (200 at once pass any that lets one whole answer through) and a bound for all without one for each (a single replica takes it all).

Not bounded here: bytes of whole events that go on being valid (the deadline ends them), 8 MB for each caller who does not read.

--- a/src/adapters/channel_pool.cpp
+++ b/src/adapters/channel_pool.cpp
@@ -59,7 +59,8 @@
     bool bytes_sent = false;
     bool active = false;
     bool skipping = false;
-    bool in_callback = false;
+    bool is_overlong = false;
+    std::size_t response_bytes = 0;
 
     exchange()
         : reader(http_reader::kind::responses, {[this](http_head& read) { this->take_head(read); },
@@ -88,8 +89,8 @@
 
     void take_body(std::string_view part)
     {
-        if (this->active && !this->skipping && this->callbacks.on_body) {
-            this->callbacks.on_body(part);
+        if (this->active && !this->skipping && !this->is_overlong && this->callbacks.on_body) {
+            this->is_overlong = !this->callbacks.on_body(part);
         }
     }
 };
@@ -99,6 +100,7 @@
     std::unordered_map<exchange*, std::shared_ptr<exchange>> running;
     std::map<endpoint, std::vector<std::shared_ptr<exchange>>> idle;
     channel_counts counts;
+    overlong_callback on_overlong;
     event_loop::timer sweep;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -198,7 +200,7 @@
         const auto on_end = std::move(ended->callbacks.on_end);
         ended->callbacks = {};
         if (on_end) {
-            on_end(how, ended->was_used);
+            on_end(how, ended->was_used && !ended->is_overlong);
         }
     }
 
@@ -219,6 +221,13 @@
                 return;
             }
             evbuffer_drain(input, result.taken);
+            self.response_bytes += result.taken;
+            self.is_overlong = self.is_overlong || result.state == http_reader::progress::overlong;
+            if (self.is_overlong) {
+                this->note_overlong(self);
+                this->fail(self);
+                return;
+            }
             if (result.state == http_reader::progress::malformed) {
                 this->fail(self);
                 return;
@@ -233,6 +242,14 @@
         }
     }
 
+    void note_overlong(const exchange& self)
+    {
+        ++this->counts.overlong_responses;
+        if (this->on_overlong) {
+            this->on_overlong(self.to, self.response_bytes);
+        }
+    }
+
     void complete(exchange& self)
     {
         const std::shared_ptr<exchange> kept = this->remove(self);
@@ -339,6 +356,8 @@
     used->active = true;
     used->bytes_sent = false;
     used->skipping = false;
+    used->is_overlong = false;
+    used->response_bytes = 0;
     this->self->running.emplace(used.get(), used);
     bufferevent_write(used->raw, bytes.data(), bytes.size());
     const auto fail_later = [owner = this->self.get(), watched = std::weak_ptr(used),
@@ -379,6 +398,11 @@
     this->self->idle.erase(found);
 }
 
+void channel_pool::on_overlong(overlong_callback run)
+{
+    this->self->on_overlong = std::move(run);
+}
+
 const channel_counts& channel_pool::counts() const
 {
     return this->self->counts;
--- a/src/adapters/channel_pool.hpp
+++ b/src/adapters/channel_pool.hpp
@@ -32,8 +32,10 @@
     //! Whether the response belongs to this request; the others are skipped.
     std::function<bool(const http_head&)> is_own;
     std::function<void(const http_head&)> on_head;
-    std::function<void(std::string_view)> on_body;
-    //! Called exactly once unless the exchange was cancelled. `reused`: the connection had been used before.
+    //! False when the response is longer than it may be: it ends as broken.
+    std::function<bool(std::string_view)> on_body;
+    //! Called exactly once unless the exchange was cancelled. `reused`: the connection had been used before,
+    //! and its end may be no fault of the target.
     std::function<void(exchange_end end, bool reused)> on_end;
 };
 
@@ -42,8 +44,12 @@
     std::int64_t opened = 0;
     std::int64_t reused = 0;
     std::int64_t skipped_responses = 0;
+    std::int64_t overlong_responses = 0;
 };
 
+//! Told of a response that was longer than it may be, with the bytes of it that had come.
+using overlong_callback = std::function<void(const endpoint& from, std::size_t bytes)>;
+
 //! Kept HTTP/1.1 connections to targets, one request at a time on each.
 class channel_pool {
 public:
@@ -63,6 +69,7 @@
     void cancel(const std::weak_ptr<exchange>& running);
     //! Closes the idle connections to an address, whose owner may have changed.
     void forget(const endpoint& to);
+    void on_overlong(overlong_callback run);
     [[nodiscard]] const channel_counts& counts() const;
     [[nodiscard]] int open_connections() const;
 
--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -3,6 +3,13 @@
 #include <http_parser.h>
 
 namespace dandelionstep {
+namespace {
+
+constexpr int first_final_status = 200;
+constexpr std::size_t max_response_headers = 256;
+constexpr int max_interim_responses = 16;
+
+} // namespace
 
 struct http_reader::state {
     http_parser parser{};
@@ -13,7 +20,9 @@
     bool begun = false;
     bool head_complete = false;
     bool complete = false;
+    bool too_many_headers = false;
     std::size_t head_size = 0;
+    int interim_responses = 0;
 
     void reset()
     {
@@ -43,6 +52,10 @@
             return 0;
         }
         if (self.in_value || self.head.headers.empty()) {
+            if (self.reads == kind::responses && self.head.headers.size() >= max_response_headers) {
+                self.too_many_headers = true;
+                return 1;
+            }
             self.head.headers.emplace_back();
             self.in_value = false;
         }
@@ -71,7 +84,6 @@
             self.head.method = http_method_str(static_cast<http_method>(parser->method));
         }
         // Interim responses precede the response itself.
-        constexpr int first_final_status = 200;
         if (self.reads == kind::requests || self.head.status >= first_final_status) {
             self.handle.on_head(self.head);
         }
@@ -119,9 +131,9 @@
 
 http_reader::result http_reader::feed(std::string_view bytes)
 {
-    constexpr int first_final_status = 200;
     if (this->self->complete) {
         this->self->reset();
+        this->self->interim_responses = 0;
     }
     if (bytes.empty()) {
         return {progress::needs_more, 0};
@@ -138,7 +150,9 @@
         }
         const http_errno error = HTTP_PARSER_ERRNO(&this->self->parser);
         if (error != HPE_OK && error != HPE_PAUSED) {
-            return {progress::malformed, taken};
+            const bool is_overlong = this->self->reads == kind::responses &&
+                                     (error == HPE_HEADER_OVERFLOW || this->self->too_many_headers);
+            return {is_overlong ? progress::overlong : progress::malformed, taken};
         }
         if (!this->self->complete) {
             continue;
@@ -148,6 +162,9 @@
         if (!interim) {
             return {progress::complete, taken};
         }
+        if (++this->self->interim_responses > max_interim_responses) {
+            return {progress::overlong, taken};
+        }
         this->self->reset();
     }
     return {progress::needs_more, taken};
--- a/src/adapters/http_reader.hpp
+++ b/src/adapters/http_reader.hpp
@@ -34,6 +34,7 @@
         needs_more, //!< All bytes were taken; the message goes on.
         complete,   //!< A message ended; the bytes after it were not taken.
         malformed,  //!< These are not the bytes of such a message.
+        overlong,   //!< The head of a response, or what comes before it, is longer than it may be.
     };
     struct result {
         progress state = progress::needs_more;
--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -92,12 +92,12 @@
 void call_carrier::failed_by_target(attempt& ended)
 {
     if (this->is_idempotent() && this->may_send_again("failed")) {
-        this->target_failure_answer = std::make_shared<attempt>(ended);
+        this->target_failure_answer = ended.shared_from_this();
         this->send_next();
     } else if (this->running == 0) {
         this->deliver(ended);
     } else {
-        this->target_failure_answer = std::make_shared<attempt>(ended);
+        this->target_failure_answer = ended.shared_from_this();
     }
 }
 
@@ -137,7 +137,7 @@
         event_loop::now() - this->request.caller->began);
     this->end_attempts();
     record_request(this->context, this->request, best.head.status, "answered", best.target.id);
-    this->request.caller->answer(best.head.status, headers, best.body);
+    this->request.caller->answer(best.head.status, headers, best.body.text());
 }
 
 void call_carrier::give_up(std::string_view reason)
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -59,7 +59,7 @@
 
 void call_carrier::send_to(const registered_target& target)
 {
-    auto sent = std::make_shared<attempt>();
+    auto sent = std::make_shared<attempt>(this->context.answer_bytes);
     sent->target = target;
     sent->sent_at = event_loop::now();
     this->attempts.push_back(sent);
@@ -100,7 +100,7 @@
             sent->facts = this->context.dialect.read_response(head.status, head.headers);
         }
     };
-    callbacks.on_body = [sent](std::string_view part) { sent->body += part; };
+    callbacks.on_body = [sent](std::string_view part) { return sent->body.append(part); };
     callbacks.on_end = [watched, sent](exchange_end end, bool reused) {
         if (const auto self = watched.lock()) {
             self->attempt_ended(*sent, end, reused);
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -9,9 +9,18 @@
 constexpr std::int64_t unseen_daemons = 1;
 // Part of the allowance that is used, as the platform counts in windows of its own.
 constexpr double used_share = 0.9;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+// Of the vm's memory answers may take one part in so many.
+constexpr std::size_t memory_per_answers = 4;
 
 } // namespace
 
+byte_budget answer_budget(const entry_settings& settings)
+{
+    const auto memory_mb = static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1));
+    return {memory_mb * bytes_per_mb / memory_per_answers, 0};
+}
+
 time_point config_known_at(const entry_context& context, time_point now)
 {
     return std::max(context.config_as_of, std::min(now, context.config_watched_until));
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/channel_pool.hpp"
 #include "adapters/event_loop.hpp"
+#include "common/gathered_text.hpp"
 #include "common/hash.hpp"
 #include "entry/dialect.hpp"
 #include "entry/entry_metrics.hpp"
@@ -27,11 +28,16 @@
 inline constexpr std::int64_t unknown_daemons = 96;
 inline constexpr std::int64_t unknown_siblings = 3;
 
+//! The part of the vm's memory that answers may take while they are gathered.
+byte_budget answer_budget(const entry_settings& settings);
+
 //! What all parts of an entry daemon share; touched by the loop alone.
 struct entry_context {
     event_loop& loop;
     const entry_dialect& dialect;
     entry_settings settings;
+    //! For answers while they are gathered.
+    std::shared_ptr<byte_budget> answer_bytes;
     channel_pool channels;
     //! Null until the first configuration is known.
     std::shared_ptr<const entry_config> config;
@@ -80,7 +86,8 @@
     bool has_streams = false;
 
     entry_context(event_loop& loop_in, const entry_dialect& dialect_in, entry_settings settings_in)
-        : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)), channels(loop_in),
+        : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)),
+          answer_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))), channels(loop_in),
           random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
     {}
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -54,6 +54,7 @@
                               {"store", to_string(this->context.settings.store)},
                               {"data_centre", this->context.settings.data_centre.value},
                               {"process", static_cast<std::int64_t>(getpid())}});
+        this->report_overlong();
         this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
         this->watch.on_first_known = [this] { this->relay.take_early(); };
         this->rows.on_rows = [this](const stored_rows& read) {
@@ -89,6 +90,16 @@
     }
 
 private:
+    void report_overlong()
+    {
+        this->context.channels.on_overlong([this](const endpoint& from, std::size_t bytes) {
+            if (may_log(this->context.logs, log_weight::failure, event_loop::now())) {
+                log_event("response_overlong",
+                          {{"from", to_string(from)}, {"bytes", static_cast<std::int64_t>(bytes)}});
+            }
+        });
+    }
+
     absl::Status listen()
     {
         const entry_settings& settings = this->context.settings;
@@ -141,6 +152,8 @@
         gauges["target_connections"] = this->context.channels.open_connections();
         gauges["target_connections_opened"] = this->context.channels.counts().opened;
         gauges["responses_skipped"] = this->context.channels.counts().skipped_responses;
+        gauges["responses_overlong"] = this->context.channels.counts().overlong_responses;
+        gauges["answer_bytes_held"] = static_cast<std::int64_t>(this->context.answer_bytes->held);
         gauges["log_lines_dropped"] =
             dropped_log_lines() + this->context.logs.dropped_failures + this->context.logs.dropped_successes;
         return {status_ok, to_prometheus(this->context.metrics)};
--- a/src/entry/http_calls.cpp
+++ b/src/entry/http_calls.cpp
@@ -9,8 +9,11 @@
     std::weak_ptr<channel_pool::exchange> exchange;
     event_loop::timer timeout;
     http_answer answer;
+    gathered_text body;
     bool is_done = false;
     http_answer_callback done;
+
+    explicit running_call(const std::shared_ptr<byte_budget>& budget) : body(budget) {}
 };
 
 void finish(running_call& call, exchange_end end)
@@ -21,6 +24,7 @@
     call.is_done = true;
     call.timeout = {};
     call.answer.end = end;
+    call.answer.body = call.body.take();
     if (end != exchange_end::complete) {
         call.answer.status = 0;
     }
@@ -33,7 +37,7 @@
 void send_call(entry_context& context, const endpoint& to, const outgoing_call& call, const call_times& times,
                http_answer_callback done)
 {
-    auto running = std::make_shared<running_call>();
+    auto running = std::make_shared<running_call>(context.answer_bytes);
     running->done = std::move(done);
     http_headers headers = call.headers;
     headers.insert(headers.begin(), {"Host", to_string(to)});
@@ -50,7 +54,7 @@
             running->timeout = context.loop.run_after(rest, give_up);
         }
     };
-    callbacks.on_body = [running](std::string_view part) { running->answer.body += part; };
+    callbacks.on_body = [running](std::string_view part) { return running->body.append(part); };
     callbacks.on_end = [running](exchange_end end, bool /*reused*/) { finish(*running, end); };
     running->timeout = context.loop.run_after(times.head, give_up);
     send_options options;
--- a/src/entry/internal/call_carrier.hpp
+++ b/src/entry/internal/call_carrier.hpp
@@ -21,14 +21,16 @@
     void start();
 
 private:
-    struct attempt {
+    struct attempt : std::enable_shared_from_this<attempt> {
         registered_target target;
         std::weak_ptr<channel_pool::exchange> exchange;
         time_point sent_at;
         http_head head;
         response_facts facts;
-        std::string body;
+        gathered_text body;
         bool ended = false;
+
+        explicit attempt(const std::shared_ptr<byte_budget>& budget) : body(budget) {}
     };
 
     // call_runner.cpp
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -39,7 +39,7 @@
     void send_next();
     attempt_pointer send_along(const std::vector<hop>& path);
     void take_head(const attempt_pointer& attempt);
-    void take_body(const attempt_pointer& attempt, std::string_view part);
+    bool take_body(const attempt_pointer& attempt, std::string_view part);
     void pass_on(std::string_view bytes);
     void attempt_ended(const attempt_pointer& attempt, exchange_end end, bool reused);
     void current_ended(exchange_end end, bool reused);
--- a/src/entry/stream_attempt.cpp
+++ b/src/entry/stream_attempt.cpp
@@ -49,7 +49,7 @@
                                               std::vector<hop> path, std::optional<std::int64_t> last_event,
                                               stream_attempt_callbacks callbacks)
 {
-    auto attempt = std::make_shared<stream_attempt>();
+    auto attempt = std::make_shared<stream_attempt>(context.answer_bytes);
     attempt->path = std::move(path);
     occupy_path(context, attempt->path, tokens_of(request.facts));
     exchange_callbacks exchange;
@@ -64,13 +64,9 @@
     };
     exchange.on_body = [attempt, on_body = std::move(callbacks.on_body)](std::string_view part) {
         if (attempt->ended) {
-            return;
+            return true;
         }
-        if (!attempt->is_stream) {
-            attempt->body += part;
-            return;
-        }
-        on_body(attempt, part);
+        return attempt->is_stream ? on_body(attempt, part) : attempt->body.append(part);
     };
     exchange.on_end = [attempt, on_end = std::move(callbacks.on_end)](exchange_end end, bool reused) {
         if (!attempt->ended) {
--- a/src/entry/stream_attempt.hpp
+++ b/src/entry/stream_attempt.hpp
@@ -17,17 +17,20 @@
     http_head head;
     response_facts facts;
     //! The body of an answer that is no stream.
-    std::string body;
+    gathered_text body;
     //! Bytes of the stream that wait until it is known whether another attempt takes over.
-    std::string held;
+    gathered_text held;
     bool is_stream = false;
     bool ended = false;
+
+    explicit stream_attempt(const std::shared_ptr<byte_budget>& budget) : body(budget), held(budget) {}
 };
 
 //! What happens to an attempt; nothing is called once it was ended from here.
 struct stream_attempt_callbacks {
     std::function<void(const std::shared_ptr<stream_attempt>&)> on_head;
-    std::function<void(const std::shared_ptr<stream_attempt>&, std::string_view part)> on_body;
+    //! False when the stream brings what no stream may.
+    std::function<bool(const std::shared_ptr<stream_attempt>&, std::string_view part)> on_body;
     std::function<void(const std::shared_ptr<stream_attempt>&, exchange_end end, bool reused)> on_end;
 };
 
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -73,8 +73,8 @@
     this->end();
     record_request(this->context, this->request, failed->head.status, "failed_by_target",
                    failed->path.front().id);
-    this->request.caller->answer(failed->head.status,
-                                 this->context.dialect.answer_headers(failed->head.headers), failed->body);
+    this->request.caller->answer(
+        failed->head.status, this->context.dialect.answer_headers(failed->head.headers), failed->body.text());
 }
 
 // The engine at fault is named by the refusal; the first one if not.
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -196,7 +196,7 @@
     end_attempt(this->context, this->request, *this->current);
     this->current = std::move(this->successor);
     this->successor.reset();
-    this->splitter.pending.clear();
+    forget_rest(this->splitter);
     this->progress.sent_at = event_loop::now();
 }
 
@@ -205,9 +205,7 @@
 {
     end_attempt(this->context, this->request, *this->successor);
     this->successor.reset();
-    const std::string held = std::move(this->current->held);
-    this->current->held.clear();
-    this->pass_on(held);
+    this->pass_on(this->current->held.take());
 }
 
 void stream_carrier::successor_ended(exchange_end end)
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -9,7 +9,6 @@
 namespace internal {
 namespace {
 
-constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 // Failures to connect prove that nothing ran, so they don't count as attempts; this bounds them.
@@ -78,7 +77,7 @@
     }
     this->progress.sent_at = event_loop::now();
     // A cut event is sent whole again after a resumption.
-    this->splitter.pending.clear();
+    forget_rest(this->splitter);
     this->current = this->send_along(chosen);
 }
 
@@ -94,9 +93,8 @@
         }
     };
     callbacks.on_body = [watched](const attempt_pointer& attempt, std::string_view part) {
-        if (const auto self = watched.lock()) {
-            self->take_body(attempt, part);
-        }
+        const auto self = watched.lock();
+        return !self || self->take_body(attempt, part);
     };
     callbacks.on_end = [watched](const attempt_pointer& attempt, exchange_end end, bool reused) {
         if (const auto self = watched.lock()) {
@@ -124,19 +122,19 @@
     }
 }
 
-void stream_carrier::take_body(const attempt_pointer& attempt, std::string_view part)
+bool stream_carrier::take_body(const attempt_pointer& attempt, std::string_view part)
 {
     if (this->finished || attempt != this->current) {
-        return;
+        return true;
     }
     if (this->successor && this->holds_events) {
-        attempt->held += part;
-        return;
+        return attempt->held.append(part);
     }
     if (this->successor) {
         this->drop_successor();
     }
     this->pass_on(part);
+    return !this->splitter.is_overlong;
 }
 
 void stream_carrier::pass_on(std::string_view bytes)
--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -5,11 +5,15 @@
 namespace dandelionstep {
 namespace {
 
-// The size of the first whole event in the text with the empty line that ends it; 0 when there is none.
-std::size_t first_event_size(std::string_view text)
+constexpr std::size_t longest_end = std::string_view("\r\n\r\n").size();
+
+// The size of the first whole event in the text with the empty line that ends it; 0 when there is none. No
+// event ends within the first `searched` bytes.
+std::size_t first_event_size(std::string_view text, std::size_t searched)
 {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t with_returns = text.find("\r\n\r\n");
+    const std::size_t from = searched < longest_end ? 0 : searched - longest_end + 1;
+    const std::size_t plain = text.find("\n\n", from);
+    const std::size_t with_returns = text.find("\r\n\r\n", from);
     if (plain == std::string_view::npos && with_returns == std::string_view::npos) {
         return 0;
     }
@@ -48,10 +52,12 @@
     std::size_t at = 0;
     while (true) {
         const std::string_view rest = std::string_view(splitter.pending).substr(at);
-        const std::size_t size = first_event_size(rest);
+        const std::size_t size = first_event_size(rest, splitter.searched);
         if (size == 0) {
+            splitter.searched = rest.size();
             break;
         }
+        splitter.searched = 0;
         const std::string_view event = rest.substr(0, size);
         const std::optional<std::int64_t> id = event_id(event);
         at += size;
@@ -64,7 +70,15 @@
         whole += event;
     }
     splitter.pending.erase(0, at);
+    splitter.is_overlong = splitter.pending.size() > max_event_bytes;
     return whole;
 }
 
+void forget_rest(event_splitter& splitter)
+{
+    splitter.pending.clear();
+    splitter.searched = 0;
+    splitter.is_overlong = false;
+}
+
 } // namespace dandelionstep
--- a/src/request/event_splitter.hpp
+++ b/src/request/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -7,9 +8,16 @@
 
 namespace dandelionstep {
 
+//! Most bytes of one event.
+inline constexpr std::size_t max_event_bytes = std::size_t{64} * 1024;
+
 //! Whole events of a text/event-stream body, and the rest that is not whole yet.
 struct event_splitter {
     std::string pending;
+    //! Bytes of `pending` in which no event ends.
+    std::size_t searched = 0;
+    //! Whether the event that has begun is longer than any event may be; the stream can't be read on.
+    bool is_overlong = false;
     //! Id of the last whole event that was taken.
     std::optional<std::int64_t> last_id;
 };
@@ -18,6 +26,9 @@
 //! not above the last one are left out.
 std::string take_events(event_splitter& splitter, std::string_view bytes);
 
+//! Forgets the event that has begun, for a stream that is sent anew.
+void forget_rest(event_splitter& splitter);
+
 //! The id of one event; nullopt when it has none.
 std::optional<std::int64_t> event_id(std::string_view event);
 
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -3,7 +3,9 @@
 
 #include "support/scripted_peer.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <utility>
 #include <vector>
 
 using namespace dandelionstep;
@@ -26,7 +28,10 @@
 {
     exchange_callbacks callbacks;
     callbacks.on_head = [&](const http_head& head) { seen.statuses.push_back(head.status); };
-    callbacks.on_body = [&](std::string_view part) { seen.body += part; };
+    callbacks.on_body = [&](std::string_view part) {
+        seen.body += part;
+        return true;
+    };
     callbacks.on_end = [&](exchange_end end, bool reused) {
         ++seen.ends;
         seen.end = end;
@@ -219,6 +224,7 @@
     callbacks.on_body = [&](std::string_view) {
         pool.cancel(running);
         cancelled = true;
+        return true;
     };
     callbacks.on_end = [&](exchange_end, bool) { ++ends; };
     running = pool.send(server.address(), plain_request, {}, std::move(callbacks));
@@ -250,3 +256,106 @@
     CHECK(seen.end == exchange_end::complete);
     CHECK(pool.open_connections() == 0);
 }
+
+namespace {
+
+// Answers each request with a start and then the same part over and over, for as long as anyone listens.
+class endless_server {
+public:
+    endless_server(event_loop& loop, std::string start, std::string part_in)
+        : part(std::move(part_in)), server(loop,
+                                           [this, start](raw_connection& connection) {
+                                               if (has_whole_request(connection)) {
+                                                   connection.write(start);
+                                                   this->open.push_back(&connection);
+                                               }
+                                           }),
+          more(loop.run_every({1}, [this] { this->write_more(); }))
+    {}
+
+    [[nodiscard]] endpoint address() const { return this->server.address(); }
+    [[nodiscard]] bool all_closed() const
+    {
+        return std::ranges::all_of(this->open, [](const raw_connection* one) { return one->closed; });
+    }
+    [[nodiscard]] std::size_t most_written() const { return this->rounds * this->part.size(); }
+
+private:
+    void write_more()
+    {
+        ++this->rounds;
+        for (raw_connection* connection : this->open) {
+            if (!connection->closed) {
+                connection->write(this->part);
+            }
+        }
+    }
+
+    std::string part;
+    std::size_t rounds = 0;
+    std::vector<raw_connection*> open;
+    scripted_server server;
+    event_loop::timer more;
+};
+
+std::string repeated(const std::string& part, int times)
+{
+    std::string all;
+    for (int i = 0; i < times; ++i) {
+        all += part;
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a response whose head does not end is given up, and counts as the target's fault")
+{
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::pair<std::string, std::string>> heads{
+        {status_line + "Long: ", std::string(4'000, 'x')},
+        {status_line, repeated("Name: value\r\n", 50)},
+        {"", repeated("HTTP/1.1 102 Processing\r\n\r\n", 10)},
+        {status_line + "Transfer-Encoding: chunked\r\n\r\n1;", std::string(4'000, 'x')},
+    };
+    for (const auto& [start, part] : heads) {
+        CAPTURE(start);
+        event_loop loop;
+        endless_server server(loop, start, part);
+        channel_pool pool(loop);
+        std::size_t told = 0;
+        pool.on_overlong([&](const endpoint& /*from*/, std::size_t bytes) { told = bytes; });
+        const observed seen = exchange_once(loop, pool, server.address());
+        CHECK(seen.end == exchange_end::broken);
+        CHECK_FALSE(seen.reused);
+        CHECK(pool.counts().overlong_responses == 1);
+        CHECK(told > 0);
+        CHECK(told <= 128UL * 1024UL);
+        CHECK(pool.open_connections() == 0);
+    }
+}
+
+TEST_CASE("a body that its reader does not want any longer ends the exchange, on a kept connection as well")
+{
+    event_loop loop;
+    bool endless = false;
+    scripted_server server(loop, [&](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(endless ? "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" +
+                                           std::string(4'000, 'x')
+                                     : std::string(plain_answer));
+        }
+    });
+    channel_pool pool(loop);
+    REQUIRE(exchange_once(loop, pool, server.address()).end == exchange_end::complete);
+    endless = true;
+    observed seen;
+    exchange_callbacks callbacks = watch(seen);
+    callbacks.on_body = [](std::string_view /*part*/) { return false; };
+    pool.send(server.address(), plain_request, {}, std::move(callbacks));
+    REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
+    CHECK(seen.end == exchange_end::broken);
+    CHECK_FALSE(seen.reused);
+    CHECK(server.accepted() == 1);
+    CHECK(pool.open_connections() == 0);
+}
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -3,6 +3,7 @@
 #include "configuration/declarations.hpp"
 #include "configuration/record.hpp"
 #include "daemon/completion_format.hpp"
+#include "fuzz/entry_fuzz_targets.hpp"
 #include "order/order_record.hpp"
 #include "platform/configuration_rows.hpp"
 #include "report/burn_series.hpp"
@@ -167,11 +168,9 @@
 max_requests = 5
 )";
 
-} // namespace
-
-const std::vector<fuzz_target>& fuzz_targets()
+std::vector<fuzz_target> daemon_fuzz_targets()
 {
-    static const std::vector<fuzz_target> targets{
+    return {
         {"json", fuzz_json, {R"({"a":[1,2.5,"x",null,true,{"b":{}}]})", "[]", "\"text\""}},
         {"completion",
          fuzz_completion,
@@ -189,6 +188,19 @@
          {R"([{"service":"a","organisation":"b","minutes":[[1,2,3]],"hours":[],"days":[[4,5,6]]}])"}},
         {"endpoint", fuzz_endpoint, {"127.0.0.1:80", "1.2.3.4:65535", ":", "::1:5"}},
     };
+}
+
+} // namespace
+
+const std::vector<fuzz_target>& fuzz_targets()
+{
+    static const std::vector<fuzz_target> targets = [] {
+        std::vector<fuzz_target> all = daemon_fuzz_targets();
+        for (fuzz_target& target : entry_fuzz_targets()) {
+            all.push_back(std::move(target));
+        }
+        return all;
+    }();
     return targets;
 }
 
--- a/tests/fuzz/fuzz_targets.hpp
+++ b/tests/fuzz/fuzz_targets.hpp
@@ -14,7 +14,7 @@
     std::vector<std::string> seeds;
 };
 
-//! Every parser of the daemon and the tool.
+//! Every parser of both daemons and the tool.
 const std::vector<fuzz_target>& fuzz_targets();
 
 //! Mutates the seeds `iterations` times with the seed and parses each result; a fault ends the process.
--- /dev/null
+++ b/tests/process/entry_endless_answers_proof_test.cpp
@@ -0,0 +1,131 @@
+#include "common/json.hpp"
+#include "support/cluster.hpp"
+#include "support/entry_cluster.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr std::size_t callers = 200;
+constexpr std::int64_t deadline_ms = 2'000;
+constexpr std::int64_t most_memory_kb = 64 * 1024;
+
+// The most memory that the process has held so far.
+std::int64_t peak_memory_kb(const child_process& process)
+{
+    std::ifstream file("/proc/" + std::to_string(process.id()) + "/status");
+    std::string word;
+    std::int64_t kilobytes = 0;
+    while (file >> word) {
+        if (word == "VmHWM:" && file >> kilobytes) {
+            return kilobytes;
+        }
+    }
+    return -1;
+}
+
+struct timed_answer {
+    caller_answer answer;
+    std::int64_t took_ms = 0;
+};
+
+// Answers of all callers, who ask at the same time.
+template <typename Ask>
+std::vector<timed_answer> ask_together(std::size_t count, const Ask& ask)
+{
+    std::vector<timed_answer> answers(count);
+    std::vector<std::thread> asking;
+    for (std::size_t i = 0; i < count; ++i) {
+        asking.emplace_back([&, i] {
+            const auto began = std::chrono::steady_clock::now();
+            answers[i].answer = ask(i);
+            answers[i].took_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                     std::chrono::steady_clock::now() - began)
+                                     .count();
+        });
+    }
+    for (std::thread& one : asking) {
+        one.join();
+    }
+    return answers;
+}
+
+std::size_t count_answered(const std::vector<timed_answer>& answers)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(answers, 200, [](const timed_answer& one) { return one.answer.status; }));
+}
+
+std::string name_of_caller(const std::string& kind, std::size_t index)
+{
+    return kind + "-" + std::to_string(index);
+}
+
+} // namespace
+
+// The load that it answers: a replica whose answers go on until the connection is closed.
+TEST_CASE("answers without end take little memory, and lookups are answered by other replicas")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    cluster.set_faults("i-o1", {{"endless", 1'000'000}});
+    const std::vector<timed_answer> answers =
+        ask_together(callers, [&](std::size_t i) { return cluster.look_up(0, name_of_caller("lookup", i)); });
+    for (const timed_answer& one : answers) {
+        CHECK(one.took_ms <= deadline_ms);
+        CHECK(one.answer.whole);
+    }
+    CHECK(count_answered(answers) >= callers * 9 / 10);
+    CHECK(cluster.gauge_of(0, "answer_bytes_held") == 0);
+    CHECK(peak_memory_kb(cluster.processes.at("daemon0")) < most_memory_kb);
+}
+
+TEST_CASE("an order whose answer does not end fails before its deadline, and the others are answered")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    cluster.set_faults("i-o1", {{"endless", 1'000'000}});
+    const std::vector<timed_answer> answers = ask_together(callers, [&](std::size_t i) {
+        return cluster.order(0, name_of_caller("order", i), name_of_caller("body", i));
+    });
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        CAPTURE(i);
+        CHECK(answers[i].took_ms <= deadline_ms);
+        CHECK(answers[i].answer.whole);
+        CHECK(cluster.runs_of(name_of_caller("order", i)) <= 1);
+    }
+    CHECK(count_answered(answers) >= callers / 2);
+    CHECK(cluster.gauge_of(0, "responses_overlong") > 0);
+    CHECK(cluster.gauge_of(0, "answer_bytes_held") == 0);
+    CHECK(peak_memory_kb(cluster.processes.at("daemon0")) < most_memory_kb);
+}
+
+TEST_CASE("a stream whose engine sends an event without end goes on through other engines")
+{
+    entry_cluster cluster(usual_entry_plan());
+    REQUIRE(cluster.become_ready());
+    for (const std::string& id : cluster.replica_ids()) {
+        if (id.find("-e") != std::string::npos) {
+            cluster.set_faults(id, {{"endless", 1}});
+            break;
+        }
+    }
+    const std::vector<timed_answer> answers = ask_together(8, [&](std::size_t i) {
+        return cluster.stream(0, name_of_caller("stream", i), name_of_caller("question", i));
+    });
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        CAPTURE(i);
+        CHECK(is_whole_stream(answers[i].answer, name_of_caller("question", i)));
+    }
+    CHECK(peak_memory_kb(cluster.processes.at("daemon0")) < most_memory_kb);
+}
--- a/tests/request/event_splitter_test.cpp
+++ b/tests/request/event_splitter_test.cpp
@@ -1,6 +1,7 @@
 #include "request/event_splitter.hpp"
 
 #include <doctest/doctest.h>
+#include <initializer_list>
 #include <string>
 #include <vector>
 
@@ -69,3 +70,36 @@
     CHECK(take_events(splitter, ": comment\n\n") == ": comment\n\n");
     CHECK_FALSE(splitter.last_id.has_value());
 }
+
+// The load that it answers: an engine in trouble that sends bytes without end.
+TEST_CASE("an event that is longer than any may be is noticed, however its bytes arrive")
+{
+    for (const std::size_t part : {std::size_t{1}, std::size_t{1'000}, 2 * max_event_bytes}) {
+        CAPTURE(part);
+        event_splitter splitter;
+        CHECK(take_events(splitter, "id: 1\ndata: a\n\nid: 2\ndata: ") == "id: 1\ndata: a\n\n");
+        std::size_t sent = 0;
+        while (!splitter.is_overlong && sent < 4 * max_event_bytes) {
+            CHECK(take_events(splitter, std::string(part, 'x')).empty());
+            sent += part;
+        }
+        CHECK(splitter.is_overlong);
+        CHECK(sent <= max_event_bytes + part);
+        CHECK(splitter.last_id == 1);
+        forget_rest(splitter);
+        CHECK_FALSE(splitter.is_overlong);
+        CHECK(take_events(splitter, "id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    }
+}
+
+TEST_CASE("the end of an event is found where its bytes were parted")
+{
+    const std::string events = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n";
+    for (std::size_t at = 1; at < events.size(); ++at) {
+        CAPTURE(at);
+        event_splitter splitter;
+        std::string passed = take_events(splitter, events.substr(0, at));
+        passed += take_events(splitter, events.substr(at));
+        CHECK(passed == events);
+    }
+}
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -27,6 +27,8 @@
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 constexpr milliseconds peer_timeout{150};
+constexpr milliseconds endless_interval{2};
+constexpr std::size_t endless_part_bytes = 256 * 1024;
 
 struct path_hop {
     endpoint address;
@@ -263,6 +265,11 @@
             this->held.push_back(reply);
             return;
         }
+        if (this->faults.take("endless")) {
+            this->sign(request, reply);
+            this->answer_without_end(reply, path.empty() ? "text/plain" : "text/event-stream");
+            return;
+        }
         if (!path.empty()) {
             this->check_path(path, request.header("Dandelionstep-Attempt-Id"));
             this->start_stream(request, path, reply);
@@ -307,6 +314,21 @@
         reply->send(status, absl::StrCat("echo:", request.body), "text/plain");
     }
 
+    // Bytes without the end of a body or of an event, for as long as somebody reads.
+    void answer_without_end(const std::shared_ptr<http_reply>& reply, const std::string& content_type)
+    {
+        reply->start_stream(status_ok, content_type);
+        auto timer = std::make_shared<event_loop::timer>();
+        *timer = this->loop.run_every(endless_interval, [reply, timer] {
+            if (reply->gone()) {
+                const auto ended = timer;
+                *ended = {};
+                return;
+            }
+            reply->write(std::string(endless_part_bytes, 'x'));
+        });
+    }
+
     void start_stream(const received_request& request, const std::vector<path_hop>& path,
                       const std::shared_ptr<http_reply>& reply)
     {
