Retry-After from what is known of the return of capacity, spread over callers

Cause: the entry daemon told fixed times (100, 400, 500, 600 and 1,200 ms) whatever had happened, and callers that were refused together came back together.

Change: a pure decision (route/return_time) from three things: when something is known to end (a pause of the service's targets; the loading of layers that no engine holds, less the time that has passed; the next of the running streams that take the engines' memory), for how long the service has refused without an answer (a quarter of it), and a draw that spreads the return over half of the time. 100 ms to 3 s. A refusal's line tells the figures that decided it. What stays: 50 ms from a daemon that stops, as another one takes the request at once.

--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -1,5 +1,6 @@
 #include "adapters/log.hpp"
 #include "entry/internal/call_carrier.hpp"
+#include "entry/refusal.hpp"
 
 #include <algorithm>
 
@@ -17,8 +18,6 @@
 // The same holds for refusals, but each costs a place in the retry budget.
 constexpr int max_refusals = 2;
 constexpr milliseconds pause_after_refusal{100};
-constexpr milliseconds retry_after_refusal{100};
-constexpr milliseconds retry_after_no_target{500};
 
 } // namespace
 
@@ -151,8 +150,7 @@
         refuse(this->context, this->request, status_bad_gateway, reason, {0});
         return;
     }
-    const milliseconds pause = reason == "refused_by_targets" ? retry_after_refusal : retry_after_no_target;
-    refuse(this->context, this->request, status_unavailable, reason, pause);
+    refuse_for_now(this->context, this->request, reason, target_return(this->context, this->request.service));
 }
 
 void call_carrier::deadline_passed()
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -11,6 +11,7 @@
 #include "entry/store_position.hpp"
 #include "route/entry_config.hpp"
 #include "route/retry_budget.hpp"
+#include "route/return_time.hpp"
 #include "target/engine_use.hpp"
 #include "target/entry_target.hpp"
 #include "target/target_condition.hpp"
@@ -65,6 +66,8 @@
     //! When anything last came from a target or the store.
     time_point heard_at{0};
     std::map<service_id, retry_budget> retry_budgets;
+    //! Of each service, since when its requests are refused; under no name, of requests that know none yet.
+    std::map<service_id, refusal_span> refusals;
     //! Daemons that share the retry budget with this one, itself included.
     std::int64_t daemons = unknown_daemons;
     //! Those of them in this data centre.
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -59,7 +59,7 @@
     bool may_resume(const char* reason);
     void resume(const char* reason);
     void log_resumed(const char* reason) const;
-    void give_up(std::string_view reason, milliseconds retry_after);
+    void give_up(std::string_view reason, std::optional<milliseconds> expected);
     void fail(int status, std::string_view reason);
     void caller_gone();
     void end();
@@ -115,7 +115,5 @@
 
 //! Until another path is looked for after none was found.
 inline constexpr milliseconds pause_without_path{250};
-//! Until lost layers are loaded elsewhere.
-inline constexpr milliseconds retry_after_no_path{1'200};
 
 } // namespace dandelionstep::internal
--- /dev/null
+++ b/src/entry/refusal.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "entry/request_relay.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace dandelionstep {
+
+//! When layers that no engine holds can have been loaded elsewhere; nullopt when each is held.
+std::optional<milliseconds> layers_return(const entry_context& context, const entry_service& service);
+
+//! When one of the requests that take the engines' memory ends.
+std::optional<milliseconds> room_return(const entry_context& context, const entry_service& service);
+
+//! When the first target of a plain service is used again; nullopt when it has none.
+std::optional<milliseconds> target_return(const entry_context& context, const service_id& service);
+
+//! Refuses a request that has run nowhere and tells its caller when to come back. `expected`: when capacity
+//! is expected, if anything tells.
+void refuse_for_now(entry_context& context, const accepted_request& request, std::string_view reason,
+                    std::optional<milliseconds> expected);
+
+} // namespace dandelionstep
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -4,6 +4,7 @@
 #include "adapters/log.hpp"
 #include "entry/call_runner.hpp"
 #include "entry/known_state.hpp"
+#include "entry/refusal.hpp"
 #include "entry/stream_runner.hpp"
 
 #include <algorithm>
@@ -16,8 +17,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 constexpr int first_failure_status = 400;
-// A daemon that has just started knows its configuration within about this time.
-constexpr milliseconds retry_after_start{400};
 // Time from the start within which requests wait for the first configuration; the store answers within
 // milliseconds, or it is away.
 constexpr milliseconds longest_first_read{400};
@@ -66,6 +65,9 @@
 {
     const std::string kind(request.route != nullptr ? name_of(request.route->kind) : "unrouted");
     ++context.metrics.requests[kind][std::string(result)];
+    if (result == "answered") {
+        end_refusals(context.refusals[request.service]);
+    }
     const time_point now = event_loop::now();
     const bool failed = status >= first_failure_status || result == "cut";
     if (!may_log(context.logs, failed ? log_weight::failure : log_weight::success, now)) {
@@ -158,7 +160,7 @@
         request.config = this->context.config;
         request.deadline = caller->began;
         if (!can_route(this->context)) {
-            refuse(this->context, request, status_unavailable, "no_configuration_yet", retry_after_start);
+            refuse_for_now(this->context, request, "no_configuration_yet", std::nullopt);
             return;
         }
         request.route = find_route(*request.config, caller->head.header("Host"), caller->head.target);
@@ -218,7 +220,7 @@
     {
         const service_id* service = pick_service(*request.route, this->context.draw());
         if (service == nullptr) {
-            refuse(this->context, request, status_unavailable, "route_without_service", retry_after_start);
+            refuse_for_now(this->context, request, "route_without_service", std::nullopt);
             return;
         }
         request.service = *service;
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -1,17 +1,16 @@
 #include "adapters/log.hpp"
 #include "entry/internal/stream_carrier.hpp"
+#include "entry/refusal.hpp"
 
 namespace dandelionstep::internal {
 namespace {
 
 constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 constexpr int first_redirect = 300;
 // Refused sends ran nowhere, so they don't count as attempts; this bounds them.
 constexpr int max_refusals = 3;
 // An engine that is short of room gets some back as answers end.
 constexpr milliseconds pause_after_refusal{300};
-constexpr milliseconds retry_after_refusal{600};
 
 } // namespace
 
@@ -108,7 +107,7 @@
     if (this->refusals <= max_refusals && this->may_send_again("refused")) {
         this->send_next();
     } else {
-        this->give_up("refused_by_engine", retry_after_refusal);
+        this->give_up("refused_by_engine", room_return(this->context, this->service));
     }
 }
 
@@ -155,14 +154,14 @@
 }
 
 // Ends a request of which nothing ran with a refusal, and any other as failed.
-void stream_carrier::give_up(std::string_view reason, milliseconds retry_after)
+void stream_carrier::give_up(std::string_view reason, std::optional<milliseconds> expected)
 {
     if (this->maybe_ran) {
         this->fail(status_bad_gateway, reason);
         return;
     }
     this->end();
-    refuse(this->context, this->request, status_unavailable, reason, retry_after);
+    refuse_for_now(this->context, this->request, reason, expected);
 }
 
 void stream_carrier::fail(int status, std::string_view reason)
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.hpp"
 #include "entry/internal/stream_carrier.hpp"
+#include "entry/refusal.hpp"
 
 #include <algorithm>
 
@@ -9,7 +10,6 @@
 namespace internal {
 namespace {
 
-constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 // Failures to connect prove that nothing ran, so they don't count as attempts; this bounds them.
 constexpr int max_unconnected = 3;
@@ -72,7 +72,7 @@
     const bool moves = this->splitter.last_id.has_value() || this->sent_count > 0;
     const std::vector<hop> chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
     if (chosen.empty()) {
-        this->give_up("no_path", retry_after_no_path);
+        this->give_up("no_path", layers_return(this->context, this->service));
         return;
     }
     this->progress.sent_at = event_loop::now();
@@ -208,7 +208,7 @@
     if (++this->unconnected_count <= max_unconnected) {
         this->send_next();
     } else {
-        this->give_up("unreachable", retry_after_no_path);
+        this->give_up("unreachable", layers_return(this->context, this->service));
     }
 }
 
@@ -218,8 +218,7 @@
 {
     const auto service = request.config->services.find(request.service);
     if (service == request.config->services.end() || !service->second.engine) {
-        refuse(context, request, internal::status_unavailable, "service_without_engines",
-               internal::retry_after_no_path);
+        refuse_for_now(context, request, "service_without_engines", std::nullopt);
         return;
     }
     context.has_streams = true;
--- /dev/null
+++ b/src/target/uncovered_layers.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "common/ids.hpp"
+#include "target/entry_target.hpp"
+#include "target/target_condition.hpp"
+
+#include <cstdint>
+
+namespace dandelionstep {
+
+//! Number of the model's layers that no usable engine of the service holds.
+std::int64_t uncovered_layers(const target_registry& registry, const target_conditions& conditions,
+                              const service_id& service, std::int64_t layers, time_point now);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/tests/target/uncovered_layers_test.cpp
@@ -0,0 +1,49 @@
+#include "target/uncovered_layers.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr std::int64_t layers = 8;
+const service_id assistant("assistant");
+
+void add_engine(target_registry& registry, const std::string& id, held_layers held)
+{
+    registered_target engine;
+    engine.id = target_id(id);
+    engine.service = assistant;
+    engine.layers = held;
+    registry[engine.id] = engine;
+}
+
+} // namespace
+
+TEST_CASE("layers count as uncovered that no usable engine of the service holds")
+{
+    target_registry registry;
+    target_conditions conditions;
+    const time_point now{1'000};
+    CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == layers);
+    add_engine(registry, "first", {0, 4});
+    add_engine(registry, "second", {3, 6});
+    CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == 2);
+    add_engine(registry, "third", {6, 12});
+    CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == 0);
+    CHECK(uncovered_layers(registry, conditions, service_id("other"), layers, now) == layers);
+}
+
+TEST_CASE("an engine that leaves or stays silent covers nothing")
+{
+    target_registry registry;
+    target_conditions conditions;
+    const time_point now{1'000};
+    add_engine(registry, "whole", {0, layers});
+    registry[target_id("whole")].leaving = true;
+    CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == layers);
+    registry[target_id("whole")].leaving = false;
+    note_silence(conditions[target_id("whole")], now);
+    CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == layers);
+}
