--- a/tests/process/entry_given_up_layers_test.cpp
+++ b/tests/process/entry_given_up_layers_test.cpp
@@ -122,8 +122,8 @@
         one.join();
     }
     MESSAGE("whole again after ms: ", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
-    // A drain time for it to be known, one in which streams move, the loading, and three events of the stand-in
-    // without a stream.
+    // A drain time for it to be known, one in which streams move, the loading, and three events of the
+    // stand-in without a stream.
     CHECK(took < std::chrono::milliseconds(3'000));
     for (std::size_t i = 0; i < streams; ++i) {
         CAPTURE(i);
