Deaths of targets under requests are seen and logged

Lines about a request now bear its fingerprint (organisation, path, body). A target that broke off requests is tried with one connection: refused, or a new process in the registry, means that it died (target_checked, target_died and the counter deaths_under_requests_total). `dandelionstep explain` names the deaths.

No decision changes. Ruled out: taking a broken connection for a death (resets and releases break connections too); a check per request (one for all that were on the target).

--- a/src/adapters/channel_pool.cpp
+++ b/src/adapters/channel_pool.cpp
@@ -50,6 +50,8 @@
     bufferevent* raw = nullptr;
     http_reader reader;
     exchange_callbacks callbacks;
+    //! Set while the connection is made for its own sake.
+    std::function<void(connect_result)> checked;
     http_head head;
     event_loop::timer connect_timer;
     time_point idle_since;
@@ -126,6 +128,13 @@
             self->connected = true;
             self->connect_timer = {};
             set_socket_options(bufferevent_getfd(self->raw));
+            if (self->checked) {
+                self->owner->end_check(*self, connect_result::reached);
+            }
+            return;
+        }
+        if (self->checked) {
+            self->owner->end_check(*self, connect_result::refused);
             return;
         }
         self->owner->closed(*self, (what & BEV_EVENT_EOF) != 0);
@@ -250,16 +259,41 @@
         }
     }
 
+    // False when the connection's target has enough idle ones.
+    bool keep_idle(const std::shared_ptr<exchange>& kept, milliseconds idle_timeout)
+    {
+        std::vector<std::shared_ptr<exchange>>& others = this->idle[kept->to];
+        if (others.size() >= max_idle_per_target) {
+            return false;
+        }
+        kept->idle_since = event_loop::now();
+        kept->idle_timeout = idle_timeout;
+        others.push_back(kept);
+        return true;
+    }
+
+    void end_check(exchange& self, connect_result result)
+    {
+        const std::shared_ptr<exchange> kept = this->remove(self);
+        if (!kept) {
+            return;
+        }
+        kept->active = false;
+        kept->connect_timer = {};
+        const auto checked = std::move(kept->checked);
+        kept->checked = nullptr;
+        if (result != connect_result::reached || !this->keep_idle(kept, default_idle_timeout)) {
+            this->discard(kept);
+        }
+        checked(result);
+    }
+
     void complete(exchange& self)
     {
         const std::shared_ptr<exchange> kept = this->remove(self);
         const bool drained = evbuffer_get_length(bufferevent_get_output(self.raw)) == 0;
         const bool extra = evbuffer_get_length(bufferevent_get_input(self.raw)) > 0;
-        std::vector<std::shared_ptr<exchange>>& others = this->idle[self.to];
-        if (self.head.keep_alive && drained && !extra && others.size() < max_idle_per_target) {
-            self.idle_since = event_loop::now();
-            self.idle_timeout = idle_timeout_of(self.head);
-            others.push_back(kept);
+        if (self.head.keep_alive && drained && !extra && this->keep_idle(kept, idle_timeout_of(self.head))) {
             this->finish(kept, exchange_end::complete);
         } else {
             this->finish(kept, exchange_end::complete);
@@ -375,6 +409,27 @@
     return used;
 }
 
+void channel_pool::check(const endpoint& to, milliseconds timeout, std::function<void(connect_result)> done)
+{
+    const std::shared_ptr<exchange> made = this->self->connect(to);
+    made->checked = std::move(done);
+    made->active = true;
+    this->self->running.emplace(made.get(), made);
+    const auto end_later = [owner = this->self.get(), watched = std::weak_ptr(made),
+                            alive = std::weak_ptr(this->self->alive)](connect_result result) {
+        const std::shared_ptr<exchange> kept = watched.lock();
+        if (kept && !alive.expired() && kept->checked) {
+            owner->end_check(*kept, result);
+        }
+    };
+    if (this->self->start_connecting(*made)) {
+        made->connect_timer =
+            this->self->loop.run_after(timeout, [end_later] { end_later(connect_result::silent); });
+    } else {
+        this->self->loop.post([end_later] { end_later(connect_result::refused); });
+    }
+}
+
 void channel_pool::cancel(const std::weak_ptr<exchange>& running)
 {
     const std::shared_ptr<exchange> kept = running.lock();
--- a/src/adapters/channel_pool.hpp
+++ b/src/adapters/channel_pool.hpp
@@ -39,6 +39,13 @@
     std::function<void(exchange_end end, bool reused)> on_end;
 };
 
+//! What an attempt to connect tells of the process behind an address.
+enum class connect_result {
+    reached, //!< It accepts connections.
+    refused, //!< Nothing listens there.
+    silent,  //!< No answer in time, which proves nothing.
+};
+
 //! Counts since the start.
 struct channel_counts {
     std::int64_t opened = 0;
@@ -65,6 +72,9 @@
     //! Sends the bytes of one request.
     std::weak_ptr<exchange> send(const endpoint& to, std::string bytes, const send_options& options,
                                  exchange_callbacks callbacks);
+    //! Makes a new connection without a request, which is kept for later ones. `done` is called once, never
+    //! from within.
+    void check(const endpoint& to, milliseconds timeout, std::function<void(connect_result)> done);
     //! Ends the exchange and its connection; no callback follows.
     void cancel(const std::weak_ptr<exchange>& running);
     //! Closes the idle connections to an address, whose owner may have changed.
--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -41,6 +41,8 @@
         }
         this->maybe_ran = true;
         this->log_failed(ended, reused ? "broken_reused" : "broken");
+        this->tools.deaths.consider({ended.target.id, ended.target.started, this->request.fingerprint,
+                                     crash_place{}, this->request.facts.attempt_id});
         this->after_failure("broken", reused);
     } else {
         this->answered(ended, condition, now);
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -148,7 +148,8 @@
                                  {"attempt", this->sent_count},
                                  {"in_flight", condition.in_flight},
                                  {"failures_in_a_row", condition.failures_in_a_row},
-                                 {"config", this->request.config->version.value}});
+                                 {"config", this->request.config->version.value},
+                                 {"fingerprint", this->request.fingerprint.value}});
 }
 
 void call_carrier::release(attempt& ended)
@@ -187,9 +188,9 @@
 
 } // namespace internal
 
-void run_call(entry_context& context, accepted_request request)
+void run_call(entry_context& context, request_tools& tools, accepted_request request)
 {
-    std::make_shared<internal::call_carrier>(context, std::move(request))->start();
+    std::make_shared<internal::call_carrier>(context, tools, std::move(request))->start();
 }
 
 } // namespace dandelionstep
--- a/src/entry/call_runner.hpp
+++ b/src/entry/call_runner.hpp
@@ -6,6 +6,6 @@
 
 //! Carries a request to a plain service and its answer back. Idempotent ones are sent to another target after
 //! a failure or a long silence; others only after a proof that they did not run.
-void run_call(entry_context& context, accepted_request request);
+void run_call(entry_context& context, request_tools& tools, accepted_request request);
 
 } // namespace dandelionstep
--- a/src/entry/dialect.hpp
+++ b/src/entry/dialect.hpp
@@ -54,6 +54,8 @@
     target_id id;
     endpoint address;
     held_layers layers;
+    //! The process that is meant.
+    incarnation started = {};
 
     friend bool operator==(const hop&, const hop&) = default;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -263,7 +263,7 @@
     std::uint64_t process;
     own_rows rows;
     placer placement;
-    stream_tools streams;
+    request_tools streams;
     request_relay relay;
     peer_port peers;
     peer_follower follower;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -34,6 +34,8 @@
     std::string text;
     append_counts(text, "dandelionstep_entry_requests_total", "kind", "result", metrics.requests);
     append_counts(text, "dandelionstep_entry_retries_total", "reason", metrics.retries);
+    absl::StrAppend(&text, "# TYPE dandelionstep_entry_deaths_under_requests_total counter\n",
+                    "dandelionstep_entry_deaths_under_requests_total ", metrics.deaths_under_requests, "\n");
     append_counts(text, "dandelionstep_entry_store_calls_total", "reason", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
     for (const auto& [name, value] : metrics.gauges) {
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -18,6 +18,8 @@
     latency_histogram event_gap;
     //! Requests sent to targets after the first, by reason.
     std::map<std::string, std::int64_t> retries;
+    //! Targets that died while a request was on them, once for each of those requests.
+    std::int64_t deaths_under_requests = 0;
     //! Calls to the store by what they were made for, then by result.
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
--- a/src/entry/internal/call_carrier.hpp
+++ b/src/entry/internal/call_carrier.hpp
@@ -14,8 +14,8 @@
 //! to targets; call_outcome.cpp judges what comes back and answers.
 class call_carrier : public std::enable_shared_from_this<call_carrier> {
 public:
-    call_carrier(entry_context& context, accepted_request request)
-        : context(context), request(std::move(request))
+    call_carrier(entry_context& context, request_tools& tools, accepted_request request)
+        : context(context), tools(tools), request(std::move(request))
     {}
 
     void start();
@@ -57,6 +57,7 @@
     void deadline_passed();
 
     entry_context& context;
+    request_tools& tools;
     accepted_request request;
     std::vector<std::shared_ptr<attempt>> attempts;
     //! A replica's own failure, while another replica is tried.
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -19,7 +19,7 @@
 //! path.
 class stream_carrier : public std::enable_shared_from_this<stream_carrier> {
 public:
-    stream_carrier(entry_context& context, stream_tools& tools, accepted_request request);
+    stream_carrier(entry_context& context, request_tools& tools, accepted_request request);
 
     void start();
 
@@ -81,13 +81,14 @@
     void take_successor();
     void drop_successor();
     void successor_ended(exchange_end end);
+    void consider_death(const hop& lost);
     [[nodiscard]] std::optional<target_id> find_dead_engine(time_point now) const;
     [[nodiscard]] std::optional<target_id> find_leaving_engine() const;
     [[nodiscard]] bool is_repeatable() const { return this->request.route->resumable; }
     [[nodiscard]] milliseconds silence(time_point now) const;
 
     entry_context& context;
-    stream_tools& tools;
+    request_tools& tools;
     accepted_request request;
     const entry_service& service;
     event_splitter splitter;
@@ -101,6 +102,8 @@
     bool holds_events = false;
     time_point succession_began{0};
     std::set<target_id> excluded;
+    //! The path as it was when an engine of it may have died, if no event has come since.
+    std::vector<hop> path_at_death;
     int sent_count = 0;
     int unconnected_count = 0;
     int refusals = 0;
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -94,7 +94,7 @@
     limits.event_gap_ms = local_gap_share * static_cast<double>(wish.gap_objective.count);
     std::vector<hop> chosen;
     for (const path_part& part : choose_layer_path(query, candidates, limits)) {
-        chosen.push_back({part.target->id, part.target->address, part.layers});
+        chosen.push_back({part.target->id, part.target->address, part.layers, part.target->started});
     }
     return chosen;
 }
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -82,7 +82,8 @@
                           {"result", result},
                           {"target", target.value},
                           {"ms", now - request.caller->began},
-                          {"left_ms", request.deadline - now}});
+                          {"left_ms", request.deadline - now},
+                          {"fingerprint", request.fingerprint.value}});
 }
 
 void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
@@ -101,7 +102,7 @@
 
 struct request_relay::state {
     entry_context& context;
-    stream_tools& tools;
+    request_tools& tools;
     // Requests that came before the first configuration was read.
     std::vector<std::shared_ptr<caller_exchange>> early;
     event_loop::timer early_timer;
@@ -224,6 +225,8 @@
             return;
         }
         request.service = *service;
+        request.fingerprint = fingerprint_of(request.organisation.value_or(organisation_id()),
+                                             request.caller->head.target, request.caller->body);
         note_request(budget_of(this->context, request.service));
         const auto known = request.config->services.find(request.service);
         const bool has_engines = known != request.config->services.end() && known->second.engine.has_value();
@@ -234,12 +237,12 @@
         if (request.route->kind == route_kind::stream) {
             run_stream(this->context, this->tools, std::move(request));
         } else {
-            run_call(this->context, std::move(request));
+            run_call(this->context, this->tools, std::move(request));
         }
     }
 };
 
-request_relay::request_relay(entry_context& context, stream_tools& tools)
+request_relay::request_relay(entry_context& context, request_tools& tools)
     : self(std::make_unique<state>(state{context, tools, {}, {}, event_loop::now()}))
 {}
 
--- a/src/entry/request_relay.hpp
+++ b/src/entry/request_relay.hpp
@@ -2,7 +2,8 @@
 
 #include "adapters/caller_port.hpp"
 #include "entry/entry_context.hpp"
-#include "entry/stream_tools.hpp"
+#include "entry/request_tools.hpp"
+#include "request/suspects.hpp"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,8 @@
     service_id service;
     std::optional<organisation_id> organisation;
     int priority = 5;
+    //! The same for each copy of the request that its caller sends, at whatever daemon.
+    request_fingerprint fingerprint;
     //! When its caller or its route give it up.
     time_point deadline;
 };
@@ -26,7 +29,7 @@
 //! Decides what a request is and hands it to the runner of its kind, or refuses it.
 class request_relay {
 public:
-    request_relay(entry_context& context, stream_tools& tools);
+    request_relay(entry_context& context, request_tools& tools);
     ~request_relay();
     request_relay(const request_relay&) = delete;
     request_relay& operator=(const request_relay&) = delete;
--- /dev/null
+++ b/src/entry/request_tools.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "entry/engine_probes.hpp"
+#include "entry/periodic_watch.hpp"
+#include "entry/suspects/death_watch.hpp"
+
+namespace dandelionstep {
+
+//! What all requests of a daemon use together.
+struct request_tools {
+    // How often silences are judged; an engine that died is to be found within a gap objective.
+    static constexpr milliseconds watch_interval{20};
+
+    engine_probes probes;
+    periodic_watch watch;
+    death_watch deaths;
+
+    explicit request_tools(entry_context& context)
+        : probes(context), watch(context.loop, watch_interval), deaths(context)
+    {}
+};
+
+} // namespace dandelionstep
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -139,7 +139,8 @@
                                  {"reason", reason},
                                  {"left", path_text(this->current->path)},
                                  {"after_event", this->splitter.last_id.value_or(0)},
-                                 {"attempt", this->sent_count}});
+                                 {"attempt", this->sent_count},
+                                 {"fingerprint", this->request.fingerprint.value}});
 }
 
 void stream_carrier::end()
--- a/src/entry/stream_path_change.cpp
+++ b/src/entry/stream_path_change.cpp
@@ -38,7 +38,11 @@
     if (this->successor) {
         return;
     }
-    this->excluded.insert(lost);
+    const auto part = std::ranges::find(this->current->path, lost, &hop::id);
+    const bool is_new_loss = this->excluded.insert(lost).second;
+    if (is_new_loss && !leaves && part != this->current->path.end()) {
+        this->consider_death(*part);
+    }
     if (!this->can_change_path(lost)) {
         // Before the first event nothing is gained by leaving an engine that still works.
         if (!leaves || this->current->is_stream) {
@@ -58,7 +62,8 @@
                                {"left", lost.value},
                                {"why", leaves ? "leaving" : "silent"},
                                {"silent_ms", this->silence(now)},
-                               {"path", path_text(repaired)}});
+                               {"path", path_text(repaired)},
+                               {"fingerprint", this->request.fingerprint.value}});
     const std::vector<hop> before = this->current->path;
     change_attempt_path(this->context, this->request, *this->current, repaired);
     note_reading(this->context, new_parts(before, repaired), this->tokens_read());
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -62,6 +62,22 @@
     return !this->finished;
 }
 
+// Engines that die together are found one after the other: those of a path count as one death, until the
+// stream has gone on or has lost an engine that joined it since.
+void stream_carrier::consider_death(const hop& lost)
+{
+    if (std::ranges::find(this->path_at_death, lost) != this->path_at_death.end()) {
+        return;
+    }
+    this->path_at_death = this->current->path;
+    if (this->successor) {
+        std::ranges::copy(this->successor->path, std::back_inserter(this->path_at_death));
+    }
+    const crash_place place{token_count{this->splitter.last_id.value_or(0)}, layer_index{0}};
+    this->tools.deaths.consider(
+        {lost.id, lost.started, this->request.fingerprint, place, this->request.facts.attempt_id});
+}
+
 // An engine of the path that other streams, or this one's first engine, found not to answer.
 std::optional<target_id> stream_carrier::find_dead_engine(time_point now) const
 {
@@ -216,6 +232,9 @@
         this->sent_count -= unreachable ? 1 : 0;
         note_failure(this->context.conditions[first.id],
                      unreachable ? target_failure::unreachable : target_failure::broken, now);
+        if (!unreachable) {
+            this->consider_death(first);
+        }
     } else if (this->successor->facts.did_not_run) {
         this->note_refused(*this->successor);
     } else {
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-stream_carrier::stream_carrier(entry_context& context_in, stream_tools& tools_in, accepted_request request_in)
+stream_carrier::stream_carrier(entry_context& context_in, request_tools& tools_in,
+                               accepted_request request_in)
     : context(context_in), tools(tools_in), request(std::move(request_in)),
       service(this->request.config->services.at(this->request.service))
 {
@@ -143,6 +144,7 @@
     if (events.empty()) {
         return;
     }
+    this->path_at_death.clear();
     const time_point now = event_loop::now();
     std::optional<time_point> last;
     if (this->progress.has_events) {
@@ -187,6 +189,7 @@
         note_failure(this->context.conditions[first.id], target_failure::unreachable, now);
     } else {
         this->maybe_ran = true;
+        this->consider_death(first);
         if (!reused || this->current->is_stream) {
             note_failure(this->context.conditions[first.id], target_failure::broken, now);
             this->excluded.insert(first.id);
@@ -214,7 +217,7 @@
 
 } // namespace internal
 
-void run_stream(entry_context& context, stream_tools& tools, accepted_request request)
+void run_stream(entry_context& context, request_tools& tools, accepted_request request)
 {
     const auto service = request.config->services.find(request.service);
     if (service == request.config->services.end() || !service->second.engine) {
--- a/src/entry/stream_runner.hpp
+++ b/src/entry/stream_runner.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "entry/request_relay.hpp"
-#include "entry/stream_tools.hpp"
+#include "entry/request_tools.hpp"
 
 namespace dandelionstep {
 
 //! Carries a streaming request along a path of engines and its events back as they come. When an engine of
 //! the path dies, the path is changed behind the first engine, or the stream is resumed on another path after
 //! the last event that was passed on.
-void run_stream(entry_context& context, stream_tools& tools, accepted_request request);
+void run_stream(entry_context& context, request_tools& tools, accepted_request request);
 
 } // namespace dandelionstep
--- /dev/null
+++ b/src/entry/suspects/death_watch.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "entry/entry_context.hpp"
+#include "request/suspects.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionstep {
+
+//! A request that was on a target when that broke the connection or was given up.
+struct possible_death {
+    target_id target;
+    //! The process that the request was sent to.
+    incarnation started;
+    request_fingerprint request;
+    crash_place place;
+    std::string attempt_id;
+};
+
+//! Finds out whether targets died under requests: a broken connection alone proves nothing, a refused one or
+//! a new process at the registry does. Targets that leave as planned are not asked.
+class death_watch {
+public:
+    explicit death_watch(entry_context& context) : context(context) {}
+
+    //! Called for each request that was on a target that died.
+    std::function<void(const possible_death&)> on_death;
+
+    void consider(const possible_death& death);
+    //! Targets that are being checked on which the request was.
+    [[nodiscard]] std::size_t unconfirmed(request_fingerprint request) const;
+
+private:
+    //! What is known of one process of a target.
+    struct finding {
+        //! Requests that wait for the answer to an open check.
+        std::vector<possible_death> waiting;
+        //! When it was found dead, if it was.
+        std::optional<time_point> dead_at;
+    };
+
+    void take(takedown_id process, connect_result result);
+    void report(const possible_death& death);
+    void forget_old();
+
+    entry_context& context;
+    std::map<takedown_id, finding> findings;
+};
+
+} // namespace dandelionstep
--- a/src/report/explanation.cpp
+++ b/src/report/explanation.cpp
@@ -71,6 +71,10 @@
         return absl::StrCat("the stream left ", line.field("left"), " (", line.field("why"), ") after ",
                             line.field("silent_ms"), " ms without an event");
     }
+    if (line.event == "target_died") {
+        return absl::StrCat("target ", line.field("target"), " died while it ran the request, after event ",
+                            line.field("after_event"));
+    }
     if (line.event == "stream_resumed") {
         return absl::StrCat("the stream went on elsewhere after event ", line.field("after_event"), " (",
                             line.field("reason"), ")");
--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -122,6 +122,14 @@
     return {digest_of(absl::StrCat(model.value, "\n", std::string(prompt)))};
 }
 
+request_fingerprint fingerprint_of(const organisation_id& organisation, std::string_view target,
+                                   std::string_view body)
+{
+    // With their lengths before them, no two requests give the same text.
+    return {digest_of(absl::StrCat(organisation.value.size(), "\n", target.size(), "\n", organisation.value,
+                                   std::string(target), std::string(body)))};
+}
+
 takedown_id takedown_of(const target_id& target, incarnation started)
 {
     return {digest_of(absl::StrCat(target.value, "\n", started.value))};
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -31,6 +31,9 @@
 
 //! The fingerprint of a question to a model; equal on every daemon.
 request_fingerprint fingerprint_of(const model_id& model, std::string_view prompt);
+//! The fingerprint of an HTTP request: `target` is its path and query.
+request_fingerprint fingerprint_of(const organisation_id& organisation, std::string_view target,
+                                   std::string_view body);
 takedown_id takedown_of(const target_id& target, incarnation started);
 
 //! Bounds of the table of suspects.
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -330,3 +330,33 @@
     CHECK(server.accepted() == 1);
     CHECK(pool.open_connections() == 0);
 }
+
+TEST_CASE("a check tells whether anything listens, and its connection serves the next request")
+{
+    event_loop loop;
+    std::optional<connect_result> found;
+    const auto note = [&](connect_result result) { found = result; };
+    endpoint gone;
+    {
+        const scripted_server closed(loop, [](raw_connection& /*connection*/) {});
+        gone = closed.address();
+    }
+    channel_pool pool(loop);
+    pool.check(gone, {1'000}, note);
+    CHECK_FALSE(found.has_value());
+    REQUIRE(run_until(loop, [&] { return found.has_value(); }));
+    CHECK((*found == connect_result::refused));
+    CHECK(pool.open_connections() == 0);
+
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    found.reset();
+    pool.check(server.address(), {1'000}, note);
+    REQUIRE(run_until(loop, [&] { return found.has_value(); }));
+    CHECK((*found == connect_result::reached));
+    CHECK(exchange_once(loop, pool, server.address()).body == "ok");
+    CHECK(server.accepted() == 1);
+}
--- a/tests/report/explanation_test.cpp
+++ b/tests/report/explanation_test.cpp
@@ -46,10 +46,12 @@
                                   "ts_ms=9100 vm=b event=target_gone target=i-other service=s",
                                   "ts_ms=1000 vm=a event=target_gone target=i-e1 service=s", late, changed,
                                   "ts_ms=8790 vm=a event=engine_silent target=i-e1 asked_ms=60",
+                                  "ts_ms=8800 vm=a event=target_died id=r1 target=i-e1 after_event=4",
                                   "ts_ms=8795 vm=a event=engine_pace_changed target=i-e2 pace=3.10",
                                   "ts_ms=8700 vm=a event=request id=r2 status=200"}),
                         "r1");
     CHECK(has_finding(explained, "left i-e1 (silent) after 250 ms"));
+    CHECK(has_finding(explained, "i-e1 died while it ran the request, after event 4"));
     CHECK(has_finding(explained, "longest pause 310 ms"));
     CHECK(has_finding(explained, "i-e1 did not answer a"));
     CHECK(has_finding(explained, "i-e2 worked at 3.10 times its usual time"));
--- a/tests/request/suspects_test.cpp
+++ b/tests/request/suspects_test.cpp
@@ -237,3 +237,16 @@
     CHECK(avoidance(suspect_standing::clear, excluded, busy, {}) ==
           std::vector<std::set<target_id>>{excluded});
 }
+
+TEST_CASE("requests of different callers, paths or bodies have different fingerprints")
+{
+    const organisation_id one("one");
+    const request_fingerprint usual = fingerprint_of(one, "/a/1", "body");
+    CHECK(usual == fingerprint_of(one, "/a/1", "body"));
+    CHECK(usual != fingerprint_of(organisation_id("two"), "/a/1", "body"));
+    CHECK(usual != fingerprint_of(one, "/a/2", "body"));
+    CHECK(usual != fingerprint_of(one, "/a/1", "other"));
+    CHECK(fingerprint_of(organisation_id("a"), "/b", "c") != fingerprint_of(organisation_id(""), "a/b", "c"));
+    CHECK(fingerprint_of(organisation_id(""), "/a", "b\nc") !=
+          fingerprint_of(organisation_id(""), "/a\nb", "c"));
+}
