--- /dev/null
+++ b/tests/process/entry_crashing_request_proof_test.cpp
@@ -0,0 +1,171 @@
+#include "support/cluster.hpp"
+#include "support/entry_cluster.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <functional>
+#include <thread>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr const char* crashing_text = "ends its target";
+constexpr milliseconds restart_pause{600};
+constexpr milliseconds repeat_pause{150};
+constexpr milliseconds look_pause{10};
+// Retries that may reach targets later than the stability window after the third death.
+constexpr std::int64_t allowed_retries = 3;
+
+void sleep_for(milliseconds span)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(span.count));
+}
+
+entry_plan plan_of_two_data_centres()
+{
+    entry_plan plan = usual_entry_plan();
+    plan.daemons = {"n", "n", "m"};
+    plan.crashes_on = crashing_text;
+    return plan;
+}
+
+using ask_function = std::function<caller_answer(std::size_t daemon, const std::string& attempt)>;
+
+//! Callers who send one request to all daemons again and again, while replicas that ended are started anew.
+class repeated_request {
+public:
+    repeated_request(entry_cluster& cluster, std::size_t daemons, ask_function ask)
+        : cluster(cluster), ask(std::move(ask))
+    {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            this->callers.emplace_back([this, i] { this->repeat(i); });
+        }
+    }
+
+    void run_for(milliseconds span)
+    {
+        const time_point end = event_loop::now() + span;
+        while (event_loop::now() < end) {
+            this->tend_replicas();
+            sleep_for(look_pause);
+        }
+        this->stopping = true;
+        for (std::thread& caller : this->callers) {
+            caller.join();
+        }
+        sleep_for(restart_pause);
+        this->tend_replicas();
+    }
+
+    [[nodiscard]] std::int64_t deaths_after(time_point from) const
+    {
+        return std::ranges::count_if(this->deaths, [from](time_point at) { return at > from; });
+    }
+
+    //! When replicas ended.
+    std::vector<time_point> deaths;
+    //! Answers that say that the request has not run.
+    std::atomic<std::int64_t> refused = 0;
+    std::atomic<std::int64_t> refused_with_return_time = 0;
+
+private:
+    void repeat(std::size_t daemon)
+    {
+        for (int round = 0; !this->stopping; ++round) {
+            const caller_answer answer = this->ask(daemon, absl::StrCat("c", daemon, "-", round));
+            if (answer.status == 503) {
+                ++this->refused;
+                this->refused_with_return_time += find_header(answer.headers, "Retry-After").empty() ? 0 : 1;
+            }
+            sleep_for(repeat_pause);
+        }
+    }
+
+    void tend_replicas()
+    {
+        const time_point now = event_loop::now();
+        for (const std::string& id : this->cluster.replica_ids()) {
+            if (this->cluster.processes.at(id).running()) {
+                continue;
+            }
+            const auto [due, is_new] = this->restart_at.try_emplace(id, now + restart_pause);
+            if (is_new) {
+                this->deaths.push_back(now);
+            } else if (now >= due->second) {
+                this->cluster.start_replica(id);
+                this->restart_at.erase(due);
+            }
+        }
+    }
+
+    entry_cluster& cluster;
+    ask_function ask;
+    std::vector<std::thread> callers;
+    std::atomic<bool> stopping = false;
+    std::map<std::string, time_point> restart_at;
+};
+
+void check_bounded(entry_cluster& cluster, const entry_plan& plan, const ask_function& ask)
+{
+    constexpr milliseconds span{9'000};
+    REQUIRE(cluster.become_ready());
+    repeated_request repeated(cluster, plan.daemons.size(), ask);
+    repeated.run_for(span);
+    REQUIRE(repeated.deaths.size() >= 3);
+    const time_point third = repeated.deaths[2];
+    MESSAGE("targets ended: ", repeated.deaths.size());
+    CHECK(repeated.deaths_after(third + milliseconds{plan.stability_ms}) <= allowed_retries);
+    CHECK(repeated.refused > 0);
+    CHECK(repeated.refused == repeated.refused_with_return_time);
+    // Whoever asks something else is served as before.
+    REQUIRE(cluster.await_layers());
+    for (std::size_t daemon = 0; daemon < plan.daemons.size(); ++daemon) {
+        CHECK(eventually(
+            [&] { return is_whole_stream(cluster.stream(daemon, "after", "question"), "question"); }));
+        CHECK(cluster.order(daemon, absl::StrCat("after", daemon), "order").status == 200);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a stream that ends the first engine of its path is refused everywhere after three deaths")
+{
+    const entry_plan plan = plan_of_two_data_centres();
+    entry_cluster cluster(plan);
+    check_bounded(cluster, plan, [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.stream(daemon, attempt, crashing_text);
+    });
+}
+
+TEST_CASE("a stream that ends the later engines of its path is refused everywhere after three deaths")
+{
+    entry_plan plan = plan_of_two_data_centres();
+    plan.crashes_later_engines = true;
+    entry_cluster cluster(plan);
+    check_bounded(cluster, plan, [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.stream(daemon, attempt, crashing_text);
+    });
+}
+
+TEST_CASE("an order that ends the replicas that run it is refused everywhere after three deaths")
+{
+    const entry_plan plan = plan_of_two_data_centres();
+    entry_cluster cluster(plan);
+    check_bounded(cluster, plan, [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.order(daemon, attempt, crashing_text);
+    });
+}
+
+TEST_CASE("a lookup that ends the replicas that run it is refused everywhere after three deaths")
+{
+    entry_plan plan = plan_of_two_data_centres();
+    plan.crashes_on = "ends-its-target";
+    entry_cluster cluster(plan);
+    check_bounded(cluster, plan, [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.ask(daemon, "GET", "/look/ends-its-target", attempt);
+    });
+}
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -70,6 +70,8 @@
     run_replica_command->add_option("--layers", replica.layers, "Layers of the model");
     run_replica_command->add_option("--event-ms", replica.event_ms);
     run_replica_command->add_option("--stall-ms", replica.stall_ms);
+    run_replica_command->add_option("--crashes-on", replica.crashes_on, "Text of requests that end it");
+    run_replica_command->add_flag("--crashes-later-engines", replica.crashes_later_engines);
 
     CLI11_PARSE(app, argument_count, arguments);
     if (run_platform_command->parsed()) {
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 
@@ -27,6 +28,10 @@
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 constexpr milliseconds peer_timeout{150};
+// Tells the next engine of a path that the stream ends the engines that run it.
+constexpr const char* crash_header = "Crashes";
+// The part of a path that an engine is asked to run.
+constexpr const char* part_header = "Part";
 constexpr milliseconds idle_interval{10};
 constexpr milliseconds endless_interval{2};
 constexpr std::size_t endless_part_bytes = std::size_t{256} * 1024;
@@ -67,6 +72,8 @@
     event_loop::timer step;
     std::optional<endpoint> stalled_on;
     time_point stalled_at;
+    //! Whether the process that it is stalled on has ended: a new one at the address knows nothing of it.
+    bool has_lost_part = false;
 };
 
 class replica {
@@ -146,8 +153,7 @@
         } else if (request.path == "/ledger") {
             reply->send(status_ok, dump(this->ledger));
         } else if (request.path == "/alive") {
-            this->passed_at = event_loop::now();
-            reply->send(status_ok, "{}");
+            this->run_part(request, reply);
         } else if (request.path == "/report") {
             this->report(reply);
         } else if (request.path == "/order") {
@@ -157,6 +163,29 @@
         }
     }
 
+    // One event of a stream that another engine answers passes through here, if the layers are here.
+    void run_part(const received_request& request, const std::shared_ptr<http_reply>& reply)
+    {
+        const std::vector<path_hop> part = parse_path(request.header(part_header));
+        const bool is_held = !part.empty() && this->has_layers(part.front());
+        if (!is_held) {
+            reply->send(status_misdirected, "{}");
+            return;
+        }
+        if (!request.header(crash_header).empty()) {
+            this->crash();
+        }
+        this->passed_at = event_loop::now();
+        reply->send(status_ok, "{}");
+    }
+
+    // Layers that are given up still serve the streams that pass through them.
+    [[nodiscard]] bool has_layers(const path_hop& part) const
+    {
+        const bool held = this->begin_layer <= part.begin && part.end <= this->end_layer;
+        return held || (this->given_up.begin <= part.begin && part.end <= this->given_up.end);
+    }
+
     void report(const std::shared_ptr<http_reply>& reply) const
     {
         json stalled = json::array();
@@ -201,6 +230,7 @@
         this->loading = true;
         this->ledger["placed"].push_back(
             json::array({integer_or(body, "From", 0), integer_or(body, "To", 0)}));
+        this->given_up = {{}, this->begin_layer, this->end_layer};
         this->begin_layer = 0;
         this->end_layer = 0;
         this->register_self();
@@ -224,6 +254,7 @@
         }
         this->load_timer = this->loop.run_after({this->options.load_ms}, [this, body] {
             this->loading = false;
+            this->given_up = {};
             this->begin_layer = integer_or(body, "From", 0);
             this->end_layer = integer_or(body, "To", 0);
             this->register_self();
@@ -245,6 +276,7 @@
         this->check_path(path, found->first);
         found->second->path = path;
         found->second->stalled_on.reset();
+        found->second->has_lost_part = false;
         this->ledger["repaths"] = integer_or(this->ledger, "repaths", 0) + 1;
         this->next_event(found->second);
         reply->send(status_ok, "{}");
@@ -283,6 +315,11 @@
             return;
         }
         this->note_run(request, path_text);
+        if (this->is_crashing(request.body) || this->is_crashing(request.path)) {
+            if (path.size() <= 1 || !this->options.crashes_later_engines) {
+                this->crash();
+            }
+        }
         if (this->faults.take("hang")) {
             this->held.push_back(reply);
             return;
@@ -305,6 +342,17 @@
         });
     }
 
+    [[nodiscard]] bool is_crashing(const std::string& text) const
+    {
+        return !this->options.crashes_on.empty() && text.find(this->options.crashes_on) != std::string::npos;
+    }
+
+    [[noreturn]] static void crash()
+    {
+        constexpr int crash_status = 70;
+        std::_Exit(crash_status);
+    }
+
     void note_run(const received_request& request, const std::string& path_text)
     {
         json& run = this->ledger["runs"][request.header("Dandelionstep-Attempt-Id")];
@@ -387,7 +435,10 @@
     {
         const std::weak_ptr<running_stream> watched = stream;
         stream->step = this->loop.run_after({this->options.event_ms}, [this, watched] {
-            if (const auto self = watched.lock()) {
+            const auto self = watched.lock();
+            if (self && self->has_lost_part) {
+                this->stall(self, *self->stalled_on);
+            } else if (self) {
                 this->ask_hops(self, 1);
             }
         });
@@ -402,16 +453,23 @@
         http_request question;
         question.path = "/alive";
         question.timeout = peer_timeout;
-        const endpoint hop = stream->path[index].address;
+        const path_hop& part = stream->path[index];
+        const endpoint hop = part.address;
+        question.headers = {{part_header, absl::StrCat(to_string(hop), "=", part.begin, "-", part.end)}};
+        if (this->is_crashing(stream->body)) {
+            question.headers.emplace_back(crash_header, "1");
+        }
         this->client.send(hop, std::move(question),
                           [this, watched = std::weak_ptr(stream), index, hop](const http_result& result) {
                               const auto self = watched.lock();
                               if (!self) {
                                   return;
                               }
-                              if (result.answered()) {
+                              if (result.answered() && result.status == status_ok) {
                                   this->ask_hops(self, index + 1);
                               } else {
+                                  self->has_lost_part = result.failure == http_failure::not_connected ||
+                                                        result.failure == http_failure::broken;
                                   this->stall(self, hop);
                               }
                           });
@@ -462,6 +520,8 @@
     std::int64_t end_layer = 0;
     std::int64_t orders = 0;
     std::int64_t heartbeats = 0;
+    //! Layers that an order made it give up, while streams still pass through them.
+    path_hop given_up;
     bool loading = false;
     //! When a stream of another engine last passed through this one.
     time_point passed_at{-1'000'000};
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -23,6 +23,11 @@
     std::int64_t event_ms = 20;
     std::int64_t stall_ms = 3000;
     std::int64_t load_ms = 50;
+    //! A request whose body or path holds this text ends the process as soon as it begins to run; none when
+    //! empty.
+    std::string crashes_on;
+    //! Whether it ends the later engines of its path instead of the first one.
+    bool crashes_later_engines = false;
 };
 
 //! The data of event `index` of the stream that answers the body; the same on every replica.
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -141,6 +141,12 @@
     if (!replica->kind.empty()) {
         arguments.insert(arguments.end(), {"--kind", replica->kind});
     }
+    if (!this->plan.crashes_on.empty()) {
+        arguments.insert(arguments.end(), {"--crashes-on", this->plan.crashes_on});
+    }
+    if (this->plan.crashes_later_engines) {
+        arguments.emplace_back("--crashes-later-engines");
+    }
     const auto seen = this->plan.replica_seen_at.find(id);
     if (seen != this->plan.replica_seen_at.end()) {
         arguments.insert(arguments.end(), {"--registered", to_string(seen->second)});
