Gathered answers are kept in pieces

A single growing string took up to twice its size, and a third time that while it grew, so that answers of the size that the budget allows took more memory than it counts. Small parts are joined, large ones stand by themselves; the text is put together once, when it is handed on.

--- a/src/common/gathered_text.hpp
+++ b/src/common/gathered_text.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dandelionstep {
 
@@ -28,7 +29,8 @@
 
     //! False, and nothing is added, when the text would grow beyond what it may hold.
     bool append(std::string_view part);
-    [[nodiscard]] const std::string& text() const { return this->gathered; }
+    //! All of it in one piece.
+    [[nodiscard]] std::string text() const;
     //! Hands the text over and is empty afterwards.
     std::string take();
 
@@ -36,7 +38,9 @@
     void release();
 
     std::shared_ptr<byte_budget> budget;
-    std::string gathered;
+    //! A single growing text would take up to twice its size, and a third time that while it grows.
+    std::vector<std::string> pieces;
+    std::size_t size = 0;
 };
 
 } // namespace dandelionstep
