A request that ends its targets is held everywhere after three deaths

What callers saw: a request under which three targets had ended was sent on as often as its route allowed, with each copy and at each daemon, and took a target each time; innocent requests on those targets were cut.

Cause: the entry daemon did not recognise such a request. The product's own daemon has long known one (request/suspects); when the daemon for the users' platform was built beside it, the rule was noted as "not built". Class: a rule that is kept at one of two edges.

Change: deaths are counted by fingerprint of organisation, path and body. Three at the same event, or six in all, hold the request: it is refused at once, "not run", with the time until the suspicion lapses, and is neither sent again, resumed nor given another path. The change log of the registry serves suspects too (common/change_log).

--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -41,7 +41,7 @@
         }
         this->maybe_ran = true;
         this->log_failed(ended, reused ? "broken_reused" : "broken");
-        this->tools.deaths.consider({ended.target.id, ended.target.started, this->request.fingerprint,
+        this->tools.guard.note_lost({ended.target.id, ended.target.started, this->request.fingerprint,
                                      crash_place{}, this->request.facts.attempt_id});
         this->after_failure("broken", reused);
     } else {
@@ -71,6 +71,7 @@
         this->refused_by_target();
         return;
     }
+    this->tools.guard.note_answered(this->request.fingerprint);
     const bool is_success = ended.head.status >= first_success && ended.head.status < first_redirect;
     if ((is_success && !ended.facts.is_signed) || ended.facts.is_encoded) {
         note_failure(condition, target_failure::faulty, now);
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -129,7 +129,8 @@
 
 bool call_carrier::may_send_again(const char* reason)
 {
-    return take_another_send(this->context, this->request, this->sent_count, reason);
+    return this->tools.guard.held_for(this->request.fingerprint) == milliseconds{0} &&
+           take_another_send(this->context, this->request, this->sent_count, reason);
 }
 
 // One line for each attempt that gave no answer, with what the choice was made from.
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -9,6 +9,7 @@
 #include "entry/log_budget.hpp"
 #include "entry/registry_news.hpp"
 #include "entry/store_position.hpp"
+#include "entry/suspects/shared_suspects.hpp"
 #include "route/entry_config.hpp"
 #include "route/retry_budget.hpp"
 #include "route/return_time.hpp"
@@ -54,8 +55,12 @@
     doubtful_targets doubtful;
     //! The registry's changes, for the daemons that follow this one.
     registry_log changes;
-    //! Called when a target or the configuration changed.
+    //! Requests under which targets died.
+    shared_suspects suspects;
+    //! Called when there is news for the daemons that follow this one.
     std::function<void()> on_change;
+    //! Called when there is news of suspects for the store.
+    std::function<void()> on_suspects;
     //! Up to when all changes of the registry are known.
     time_point targets_as_of{0};
     //! From where the store's changes go on that are not known yet.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -62,6 +62,7 @@
             this->follower.consider_seniors();
         };
         this->rows.holds_lease = [this] { return this->placement.is_holder(); };
+        this->watch.holds_lease = [this] { return this->placement.is_holder(); };
         this->rows.followers = [this] { return this->peers.followers(); };
         this->peers.is_reader = [this] { return this->follower.is_reader(); };
         this->peers.contact = [this] { return this->contact_with_store(); };
@@ -147,6 +148,7 @@
         gauges["live_daemons"] = this->context.daemons;
         gauges["follows_reader"] = this->follower.is_following() ? 1 : 0;
         gauges["followers"] = static_cast<std::int64_t>(this->peers.followers().size());
+        gauges["suspects"] = static_cast<std::int64_t>(this->context.suspects.table.suspects.size());
         gauges["targets"] = static_cast<std::int64_t>(this->context.targets.size());
         gauges["caller_connections"] = this->callers.connections();
         gauges["target_connections"] = this->context.channels.open_connections();
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -82,6 +82,11 @@
     void drop_successor();
     void successor_ended(exchange_end end);
     void consider_death(const hop& lost);
+    //! Whether too many targets died under the request for it to be sent on.
+    [[nodiscard]] bool is_held() const
+    {
+        return this->tools.guard.held_for(this->request.fingerprint) > milliseconds{0};
+    }
     [[nodiscard]] std::optional<target_id> find_dead_engine(time_point now) const;
     [[nodiscard]] std::optional<target_id> find_leaving_engine() const;
     [[nodiscard]] bool is_repeatable() const { return this->request.route->resumable; }
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/known_state.hpp"
 #include "entry/peer_port.hpp"
+#include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
 
@@ -33,6 +34,11 @@
         told.registry_digest = registry_digest(this->context.targets, this->context.doubtful);
     }
     const time_point now = event_loop::now();
+    const suspect_news own = news_since(
+        this->context.suspects, knows_numbers ? std::optional(this->told_suspects) : std::nullopt, now);
+    told.suspects = own.reports;
+    told.told_suspects = own.sequence;
+    told.suspects_sequence = knows_numbers ? this->reader_suspects : -1;
     if (!knows_numbers || now - this->told_uses_at >= uses_interval) {
         told.uses = own_uses(this->context);
         this->told_uses_at = now;
@@ -45,6 +51,7 @@
     if (!answer.config.empty() && put_config(this->context, answer.config, "peer") && this->on_config) {
         this->on_config();
     }
+    learn_suspects(this->context, answer.suspects, "peer");
     this->context.config_as_of = std::max(this->context.config_as_of, asked_at - answer.config_age);
     const time_point targets_as_of = asked_at - answer.targets_age;
     if (!is_fresh && this->context.targets_known && targets_as_of < this->context.targets_as_of) {
@@ -61,6 +68,11 @@
     }
 }
 
+void peer_exchange::note_told(const peer_question& question)
+{
+    this->told_suspects = std::max(this->told_suspects, question.told_suspects);
+}
+
 void peer_exchange::take_targets(const peer_answer& answer)
 {
     for (const registered_target& target : answer.registry.targets) {
@@ -71,6 +83,7 @@
     }
     this->reader_process = answer.process;
     this->reader_sequence = answer.registry.sequence;
+    this->reader_suspects = answer.suspects_sequence;
     this->context.targets_known = true;
     if (this->on_targets) {
         this->on_targets();
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -32,6 +32,8 @@
     //! Takes an answer to a question that was asked at that time. What a daemon knew long ago, which is not
     //! `is_fresh`, does not replace newer knowledge.
     void take(const peer_answer& answer, time_point asked_at, bool is_fresh);
+    //! Notes that the reader has answered the question, and so knows what it told.
+    void note_told(const peer_question& question);
     //! Forgets the numbers of the reader that was followed.
     void forget_reader() { this->reader_process = 0; }
 
@@ -42,6 +44,9 @@
     //! Whose numbering of changes the registry here follows.
     std::uint64_t reader_process = 0;
     std::int64_t reader_sequence = 0;
+    std::int64_t reader_suspects = -1;
+    //! The last change of suspects here that a reader was told.
+    std::int64_t told_suspects = 0;
     //! When a reader was last told what one's own requests take.
     time_point told_uses_at{0};
 };
--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peer_follower.cpp
@@ -148,7 +148,7 @@
                               {"reason", reason},
                               {"targets_age_ms", event_loop::now() - this->context.targets_as_of},
                               {"targets_position", this->context.position.targets}});
-    this->watch.start();
+    this->watch.start_for_others();
     this->rows.keep();
     this->check_timer = this->context.loop.run_every(this->share_of_drain(check_interval),
                                                      [this] { this->check_knowledge(); });
--- a/src/entry/peer_line.cpp
+++ b/src/entry/peer_line.cpp
@@ -179,6 +179,7 @@
         this->take_failure(asked, {});
         return;
     }
+    this->exchange.note_told(told);
     if (told.uses && answer->uses) {
         answer->uses = without(*answer->uses, *told.uses);
     }
--- a/src/entry/peer_messages.cpp
+++ b/src/entry/peer_messages.cpp
@@ -4,6 +4,7 @@
 #include "common/json.hpp"
 #include "common/packed_text.hpp"
 #include "entry/registry_messages.hpp"
+#include "entry/suspects/suspect_messages.hpp"
 #include "target/parse_endpoint.hpp"
 
 namespace dandelionstep {
@@ -98,6 +99,10 @@
     if (question.uses) {
         message["uses"] = uses_json(*question.uses);
     }
+    message["suspects_sequence"] = question.suspects_sequence;
+    if (!question.suspects.empty()) {
+        message["suspects"] = suspects_json(question.suspects);
+    }
     return dump(message);
 }
 
@@ -125,6 +130,8 @@
     question.takes_packed = boolean_or(*parsed, "takes_packed", false);
     question.wait = {integer_or(*parsed, "wait_ms", 0)};
     question.uses = parse_uses(*parsed);
+    question.suspects = parse_suspects(*parsed, "suspects");
+    question.suspects_sequence = integer_or(*parsed, "suspects_sequence", -1);
     return question;
 }
 
@@ -160,6 +167,10 @@
     if (answer.better) {
         message["better"] = peer_json(*answer.better);
     }
+    message["suspects_sequence"] = answer.suspects_sequence;
+    if (!answer.suspects.empty()) {
+        message["suspects"] = suspects_json(answer.suspects);
+    }
     std::string text = dump(message);
     // The members of the registry's object become members of the answer.
     text.back() = ',';
@@ -204,6 +215,8 @@
     answer.daemons = integer_or(*parsed, "daemons", 0);
     answer.siblings = integer_or(*parsed, "siblings", 0);
     answer.uses = parse_uses(*parsed);
+    answer.suspects = parse_suspects(*parsed, "suspects");
+    answer.suspects_sequence = integer_or(*parsed, "suspects_sequence", 0);
     absl::StatusOr<registry_news> registry = parse_registry(*parsed);
     if (!registry.ok()) {
         return registry.status();
--- a/src/entry/peer_messages.hpp
+++ b/src/entry/peer_messages.hpp
@@ -5,6 +5,7 @@
 #include "common/ids.hpp"
 #include "entry/registry_news.hpp"
 #include "entry/store_position.hpp"
+#include "request/suspects.hpp"
 #include "target/engine_use.hpp"
 #include "vm/peer.hpp"
 
@@ -40,6 +41,11 @@
     milliseconds wait{0};
     //! What the asker's own requests take; told now and then, and answered with what all take.
     std::optional<engine_uses> uses;
+    //! Suspects that the asker tells, and the last change of suspects that it has of this process.
+    std::vector<suspect_report> suspects;
+    std::int64_t suspects_sequence = -1;
+    //! Of the asker alone, and not sent: up to which of its own changes `suspects` tells.
+    std::int64_t told_suspects = 0;
 };
 
 //! What is new since the question's state, and how old that knowledge is.
@@ -62,6 +68,9 @@
     std::vector<peer> successors;
     //! Another daemon that knows more than this one.
     std::optional<peer> better;
+    //! Suspects that changed, and the number of the last change.
+    std::vector<suspect_report> suspects;
+    std::int64_t suspects_sequence = 0;
     //! What the requests of the data centre's daemons take, the asker's included, if the question told those.
     std::optional<engine_uses> uses;
 };
--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -3,6 +3,7 @@
 #include "adapters/log.hpp"
 #include "entry/known_state.hpp"
 #include "entry/registry_messages.hpp"
+#include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
 
@@ -111,6 +112,7 @@
         caller->answer(status_bad_request, {}, "");
         return;
     }
+    learn_suspects(this->context, question->suspects, "peer");
     if (question->reads_store) {
         this->announced = peer{question->vm, question->at};
         this->announced_at = event_loop::now();
@@ -155,6 +157,7 @@
 bool peer_port::has_news_for(const peer_question& question) const
 {
     return question.process != this->process || question.sequence != this->context.changes.sequence ||
+           question.suspects_sequence != this->context.suspects.changes.sequence ||
            question.config_version != this->context.config->version.value;
 }
 
@@ -234,6 +237,12 @@
     answer.siblings = this->context.siblings;
     answer.successors = this->successors();
     answer.better = this->better_reader();
+    const bool is_same_process = question.process == this->process;
+    const suspect_news suspects =
+        news_since(this->context.suspects,
+                   is_same_process ? std::optional(question.suspects_sequence) : std::nullopt, now);
+    answer.suspects = suspects.reports;
+    answer.suspects_sequence = suspects.sequence;
     std::optional<std::string_view> packed_config;
     if (question.config_version < this->context.config->version.value) {
         if (question.takes_packed) {
--- a/src/entry/registry_news.hpp
+++ b/src/entry/registry_news.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "common/change_log.hpp"
+#include "common/ids.hpp"
 #include "entry/doubtful_targets.hpp"
-#include "entry/registry_log.hpp"
 #include "target/entry_target.hpp"
 
 #include <cstdint>
@@ -11,6 +12,9 @@
 
 namespace dandelionstep {
 
+//! Numbers the changes of the registry of targets.
+using registry_log = change_log<target_id>;
+
 //! What a daemon learns of the registry of targets from the one that it follows.
 struct registry_news {
     //! Number of the last change that is told.
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -217,6 +217,22 @@
         return request.route->latency_objective + milliseconds{static_cast<std::int64_t>(ms)};
     }
 
+    // Targets died each time that they ran the request; it would end the next one as well.
+    void refuse_held(const accepted_request& request, milliseconds held) const
+    {
+        const time_point now = event_loop::now();
+        const auto& suspects = this->context.suspects.table.suspects;
+        const auto found = suspects.find(request.fingerprint);
+        if (found != suspects.end() && may_log(this->context.logs, log_weight::failure, now)) {
+            log_event("request_held", {{"id", request.facts.attempt_id},
+                                       {"fingerprint", request.fingerprint.value},
+                                       {"deaths", static_cast<std::int64_t>(found->second.takedowns.size())},
+                                       {"last_death_ms", now - found->second.last},
+                                       {"retry_after_ms", held}});
+        }
+        refuse(this->context, request, status_unavailable, "ends_targets", held);
+    }
+
     void dispatch(accepted_request& request) const
     {
         const service_id* service = pick_service(*request.route, this->context.draw());
@@ -228,6 +244,11 @@
         request.fingerprint = fingerprint_of(request.organisation.value_or(organisation_id()),
                                              request.caller->head.target, request.caller->body);
         note_request(budget_of(this->context, request.service));
+        const milliseconds held = this->tools.guard.held_for(request.fingerprint);
+        if (held > milliseconds{0}) {
+            this->refuse_held(request, held);
+            return;
+        }
         const auto known = request.config->services.find(request.service);
         const bool has_engines = known != request.config->services.end() && known->second.engine.has_value();
         if (has_engines && request.facts.attempt_id.empty()) {
--- a/src/entry/request_tools.hpp
+++ b/src/entry/request_tools.hpp
@@ -2,7 +2,7 @@
 
 #include "entry/engine_probes.hpp"
 #include "entry/periodic_watch.hpp"
-#include "entry/suspects/death_watch.hpp"
+#include "entry/suspects/crash_guard.hpp"
 
 namespace dandelionstep {
 
@@ -13,10 +13,10 @@
 
     engine_probes probes;
     periodic_watch watch;
-    death_watch deaths;
+    crash_guard guard;
 
     explicit request_tools(entry_context& context)
-        : probes(context), watch(context.loop, watch_interval), deaths(context)
+        : probes(context), watch(context.loop, watch_interval), guard(context)
     {}
 };
 
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -76,6 +76,10 @@
         return "own_row";
     case store_reason::lease:
         return "lease";
+    case store_reason::suspects:
+        return "suspects";
+    case store_reason::suspect_write:
+        return "suspect_write";
     }
     return "unknown";
 }
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -23,7 +23,9 @@
     target_changes, //!< Their changes.
     rows,           //!< The daemons' rows.
     own_row,        //!< Writing rows of daemons.
-    lease           //!< Writing the lease.
+    lease,          //!< Writing the lease.
+    suspects,       //!< The rows of requests that end targets, and their changes.
+    suspect_write   //!< Writing and removing those.
 };
 
 std::string_view name_of(store_reason reason);
--- a/src/entry/store_watch.cpp
+++ b/src/entry/store_watch.cpp
@@ -5,8 +5,11 @@
 namespace dandelionstep {
 
 store_watch::store_watch(entry_context& context_in, store_client& store_in)
-    : context(context_in), config(context_in, store_in), targets(context_in, store_in)
+    : context(context_in), config(context_in, store_in), targets(context_in, store_in),
+      suspects(context_in, store_in)
 {
+    this->suspects.holds_lease = [this] { return this->holds_lease && this->holds_lease(); };
+    context_in.on_suspects = [this] { this->suspects.write_soon(); };
     this->config.on_config = [this] {
         if (this->on_config) {
             this->on_config();
@@ -25,11 +28,18 @@
     }
 }
 
+void store_watch::start_for_others()
+{
+    this->start();
+    this->suspects.start();
+}
+
 void store_watch::pause()
 {
     this->is_reading = false;
     this->config.pause();
     this->targets.pause();
+    this->suspects.pause();
 }
 
 // Tells once that requests can be routed.
--- a/src/entry/store_watch.hpp
+++ b/src/entry/store_watch.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "entry/config_watch.hpp"
+#include "entry/suspects/suspect_rows.hpp"
 #include "entry/target_watch.hpp"
 
 #include <functional>
 
 namespace dandelionstep {
 
-//! Keeps the configuration and the registry of targets in step with the store.
+//! Keeps the configuration, the registry of targets and the suspects in step with the store.
 class store_watch {
 public:
     store_watch(entry_context& context, store_client& store);
@@ -16,10 +17,14 @@
     std::function<void()> on_config;
     //! Called once, when configuration and targets are known.
     std::function<void()> on_first_known;
+    //! Whether this daemon holds the lease, and with it tidies the suspects' rows.
+    std::function<bool()> holds_lease;
 
     //! Begins to read, after the changes that are known already where the context's position tells them; does
     //! nothing when it reads.
     void start();
+    //! The same for a daemon that others learn from: it keeps the suspects in step as well.
+    void start_for_others();
     //! Stops reading, as the same is learnt from another daemon.
     void pause();
     //! To be called when the configuration or the targets may have become known.
@@ -29,6 +34,7 @@
     entry_context& context;
     config_watch config;
     target_watch targets;
+    suspect_rows suspects;
     bool is_reading = false;
 };
 
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -45,6 +45,7 @@
     const target_id first = this->current->path.front().id;
     const int status = this->current->head.status;
     this->log_pace();
+    this->tools.guard.note_answered(this->request.fingerprint);
     this->end();
     record_request(this->context, this->request, status, "answered", first);
     this->request.caller->finish();
@@ -69,6 +70,7 @@
 void stream_carrier::deliver_failure()
 {
     const attempt_pointer failed = this->current;
+    this->tools.guard.note_answered(this->request.fingerprint);
     this->end();
     record_request(this->context, this->request, failed->head.status, "failed_by_target",
                    failed->path.front().id);
@@ -113,7 +115,7 @@
 
 bool stream_carrier::may_send_again(const char* reason)
 {
-    return take_another_send(this->context, this->request, this->sent_count, reason);
+    return !this->is_held() && take_another_send(this->context, this->request, this->sent_count, reason);
 }
 
 bool stream_carrier::may_resume(const char* reason)
--- a/src/entry/stream_path_change.cpp
+++ b/src/entry/stream_path_change.cpp
@@ -8,6 +8,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
+constexpr int status_bad_gateway = 502;
 constexpr int max_path_changes = 4;
 // An engine that was not there for a new path may be dead or short of room.
 constexpr milliseconds pause_after_missing{300};
@@ -43,6 +44,10 @@
     if (is_new_loss && !leaves && part != this->current->path.end()) {
         this->consider_death(*part);
     }
+    if (!leaves && this->is_held()) {
+        this->fail(status_bad_gateway, "ends_targets");
+        return;
+    }
     if (!this->can_change_path(lost)) {
         // Before the first event nothing is gained by leaving an engine that still works.
         if (!leaves || this->current->is_stream) {
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -74,7 +74,7 @@
         std::ranges::copy(this->successor->path, std::back_inserter(this->path_at_death));
     }
     const crash_place place{token_count{this->splitter.last_id.value_or(0)}, layer_index{0}};
-    this->tools.deaths.consider(
+    this->tools.guard.note_lost(
         {lost.id, lost.started, this->request.fingerprint, place, this->request.facts.attempt_id});
 }
 
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -144,7 +144,10 @@
     if (events.empty()) {
         return;
     }
-    this->path_at_death.clear();
+    if (!this->path_at_death.empty()) {
+        this->path_at_death.clear();
+        this->tools.guard.note_goes_on(this->request.fingerprint);
+    }
     const time_point now = event_loop::now();
     std::optional<time_point> last;
     if (this->progress.has_events) {
--- /dev/null
+++ b/src/entry/suspects/crash_guard.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "entry/suspects/death_watch.hpp"
+
+#include <map>
+
+namespace dandelionstep {
+
+//! Keeps a request that ends its targets from being sent on, here and at all daemons that this one tells.
+class crash_guard {
+public:
+    explicit crash_guard(entry_context& context);
+
+    //! A request was on a target that broke off or was given up.
+    void note_lost(const possible_death& death) { this->deaths.consider(death); }
+    //! The request went on after a loss, so that others need not know of it unless another target dies.
+    void note_goes_on(request_fingerprint request);
+    //! A target answered the request whole, whatever it said.
+    void note_answered(request_fingerprint request);
+    //! For how long the request must not be sent to a target; zero when it may.
+    [[nodiscard]] milliseconds held_for(request_fingerprint request) const;
+
+private:
+    void take_death(const possible_death& death);
+    void tell_due();
+
+    entry_context& context;
+    death_watch deaths;
+    //! Suspects that nobody else knows, and when they are told.
+    std::map<request_fingerprint, time_point> untold;
+    event_loop::timer tell_timer;
+};
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/suspects/suspect_messages.cpp
@@ -0,0 +1,107 @@
+#include "entry/suspects/suspect_messages.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "common/json.hpp"
+
+#include <algorithm>
+
+namespace dandelionstep {
+namespace {
+
+json takedowns_json(const suspect_report& report)
+{
+    json list = json::array();
+    for (const auto& [takedown, place] : report.takedowns) {
+        list.push_back(
+            {{"id", takedown.value}, {"after_event", place.given.value}, {"layer", place.layer.value}});
+    }
+    return list;
+}
+
+crash_place parse_place(const json& object)
+{
+    return {token_count{integer_or(object, "after_event", 0)}, layer_index{integer_or(object, "layer", 0)}};
+}
+
+} // namespace
+
+json suspects_json(const std::vector<suspect_report>& reports)
+{
+    json list = json::array();
+    for (const suspect_report& report : reports) {
+        list.push_back({{"fingerprint", report.fingerprint.value},
+                        {"age_ms", report.age.count},
+                        {"finished", report.finished},
+                        {"takedowns", takedowns_json(report)}});
+    }
+    return list;
+}
+
+std::vector<suspect_report> parse_suspects(const json& message, const char* name)
+{
+    std::vector<suspect_report> reports;
+    for (const json& item : message.value(name, json::array())) {
+        if (!item.is_object()) {
+            continue;
+        }
+        suspect_report report;
+        report.fingerprint = {integer_or(item, "fingerprint", 0)};
+        report.age = {std::max<std::int64_t>(0, integer_or(item, "age_ms", 0))};
+        report.finished = boolean_or(item, "finished", false);
+        for (const json& takedown : item.value("takedowns", json::array())) {
+            report.takedowns.emplace_back(takedown_id{integer_or(takedown, "id", 0)}, parse_place(takedown));
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::string key_of(const suspect_row& row)
+{
+    const std::string last = row.finished ? "finished" : std::to_string(row.takedown.value);
+    return absl::StrCat(row.request.value, "/", last);
+}
+
+std::string to_text(const suspect_row& row)
+{
+    return dump({{"fingerprint", row.request.value},
+                 {"takedown", row.takedown.value},
+                 {"after_event", row.place.given.value},
+                 {"layer", row.place.layer.value},
+                 {"finished", row.finished},
+                 {"at_ms", row.at.count}});
+}
+
+absl::StatusOr<suspect_row> parse_suspect_row(std::string_view text)
+{
+    const absl::StatusOr<json> parsed = parse_json(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const absl::StatusOr<std::int64_t> fingerprint = integer_member(*parsed, "fingerprint");
+    const absl::StatusOr<std::int64_t> takedown = integer_member(*parsed, "takedown");
+    const absl::StatusOr<std::int64_t> at = integer_member(*parsed, "at_ms");
+    absl::Status status = fingerprint.status();
+    status.Update(takedown.status());
+    status.Update(at.status());
+    if (!status.ok()) {
+        return status;
+    }
+    return suspect_row{
+        {*fingerprint}, {*takedown}, parse_place(*parsed), boolean_or(*parsed, "finished", false), {*at}};
+}
+
+suspect_report report_of(const suspect_row& row, wall_time now)
+{
+    suspect_report report;
+    report.fingerprint = row.request;
+    report.finished = row.finished;
+    // Clocks of vms differ by seconds, which is little beside the time for which a suspicion lasts.
+    report.age = {std::max<std::int64_t>(0, now.count - row.at.count)};
+    if (!row.finished) {
+        report.takedowns.emplace_back(row.takedown, row.place);
+    }
+    return report;
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/suspects/suspect_messages.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "common/clock.hpp"
+#include "common/json_types.hpp"
+#include "request/suspects.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionstep {
+
+//! Suspects as they stand in messages between daemons.
+json suspects_json(const std::vector<suspect_report>& reports);
+//! The suspects of a message; what can't be read is left out.
+std::vector<suspect_report> parse_suspects(const json& message, const char* name);
+
+//! A row of the store: one death under a request, or that the request was answered whole. Never changed.
+struct suspect_row {
+    request_fingerprint request;
+    //! Ignored where `finished`.
+    takedown_id takedown;
+    crash_place place;
+    bool finished = false;
+    //! When it was written, by the writer's civil clock.
+    wall_time at;
+};
+
+std::string key_of(const suspect_row& row);
+std::string to_text(const suspect_row& row);
+absl::StatusOr<suspect_row> parse_suspect_row(std::string_view text);
+
+//! The row as a report, as of a civil time.
+suspect_report report_of(const suspect_row& row, wall_time now);
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/suspects/suspect_rows.cpp
@@ -0,0 +1,225 @@
+#include "entry/suspects/suspect_rows.hpp"
+
+#include "adapters/log.hpp"
+#include "entry/suspects/suspect_sharing.hpp"
+
+#include <algorithm>
+
+namespace dandelionstep {
+namespace {
+
+// Several suspects of one death are written by one call.
+constexpr milliseconds write_pause{60};
+// The store takes a hundred entries in a call.
+constexpr std::size_t most_writes = 64;
+constexpr milliseconds removal_interval{60'000};
+
+// A connection that fell silent is noticed within the time after which the bounds hold again.
+milliseconds wait_for_news(const entry_settings& settings)
+{
+    return settings.stability_window;
+}
+
+} // namespace
+
+void suspect_rows::start()
+{
+    if (this->is_reading) {
+        return;
+    }
+    this->is_reading = true;
+    this->removal_timer = this->context.loop.run_every(removal_interval, [this] { this->remove_lapsed(); });
+    if (this->is_known) {
+        this->follow();
+    } else {
+        this->read("");
+    }
+}
+
+void suspect_rows::pause()
+{
+    this->calls.pause();
+    this->is_reading = false;
+    this->is_writing = false;
+    this->timer = {};
+    this->write_timer = {};
+    this->removal_timer = {};
+}
+
+void suspect_rows::read(const std::string& from_key)
+{
+    if (from_key.empty()) {
+        this->stored.clear();
+        this->position = 0;
+    }
+    const outgoing_call call = this->context.dialect.rows_call(suspects_table, from_key);
+    this->calls.call(call, store_call_slack, store_reason::suspects, [this](const store_answer& answer) {
+        if (answer.result != store_result::ok) {
+            this->retry(answer);
+            return;
+        }
+        this->calls.note_answer();
+        // Changes during the reading are among those that follow its first page.
+        this->position = this->position == 0 ? answer.rows.version : this->position;
+        this->take(answer.rows.rows);
+        if (const std::optional<std::string> next = next_page_key(answer.rows)) {
+            this->read(*next);
+            return;
+        }
+        this->is_known = true;
+        this->write_soon();
+        this->follow();
+    });
+}
+
+void suspect_rows::follow()
+{
+    const milliseconds wait = wait_for_news(this->context.settings);
+    const outgoing_call call = this->context.dialect.changes_call(suspects_table, this->position, wait);
+    this->calls.call(call, wait + store_call_slack, store_reason::suspects,
+                     [this](const store_answer& answer) {
+                         if (answer.result != store_result::ok) {
+                             this->retry(answer);
+                             return;
+                         }
+                         this->calls.note_answer();
+                         this->position = std::max(this->position, answer.rows.version);
+                         this->take(answer.rows.rows);
+                         this->timer = this->context.loop.run_after({0}, [this] { this->follow(); });
+                     });
+}
+
+void suspect_rows::retry(const store_answer& answer)
+{
+    this->is_known = this->is_known && answer.result != store_result::history_is_gone;
+    this->timer = this->context.loop.run_after(this->calls.retry_pause(answer), [this] {
+        if (this->is_known) {
+            this->follow();
+        } else {
+            this->read("");
+        }
+    });
+}
+
+void suspect_rows::take(const std::vector<stored_row>& rows)
+{
+    std::vector<suspect_report> reports;
+    for (const stored_row& row : rows) {
+        if (row.is_removed) {
+            this->stored.erase(row.key);
+            continue;
+        }
+        const absl::StatusOr<suspect_row> parsed = parse_suspect_row(row.value);
+        if (!parsed.ok()) {
+            log_event("suspect_row_unreadable",
+                      {{"key", row.key}, {"reason", std::string(parsed.status().message())}});
+            continue;
+        }
+        this->stored[row.key] = parsed->at;
+        reports.push_back(report_of(*parsed, event_loop::wall_now()));
+    }
+    // What a request is cleared by counts only once its deaths are known.
+    std::ranges::stable_partition(reports, [](const suspect_report& one) { return !one.finished; });
+    learn_suspects(this->context, reports, "store");
+}
+
+std::vector<suspect_row> suspect_rows::missing_rows() const
+{
+    std::vector<suspect_row> missing;
+    const shared_suspects& known = this->context.suspects;
+    const auto add = [&](const suspect_row& row) {
+        if (missing.size() < most_writes && !this->stored.contains(key_of(row))) {
+            missing.push_back(row);
+        }
+    };
+    for (const request_fingerprint request : known.shared) {
+        const auto found = known.table.suspects.find(request);
+        if (found == known.table.suspects.end()) {
+            continue;
+        }
+        const milliseconds age = event_loop::now() - found->second.last;
+        const wall_time at{event_loop::wall_now().count - age.count};
+        for (const auto& [takedown, place] : found->second.takedowns) {
+            add({request, takedown, place, false, at});
+        }
+        if (found->second.finished) {
+            add({request, {}, {}, true, at});
+        }
+    }
+    return missing;
+}
+
+void suspect_rows::write_soon()
+{
+    if (this->is_reading && this->is_known && !this->is_writing) {
+        this->write_timer = this->context.loop.run_after(write_pause, [this] { this->write(); });
+    }
+}
+
+void suspect_rows::write()
+{
+    const std::vector<suspect_row> missing = this->missing_rows();
+    if (missing.empty()) {
+        return;
+    }
+    std::vector<conditional_write> writes;
+    for (const suspect_row& row : missing) {
+        conditional_write write;
+        write.row = {suspects_table, key_of(row), to_text(row), 0, false};
+        writes.push_back(write);
+    }
+    this->send(writes, [this, missing](bool is_written) {
+        for (const suspect_row& row : missing) {
+            if (is_written) {
+                this->stored[key_of(row)] = row.at;
+            }
+        }
+    });
+}
+
+// Rows of one key are always alike, so that a write may be made again whatever became of it.
+void suspect_rows::send(const std::vector<conditional_write>& writes,
+                        std::function<void(bool is_written)> done)
+{
+    this->is_writing = true;
+    const outgoing_call call = this->context.dialect.write_call(writes);
+    this->calls.call(call, store_call_slack, store_reason::suspect_write,
+                     [this, done = std::move(done)](const store_answer& answer) {
+                         this->is_writing = false;
+                         const bool is_written = answer.result == store_result::ok;
+                         done(is_written);
+                         const milliseconds pause =
+                             is_written ? write_pause : this->calls.retry_pause(answer);
+                         this->write_timer = this->context.loop.run_after(pause, [this] { this->write(); });
+                     });
+}
+
+void suspect_rows::remove_lapsed()
+{
+    if (this->is_writing || !this->is_known || !this->holds_lease || !this->holds_lease()) {
+        return;
+    }
+    const std::int64_t oldest =
+        event_loop::wall_now().count - this->context.suspects.table.limits.lapse.count;
+    std::vector<conditional_write> removals;
+    for (const auto& [key, at] : this->stored) {
+        if (at.count < oldest && removals.size() < most_writes) {
+            conditional_write removal;
+            removal.row = {suspects_table, key, "", 0, true};
+            removals.push_back(removal);
+        }
+    }
+    if (removals.empty()) {
+        return;
+    }
+    log_event("suspect_rows_removed", {{"count", static_cast<std::int64_t>(removals.size())}});
+    this->send(removals, [this, removals](bool is_written) {
+        for (const conditional_write& removal : removals) {
+            if (is_written) {
+                this->stored.erase(removal.row.key);
+            }
+        }
+    });
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/suspects/suspect_sharing.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "entry/entry_context.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace dandelionstep {
+
+//! Has the suspect told to the daemons that follow this one, or to the one that it follows.
+void tell_suspect(entry_context& context, request_fingerprint request);
+
+//! Takes over suspects that another daemon or the store told; `origin` tells the log where they came from.
+void learn_suspects(entry_context& context, const std::vector<suspect_report>& reports,
+                    std::string_view origin);
+
+} // namespace dandelionstep
--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -80,17 +80,23 @@
     });
 }
 
+bool may_be_condemned(const suspect_table& table, request_fingerprint request, const suspect& each,
+                      std::size_t unconfirmed)
+{
+    return deaths_at_one_place(each) + unconfirmed >= table.limits.condemned_at &&
+           !is_explained(table, request, each, explanation::by_as_many_deaths);
+}
+
 bool is_condemned(const suspect_table& table, request_fingerprint request, const suspect& each,
                   time_point now)
 {
-    return now - each.last >= table.limits.settled_after &&
-           deaths_at_one_place(each) >= table.limits.condemned_at &&
-           !is_explained(table, request, each, explanation::by_as_many_deaths);
+    return now - each.last >= table.limits.settled_after && may_be_condemned(table, request, each, 0);
 }
 
 bool merge_one(suspect_table& table, const suspect_report& report, time_point now)
 {
-    if (report.age >= table.limits.lapse || report.takedowns.empty()) {
+    const bool is_known = table.suspects.contains(report.fingerprint);
+    if (report.age >= table.limits.lapse || (report.takedowns.empty() && !is_known)) {
         return false;
     }
     suspect& own = table.suspects[report.fingerprint];
@@ -175,6 +181,24 @@
     return condemned ? suspect_standing::condemned : suspect_standing::suspected;
 }
 
+milliseconds held_for(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
+                      time_point now)
+{
+    const suspect* found = find_suspect(table, request, now);
+    if (found == nullptr || found->finished) {
+        return {0};
+    }
+    if (standing_of(table, request, unconfirmed, now) == suspect_standing::condemned) {
+        return lapses_in(table, request, now);
+    }
+    if (!may_be_condemned(table, request, *found, unconfirmed)) {
+        return {0};
+    }
+    // Until the last death is settled; one that is not confirmed yet settles later.
+    const milliseconds since = unconfirmed > 0 ? milliseconds{0} : now - found->last;
+    return std::max(table.limits.settled_after - since, milliseconds{1});
+}
+
 milliseconds lapses_in(const suspect_table& table, request_fingerprint request, time_point now)
 {
     const suspect* found = find_suspect(table, request, now);
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -91,6 +91,11 @@
 //! How the request is to be treated; `unconfirmed` counts deaths that are not confirmed yet.
 suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
                              time_point now);
+//! For how long the request is not to be sent to any target; zero when it may be. One that has ended
+//! `condemned_at` targets at one place, counting `unconfirmed` deaths, waits until all that speaks for it is
+//! known.
+milliseconds held_for(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
+                      time_point now);
 //! The time until the request's suspicion lapses; zero for one that is no suspect.
 milliseconds lapses_in(const suspect_table& table, request_fingerprint request, time_point now);
 
@@ -101,7 +106,8 @@
 
 //! What to tell another daemon: the latest suspects first.
 std::vector<suspect_report> reports_of(const suspect_table& table, std::size_t max_reports, time_point now);
-//! Takes over what another daemon told; true if there was news. Order and repeats do not matter.
+//! Takes over what another daemon told; a report without takedowns tells that a known suspect finished. True
+//! if there was news. Order and repeats do not matter.
 bool merge(suspect_table& table, const std::vector<suspect_report>& reports, time_point now);
 //! Forgets what has lapsed, and the least suspicious above the bound.
 void expire(suspect_table& table, time_point now);
--- a/tests/entry/registry_log_test.cpp
+++ b/tests/common/change_log_test.cpp
@@ -1,4 +1,5 @@
-#include "entry/registry_log.hpp"
+#include "common/change_log.hpp"
+#include "common/ids.hpp"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -7,7 +8,7 @@
 
 TEST_CASE("a follower is told of each target that changed since it last asked, once")
 {
-    registry_log log;
+    change_log<target_id> log;
     note_change(log, target_id("a"));
     note_change(log, target_id("b"));
     const std::int64_t asked = log.sequence;
@@ -21,7 +22,7 @@
 
 TEST_CASE("a number that was never given, or is long past, is answered with everything")
 {
-    registry_log log;
+    change_log<target_id> log;
     CHECK(changed_since(log, 0)->empty());
     CHECK_FALSE(changed_since(log, 1));
     for (int i = 0; i < 5'000; ++i) {
--- /dev/null
+++ b/tests/entry/suspects/shared_suspects_test.cpp
@@ -0,0 +1,74 @@
+#include "entry/suspects/shared_suspects.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr time_point start{1'000'000};
+constexpr request_fingerprint crasher{1};
+
+void note_death(shared_suspects& known, request_fingerprint request, std::int64_t target)
+{
+    note_takedown(known.table, request, takedown_id{target}, {}, start);
+}
+
+} // namespace
+
+TEST_CASE("only what is shared is told, and each change once")
+{
+    shared_suspects known;
+    note_death(known, crasher, 1);
+    CHECK(news_since(known, std::nullopt, start).reports.empty());
+    share(known, crasher);
+    const suspect_news first = news_since(known, std::nullopt, start);
+    REQUIRE(first.reports.size() == 1);
+    CHECK(first.reports.front().fingerprint == crasher);
+    CHECK(news_since(known, first.sequence, start).reports.empty());
+    note_death(known, crasher, 2);
+    share(known, crasher);
+    CHECK(news_since(known, first.sequence, start).reports.front().takedowns.size() == 2);
+}
+
+TEST_CASE("who asks for changes that are forgotten gets all that is shared")
+{
+    shared_suspects known;
+    note_death(known, crasher, 1);
+    share(known, crasher);
+    CHECK(news_since(known, 7'000, start).reports.size() == 1);
+}
+
+TEST_CASE("what another daemon tells is shared on, but not what was known")
+{
+    shared_suspects known;
+    const std::vector<suspect_report> told{{crasher, {{takedown_id{1}, {}}}, {0}, false}};
+    CHECK(take_reports(known, told, start) == std::vector<request_fingerprint>{crasher});
+    const std::int64_t after = known.changes.sequence;
+    CHECK(take_reports(known, told, start).empty());
+    CHECK(known.changes.sequence == after);
+}
+
+TEST_CASE("a message holds a bounded number of suspects, the latest ones")
+{
+    shared_suspects known;
+    constexpr std::int64_t suspects = 500;
+    for (std::int64_t i = 1; i <= suspects; ++i) {
+        note_takedown(known.table, request_fingerprint{i}, takedown_id{i}, {}, start + milliseconds{i});
+        share(known, request_fingerprint{i});
+    }
+    const suspect_news news = news_since(known, std::nullopt, start + milliseconds{suspects});
+    CHECK(news.reports.size() < suspects);
+    CHECK(news.reports.front().fingerprint == request_fingerprint{suspects});
+}
+
+TEST_CASE("suspects that have lapsed are told no longer")
+{
+    shared_suspects known;
+    note_death(known, crasher, 1);
+    share(known, crasher);
+    expire(known.table, start + known.table.limits.lapse);
+    CHECK(news_since(known, std::nullopt, start).reports.empty());
+    share(known, request_fingerprint{2});
+    CHECK_FALSE(known.shared.contains(crasher));
+}
--- a/tests/request/suspects_test.cpp
+++ b/tests/request/suspects_test.cpp
@@ -238,6 +238,45 @@
           std::vector<std::set<target_id>>{excluded});
 }
 
+TEST_CASE("a request whose third death is not settled yet is held, and condemned when it is")
+{
+    const suspect_table two = after_deaths(crasher, 2);
+    CHECK(held_for(two, crasher, 0, start) == milliseconds{0});
+    const suspect_table three = after_deaths(crasher, 3);
+    CHECK(held_for(three, crasher, 0, start) == three.limits.settled_after);
+    CHECK(held_for(three, crasher, 0, settled) == lapses_in(three, crasher, settled));
+    CHECK(held_for(three, innocent, 0, settled) == milliseconds{0});
+}
+
+TEST_CASE("a death that is not confirmed yet holds a request that has ended two targets")
+{
+    const suspect_table two = after_deaths(crasher, 2);
+    CHECK(held_for(two, crasher, 1, settled) == two.limits.settled_after);
+    CHECK(held_for(after_deaths(crasher, 1), crasher, 1, settled) == milliseconds{0});
+}
+
+TEST_CASE("a request that others were aboard with all the time, or that was answered whole, is not held")
+{
+    suspect_table table = after_deaths(crasher, 3);
+    for (int i = 1; i <= 3; ++i) {
+        note_takedown(table, innocent, death(i), same_place, start);
+    }
+    CHECK(held_for(table, crasher, 0, start) == milliseconds{0});
+    suspect_table finished = after_deaths(innocent, 3);
+    note_finished(finished, innocent);
+    CHECK(held_for(finished, innocent, 0, start) == milliseconds{0});
+}
+
+TEST_CASE("a report without deaths clears a known suspect and makes no new one")
+{
+    suspect_table table = after_deaths(innocent, 3);
+    const suspect_report cleared{innocent, {}, {0}, true};
+    CHECK(merge(table, {cleared}, settled));
+    CHECK((standing_of(table, innocent, 0, settled) == suspect_standing::clear));
+    CHECK_FALSE(merge(table, {{crasher, {}, {0}, true}}, settled));
+    CHECK_FALSE(table.suspects.contains(crasher));
+}
+
 TEST_CASE("requests of different callers, paths or bodies have different fingerprints")
 {
     const organisation_id one("one");
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -112,7 +112,7 @@
             this->unanswered.push_back(reply);
             return;
         }
-        const bool is_list = request.path == "/rows-get" && request.parameter("Table") != "dandelionstep";
+        const bool is_list = request.path == "/rows-get" && !request.parameter("Table").starts_with("dandelionstep");
         if (!is_outside && this->faults.lists("busy_at", request.header("Host"))) {
             reply->send(status_unavailable, "{}");
             return;
@@ -195,13 +195,10 @@
     [[nodiscard]] json changes_of(const std::string& table, std::int64_t after) const
     {
         json found = json::array();
-        for (std::size_t i = 0; i < this->history.size(); ++i) {
-            const feed_change& change = this->history[i];
-            const bool is_last =
-                std::none_of(this->history.begin() + static_cast<std::ptrdiff_t>(i) + 1, this->history.end(),
-                             [&](const feed_change& later) { return later.name == change.name; });
-            if (change.version > after && change.name.table == table && is_last) {
-                found.push_back(this->row_json(change.name));
+        const auto first = std::ranges::upper_bound(this->history, after, {}, &feed_change::version);
+        for (auto change = first; change != this->history.end(); ++change) {
+            if (change->name.table == table && this->last_changes.at(change->name) == change->version) {
+                found.push_back(this->row_json(change->name));
             }
         }
         return found;
@@ -305,16 +302,22 @@
         for (const json& put : body.value("Puts", json::array())) {
             const row_name name = name_in(put);
             this->rows[name] = {string_or(put, "Value", ""), this->counter};
-            this->history.push_back({name, this->counter});
+            this->note_change(name);
         }
         for (const json& removal : body.value("Remove", json::array())) {
             if (this->rows.erase(name_in(removal)) > 0) {
-                this->history.push_back({name_in(removal), this->counter});
+                this->note_change(name_in(removal));
             }
         }
         this->wake_feeds();
     }
 
+    void note_change(const row_name& name)
+    {
+        this->history.push_back({name, this->counter});
+        this->last_changes[name] = this->counter;
+    }
+
     void wake_feeds()
     {
         std::vector<std::shared_ptr<waiting_feed>> still;
@@ -334,7 +337,10 @@
     fault_switches faults;
     http_server server;
     std::map<row_name, kept_row> rows;
+    //! By rising version.
     std::vector<feed_change> history;
+    //! The version of each row's last change.
+    std::map<row_name, std::int64_t> last_changes;
     std::vector<std::shared_ptr<waiting_feed>> feeds;
     std::vector<std::shared_ptr<http_reply>> unanswered;
     std::int64_t daemons_calls = 0;
