--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -71,7 +71,6 @@
         this->refused_by_target();
         return;
     }
-    this->tools.guard.note_answered(this->request.fingerprint);
     const bool is_success = ended.head.status >= first_success && ended.head.status < first_redirect;
     if ((is_success && !ended.facts.is_signed) || ended.facts.is_encoded) {
         note_failure(condition, target_failure::faulty, now);
@@ -80,6 +79,9 @@
         this->after_failure("faulty", false);
         return;
     }
+    if (is_success) {
+        this->tools.guard.note_ran_well(this->request.fingerprint);
+    }
     if (ended.head.status < first_server_error) {
         note_response(condition, now - ended.sent_at, now);
         this->deliver(ended);
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -45,7 +45,7 @@
     const target_id first = this->current->path.front().id;
     const int status = this->current->head.status;
     this->log_pace();
-    this->tools.guard.note_answered(this->request.fingerprint);
+    this->tools.guard.note_ran_well(this->request.fingerprint);
     this->end();
     record_request(this->context, this->request, status, "answered", first);
     this->request.caller->finish();
@@ -70,7 +70,6 @@
 void stream_carrier::deliver_failure()
 {
     const attempt_pointer failed = this->current;
-    this->tools.guard.note_answered(this->request.fingerprint);
     this->end();
     record_request(this->context, this->request, failed->head.status, "failed_by_target",
                    failed->path.front().id);
--- a/src/entry/suspects/crash_guard.cpp
+++ b/src/entry/suspects/crash_guard.cpp
@@ -65,7 +65,7 @@
     this->untold.erase(request);
 }
 
-void crash_guard::note_answered(request_fingerprint request)
+void crash_guard::note_ran_well(request_fingerprint request)
 {
     shared_suspects& known = this->context.suspects;
     const auto found = known.table.suspects.find(request);
--- a/src/entry/suspects/crash_guard.hpp
+++ b/src/entry/suspects/crash_guard.hpp
@@ -15,8 +15,9 @@
     void note_lost(const possible_death& death) { this->deaths.consider(death); }
     //! The request went on after a loss, so that others need not know of it unless another target dies.
     void note_goes_on(request_fingerprint request);
-    //! A target answered the request whole, whatever it said.
-    void note_answered(request_fingerprint request);
+    //! A target ran the request to a good end. A failure does not count: targets give those without running
+    //! it.
+    void note_ran_well(request_fingerprint request);
     //! For how long the request must not be sent to a target; zero when it may.
     [[nodiscard]] milliseconds held_for(request_fingerprint request) const;
 
--- a/tests/entry/suspects/crash_guard_test.cpp
+++ b/tests/entry/suspects/crash_guard_test.cpp
@@ -93,9 +93,9 @@
     daemon.wait({50});
     CHECK(daemon.shared() == 1);
     const int before = daemon.told;
-    daemon.guard.note_answered(crasher);
+    daemon.guard.note_ran_well(crasher);
     CHECK(daemon.told == before + 1);
-    daemon.guard.note_answered(crasher);
+    daemon.guard.note_ran_well(crasher);
     CHECK(daemon.told == before + 1);
 }
 
--- a/tests/process/entry_crashing_request_proof_test.cpp
+++ b/tests/process/entry_crashing_request_proof_test.cpp
@@ -1,3 +1,4 @@
+#include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
 
@@ -6,7 +7,9 @@
 #include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace dandelionstep;
 using namespace dandelionstep::testing;
@@ -33,6 +36,26 @@
     return plan;
 }
 
+//! Chooses replicas that answer each request with a failure of their own instead of running it.
+using choose_function = std::function<std::vector<std::string>(entry_cluster&)>;
+
+std::vector<std::string> nobody(entry_cluster& /*cluster*/)
+{
+    return {};
+}
+
+//! One of the engines that hold the first layers, at which streams enter.
+std::vector<std::string> one_first_engine(entry_cluster& cluster)
+{
+    for (const std::string& id : cluster.replica_ids()) {
+        const json layers = cluster.report(id).value("Layers", json::object());
+        if (integer_or(layers, "From", -1) == 0 && integer_or(layers, "To", 0) > 0) {
+            return {id};
+        }
+    }
+    return {};
+}
+
 using ask_function = std::function<caller_answer(std::size_t daemon, const std::string& attempt)>;
 
 //! Callers who send one request to all daemons again and again, while replicas that ended are started anew.
@@ -109,10 +132,15 @@
     std::map<std::string, time_point> restart_at;
 };
 
-void check_bounded(entry_cluster& cluster, const entry_plan& plan, const ask_function& ask)
+void check_bounded(entry_cluster& cluster, const entry_plan& plan, const ask_function& ask,
+                   const choose_function& choose_failing = nobody)
 {
     constexpr milliseconds span{9'000};
     REQUIRE(cluster.become_ready());
+    const std::vector<std::string> failing = choose_failing(cluster);
+    for (const std::string& id : failing) {
+        cluster.set_faults(id, {{"fails_all", true}});
+    }
     repeated_request repeated(cluster, plan.daemons.size(), ask);
     repeated.run_for(span);
     REQUIRE(repeated.deaths.size() >= 3);
@@ -121,6 +149,9 @@
     CHECK(repeated.deaths_after(third + milliseconds{plan.stability_ms}) <= allowed_retries);
     CHECK(repeated.refused > 0);
     CHECK(repeated.refused == repeated.refused_with_return_time);
+    for (const std::string& id : failing) {
+        cluster.set_faults(id, {{"fails_all", false}});
+    }
     // Whoever asks something else is served as before.
     REQUIRE(cluster.await_layers());
     for (std::size_t daemon = 0; daemon < plan.daemons.size(); ++daemon) {
@@ -169,3 +200,24 @@
         return cluster.ask(daemon, "GET", "/look/ends-its-target", attempt);
     });
 }
+
+TEST_CASE("a failure that a sound replica answers does not clear a lookup that ends the others")
+{
+    entry_plan plan = plan_of_two_data_centres();
+    plan.crashes_on = "ends-its-target";
+    entry_cluster cluster(plan);
+    const ask_function ask = [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.ask(daemon, "GET", "/look/ends-its-target", attempt);
+    };
+    check_bounded(cluster, plan, ask, [](entry_cluster&) { return std::vector<std::string>{"i-o3"}; });
+}
+
+TEST_CASE("a failure that a sound engine answers does not clear a stream that ends the others")
+{
+    const entry_plan plan = plan_of_two_data_centres();
+    entry_cluster cluster(plan);
+    const ask_function ask = [&](std::size_t daemon, const std::string& attempt) {
+        return cluster.stream(daemon, attempt, crashing_text);
+    };
+    check_bounded(cluster, plan, ask, one_first_engine);
+}
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -315,6 +315,11 @@
             return;
         }
         this->note_run(request, path_text);
+        if (this->faults.on("fails_all")) {
+            this->sign(request, reply);
+            reply->send(status_failed, "failed", "text/plain");
+            return;
+        }
         if (this->is_crashing(request.body) || this->is_crashing(request.path)) {
             if (path.size() <= 1 || !this->options.crashes_later_engines) {
                 this->crash();
