A process that registers later proves the death of the one before

What was wrong: a target that broke off a request and accepted the check's connection was taken for alive. It may be the next process already, or something on the way that accepts for it; its deaths were never counted.

Change: such a doubt is kept for 8 s and confirmed when a new process of the target registers, unless the target leaves as planned or the request goes on meanwhile.

Evidence: entry.suspects.death_watch, "a new process that registers later proves a death", fails with the doubts not kept and passes with them.

--- a/src/entry/suspects/crash_guard.cpp
+++ b/src/entry/suspects/crash_guard.cpp
@@ -63,10 +63,12 @@
 void crash_guard::note_goes_on(request_fingerprint request)
 {
     this->untold.erase(request);
+    this->deaths.clear(request);
 }
 
 void crash_guard::note_ran_well(request_fingerprint request)
 {
+    this->deaths.clear(request);
     shared_suspects& known = this->context.suspects;
     const auto found = known.table.suspects.find(request);
     if (found == known.table.suspects.end() || found->second.finished) {
--- a/src/entry/suspects/death_watch.cpp
+++ b/src/entry/suspects/death_watch.cpp
@@ -11,6 +11,10 @@
 constexpr milliseconds check_timeout{150};
 // Streams notice at different times that their engine is gone.
 constexpr milliseconds finding_validity{2'000};
+// A process that ended is back, and registered, within this time.
+constexpr milliseconds doubt_time{8'000};
+constexpr milliseconds doubt_interval{100};
+constexpr std::size_t most_doubts = 512;
 
 std::string_view name_of(connect_result result)
 {
@@ -59,19 +63,25 @@
     }));
 }
 
+void death_watch::clear(request_fingerprint request)
+{
+    std::erase_if(this->doubts, [request](const doubt& one) { return one.death.request == request; });
+}
+
 void death_watch::take(takedown_id process, connect_result result)
 {
     const auto found = this->findings.find(process);
     if (found == this->findings.end()) {
         return;
     }
-    const std::vector<possible_death> waiting = std::move(found->second.waiting);
+    std::vector<possible_death> waiting = std::move(found->second.waiting);
     found->second.waiting.clear();
     log_event("target_checked", {{"target", waiting.front().target.value},
                                  {"found", name_of(result)},
                                  {"requests", static_cast<std::int64_t>(waiting.size())}});
     if (result != connect_result::refused) {
         this->findings.erase(found);
+        this->keep_doubts(std::move(waiting));
         return;
     }
     found->second.dead_at = event_loop::now();
@@ -80,6 +90,42 @@
     }
 }
 
+// What accepts connections may be the next process already, or something on the way to it.
+void death_watch::keep_doubts(std::vector<possible_death> deaths)
+{
+    const time_point until = event_loop::now() + doubt_time;
+    const bool is_first = this->doubts.empty();
+    for (possible_death& death : deaths) {
+        if (this->doubts.size() < most_doubts) {
+            this->doubts.push_back({std::move(death), until});
+        }
+    }
+    if (is_first) {
+        this->doubt_timer = this->context.loop.run_every(doubt_interval, [this] { this->settle_doubts(); });
+    }
+}
+
+void death_watch::settle_doubts()
+{
+    const time_point now = event_loop::now();
+    std::vector<possible_death> proved;
+    std::erase_if(this->doubts, [&](const doubt& one) {
+        const auto known = this->context.targets.find(one.death.target);
+        const bool is_registered = known != this->context.targets.end();
+        if (is_registered && known->second.started > one.death.started) {
+            proved.push_back(one.death);
+            return true;
+        }
+        return now >= one.until || (is_registered && known->second.leaving);
+    });
+    if (this->doubts.empty()) {
+        this->doubt_timer = {};
+    }
+    for (const possible_death& death : proved) {
+        this->report(death);
+    }
+}
+
 void death_watch::report(const possible_death& death)
 {
     ++this->context.metrics.deaths_under_requests;
--- a/src/entry/suspects/death_watch.hpp
+++ b/src/entry/suspects/death_watch.hpp
@@ -21,7 +21,8 @@
 };
 
 //! Finds out whether targets died under requests: a broken connection alone proves nothing, a refused one or
-//! a new process at the registry does. Targets that leave as planned are not asked.
+//! a new process at the registry does, also one that registers some seconds later. Targets that leave as
+//! planned are not asked.
 class death_watch {
 public:
     explicit death_watch(entry_context& context) : context(context) {}
@@ -30,6 +31,8 @@
     std::function<void(const possible_death&)> on_death;
 
     void consider(const possible_death& death);
+    //! The request was run further than where its targets may have died.
+    void clear(request_fingerprint request);
     //! Targets that are being checked on which the request was.
     [[nodiscard]] std::size_t unconfirmed(request_fingerprint request) const;
 
@@ -42,12 +45,22 @@
         std::optional<time_point> dead_at;
     };
 
+    //! A death that was not confirmed, and until when a new process would confirm it.
+    struct doubt {
+        possible_death death;
+        time_point until;
+    };
+
     void take(takedown_id process, connect_result result);
+    void keep_doubts(std::vector<possible_death> deaths);
+    void settle_doubts();
     void report(const possible_death& death);
     void forget_old();
 
     entry_context& context;
     std::map<takedown_id, finding> findings;
+    std::vector<doubt> doubts;
+    event_loop::timer doubt_timer;
 };
 
 } // namespace dandelionstep
--- a/tests/entry/suspects/death_watch_test.cpp
+++ b/tests/entry/suspects/death_watch_test.cpp
@@ -95,3 +95,33 @@
     watched.lose(1);
     CHECK(watched.died.size() == 1);
 }
+
+TEST_CASE("a new process that registers later proves a death although something accepts connections")
+{
+    watched_target watched;
+    const scripted_server server(watched.loop, [](raw_connection& /*connection*/) {});
+    watched.register_at(server.address(), false);
+    watched.lose(1);
+    watched.lose(2);
+    watched.wait();
+    REQUIRE(watched.died.empty());
+    watched.deaths.clear(request_fingerprint{2});
+    watched.register_at(server.address(), false, incarnation{200});
+    run_until(watched.loop, [&] { return !watched.died.empty(); }, {1'000});
+    REQUIRE(watched.died.size() == 1);
+    CHECK(watched.died.front().request == request_fingerprint{1});
+}
+
+TEST_CASE("a target that leaves after a connection broke did not die, whatever registers next")
+{
+    watched_target watched;
+    const scripted_server server(watched.loop, [](raw_connection& /*connection*/) {});
+    watched.register_at(server.address(), false);
+    watched.lose(1);
+    watched.wait();
+    watched.register_at(server.address(), true);
+    run_until(watched.loop, [] { return false; }, {300});
+    watched.register_at(server.address(), false, incarnation{200});
+    run_until(watched.loop, [] { return false; }, {300});
+    CHECK(watched.died.empty());
+}
