Daemons that lost their reader try the store by turns

While the store let in few daemons of a data centre, two of them tried it after each round, each by a draw of its own: the one that would be let in may go on for many rounds without its turn, and nobody learns anything meanwhile.

Change: each daemon draws a place once and tries in the round of its place: two, four, then eight a round until all have tried, then two a round. A store that lets in nobody is asked no more often than before.

Evidence: vm.store_trials, against independent draws as the simpler rule: of 60 daemons the one that is let in is found within 9 rounds.

--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peer_follower.cpp
@@ -142,6 +142,7 @@
     this->timer = {};
     this->hurry_timer = {};
     this->source = knowledge_source::store;
+    this->trials = {};
     this->read_began = event_loop::now();
     this->exchange.forget_reader();
     log_event("reads_store", {{"left", this->left.value},
--- a/src/entry/peer_follower.hpp
+++ b/src/entry/peer_follower.hpp
@@ -9,6 +9,7 @@
 #include "entry/store_watch.hpp"
 #include "vm/reader_search.hpp"
 #include "vm/reader_succession.hpp"
+#include "vm/store_trials.hpp"
 
 #include <functional>
 #include <map>
@@ -98,6 +99,7 @@
     reader_search searching;
     int failed_looks = 0;
     reader_succession succession;
+    store_trials trials;
     //! The reader that failed; empty while none did.
     vm_id left;
     //! Whether a question is open or the next step is due.
--- a/src/entry/peer_line.cpp
+++ b/src/entry/peer_line.cpp
@@ -28,8 +28,6 @@
 constexpr milliseconds search_silence{300};
 // A vm that has no power yet takes no connection.
 constexpr milliseconds search_connect{60};
-// Followers of a data centre that try the store after each round in which nobody in line reached it.
-constexpr double tries_per_round = 2;
 
 } // namespace
 
@@ -80,8 +78,8 @@
 // those few that try.
 void peer_follower::end_round()
 {
-    const double siblings = static_cast<double>(std::max<std::int64_t>(1, this->context.siblings));
-    const bool tries = this->is_following() && this->draw() * siblings < tries_per_round;
+    const bool tries =
+        this->is_following() && tries_store(this->trials, this->context.siblings, this->draw());
     const double ms = static_cast<double>(this->share_of_drain(round_pause).count) * (0.5 + this->draw());
     this->after({static_cast<std::int64_t>(ms)}, tries ? &peer_follower::try_store : &peer_follower::step);
 }
@@ -231,6 +229,7 @@
     }
     if (is_fresh) {
         this->left = {};
+        this->trials = {};
         this->after(ask_pause, &peer_follower::ask_usual);
         return;
     }
