Changes of targets that come in several answers are taken to the end

Cause: an answer about changes holds 500 rows or a megabyte and does not say that it was cut. What it held was taken for all, the age of the knowledge was set to now, and the rest was asked for a poll later, once for every 500 changes.

Change: an answer that is full is followed at once, from the version that it tells; until the last has come, what is known is as old as before. The store's stand-in cuts its answers in the same way.

Evidence: platform.store_pages with 1,200 changes knew 500 of them before and passes now.

--- a/src/entry/dialect.hpp
+++ b/src/entry/dialect.hpp
@@ -122,8 +122,9 @@
 //! Rows that the store returned.
 struct stored_rows {
     std::vector<stored_row> rows;
+    //! Whether there are more rows, or more changes after `version`.
     bool has_more = false;
-    //! The store's newest version; a feed goes on from here.
+    //! The version from which changes go on; the store's newest one unless there are more.
     std::int64_t version = 0;
 };
 
--- a/src/entry/suspects/suspect_rows.cpp
+++ b/src/entry/suspects/suspect_rows.cpp
@@ -119,7 +119,8 @@
         reports.push_back(report_of(*parsed, event_loop::wall_now()));
     }
     // What a request is cleared by counts only once its deaths are known.
-    std::ranges::stable_partition(reports, [](const suspect_report& one) { return !one.finished; });
+    std::stable_partition(reports.begin(), reports.end(),
+                          [](const suspect_report& one) { return !one.finished; });
     learn_suspects(this->context, reports, "store");
 }
 
--- a/src/entry/target_watch.cpp
+++ b/src/entry/target_watch.cpp
@@ -108,13 +108,7 @@
                      [this, began](const store_answer& answer) {
                          if (answer.result == store_result::ok) {
                              this->calls.note_answer();
-                             for (const stored_row& row : answer.rows.rows) {
-                                 this->take_target_row(row);
-                             }
-                             this->context.position.targets =
-                                 std::max(this->context.position.targets, answer.rows.version);
-                             this->context.targets_as_of = began;
-                             this->poll_targets_after(began);
+                             this->take_changes(answer.rows, began);
                              return;
                          }
                          if (answer.result == store_result::history_is_gone) {
@@ -126,6 +120,22 @@
                      });
 }
 
+// Until the last of several answers has come what is known is as old as before.
+void target_watch::take_changes(const stored_rows& changes, time_point asked_at)
+{
+    for (const stored_row& row : changes.rows) {
+        this->take_target_row(row);
+    }
+    const bool goes_on = changes.has_more && changes.version > this->context.position.targets;
+    this->context.position.targets = std::max(this->context.position.targets, changes.version);
+    if (goes_on) {
+        this->timer = this->context.loop.run_after({0}, [this] { this->poll_targets(); });
+        return;
+    }
+    this->context.targets_as_of = asked_at;
+    this->poll_targets_after(asked_at);
+}
+
 void target_watch::take_target_row(const stored_row& row)
 {
     const target_id id(row.key);
--- a/src/entry/target_watch.hpp
+++ b/src/entry/target_watch.hpp
@@ -26,6 +26,7 @@
 private:
     void read_targets(const std::string& from_key);
     void poll_targets();
+    void take_changes(const stored_rows& changes, time_point asked_at);
     void poll_targets_after(time_point last_began);
     void take_target_row(const stored_row& row);
     void remove_target(const target_id& id);
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -20,13 +20,13 @@
 constexpr int status_gone = 410;
 constexpr int status_conflict = 412;
 constexpr int status_unavailable = 503;
+constexpr std::int64_t most_rows = 500;
 
 struct row_name {
     std::string table;
     std::string part;
     std::string key;
 
-    friend bool operator==(const row_name&, const row_name&) = default;
     friend bool operator<(const row_name& a, const row_name& b)
     {
         return std::tie(a.table, a.part, a.key) < std::tie(b.table, b.part, b.key);
@@ -112,7 +112,8 @@
             this->unanswered.push_back(reply);
             return;
         }
-        const bool is_list = request.path == "/rows-get" && !request.parameter("Table").starts_with("dandelionstep");
+        const bool is_list =
+            request.path == "/rows-get" && !request.parameter("Table").starts_with("dandelionstep");
         if (!is_outside && this->faults.lists("busy_at", request.header("Host"))) {
             reply->send(status_unavailable, "{}");
             return;
@@ -172,9 +173,17 @@
                      {"CurrentTimeMs", event_loop::now().count}});
     }
 
+    // Changes go on after the last one of an answer that is full, which does not say that it is.
+    [[nodiscard]] std::string changes_text(const json& found) const
+    {
+        const std::int64_t newest =
+            std::ssize(found) < most_rows ? this->counter : integer_or(found.back(), "ApiVersion", 0);
+        return dump({{"Rows", found}, {"ApiVersion", newest}, {"CurrentTimeMs", event_loop::now().count}});
+    }
+
     void get(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
-        const std::int64_t limit = std::clamp<std::int64_t>(number_of(request, "Limit"), 1, 500);
+        const std::int64_t limit = std::clamp<std::int64_t>(number_of(request, "Limit"), 1, most_rows);
         const row_name from{request.parameter("Table"), request.parameter("part"), request.parameter("From")};
         json found = json::array();
         bool has_more = false;
@@ -191,12 +200,13 @@
         reply->send(status_ok, this->rows_text(found, has_more));
     }
 
-    // The rows of the table that changed after the version, each once, in the order of their last change.
+    // The rows of the table that changed after the version, each once, in the order of their last change; as
+    // many as an answer holds.
     [[nodiscard]] json changes_of(const std::string& table, std::int64_t after) const
     {
         json found = json::array();
         const auto first = std::ranges::upper_bound(this->history, after, {}, &feed_change::version);
-        for (auto change = first; change != this->history.end(); ++change) {
+        for (auto change = first; change != this->history.end() && std::ssize(found) < most_rows; ++change) {
             if (change->name.table == table && this->last_changes.at(change->name) == change->version) {
                 found.push_back(this->row_json(change->name));
             }
@@ -215,7 +225,7 @@
         const json found = this->changes_of(table, after);
         const milliseconds wait{number_of(request, "WaitMs")};
         if (!found.empty() || wait.count <= 0) {
-            reply->send(status_ok, this->rows_text(found));
+            reply->send(status_ok, this->changes_text(found));
             return;
         }
         auto waiting = std::make_shared<waiting_feed>();
@@ -224,7 +234,7 @@
         waiting->reply = reply;
         waiting->timeout = this->loop.run_after(wait, [this, watched = std::weak_ptr(waiting)] {
             if (const auto feed = watched.lock()) {
-                feed->reply->send(status_ok, this->rows_text(json::array()));
+                feed->reply->send(status_ok, this->changes_text(json::array()));
                 std::erase(this->feeds, feed);
             }
         });
@@ -326,7 +336,7 @@
             if (found.empty()) {
                 still.push_back(feed);
             } else {
-                feed->reply->send(status_ok, this->rows_text(found));
+                feed->reply->send(status_ok, this->changes_text(found));
             }
         }
         this->feeds = std::move(still);
