Layers are placed while engines come one by one

Cause: a plan waited until no engine had registered for 0.9 s. In a release a new engine registers more often than that, so the layers of those that had gone stayed without a server until the last had come. Ruled out: no wait at all (a plan in the middle of the first wave does not fit the engines that come after it).

Change (target/engine_arrivals): while callers are served, an empty engine is placed as it comes; before that, and for engines that come back with layers, the plan waits as before. A plan is made anew only when half of the engines are empty, otherwise completed. Whoever is told of others' streams knows that callers are served.

--- a/src/entry/placer.cpp
+++ b/src/entry/placer.cpp
@@ -9,8 +9,6 @@
 
 constexpr milliseconds write_timeout{1'000};
 constexpr milliseconds plan_interval{300};
-// Engines register one after the other; a plan made before they all have would not fit the others.
-constexpr milliseconds settle_time{900};
 constexpr milliseconds engine_timeout{700};
 // Registrations show new layers after a heartbeat and its way through the store.
 constexpr milliseconds registration_lag{2'500};
@@ -132,27 +130,15 @@
                      });
 }
 
-bool placer::has_settled(time_point now)
-{
-    std::size_t engines = 0;
-    for (const auto& [id, target] : this->context.targets) {
-        engines += target.kind.empty() ? 0 : 1;
-    }
-    if (engines > this->engines_seen) {
-        this->engines_changed_at = now;
-    }
-    this->engines_seen = engines;
-    return now - this->engines_changed_at >= settle_time;
-}
-
 void placer::plan()
 {
     const time_point now = event_loop::now();
-    const bool settled = this->has_settled(now);
+    note_engines(this->arrivals, this->context.targets, this->is_serving(), now);
     const bool is_holder = holds_lease(this->lease, now);
     this->context.metrics.gauges["lease_held"] = is_holder ? 1 : 0;
     this->context.metrics.gauges["lease_fencing_number"] = this->lease.known.fencing_number;
-    if (!is_holder || !settled || !this->context.config || !this->context.targets_known) {
+    if (!is_holder || !has_settled(this->arrivals, now) || !this->context.config ||
+        !this->context.targets_known) {
         return;
     }
     const std::shared_ptr<const entry_config> config = this->context.config;
@@ -186,10 +172,10 @@
     return engines;
 }
 
-// While nobody is served, engines that were placed before others registered are placed anew.
 bool placer::is_serving()
 {
-    this->self.serving = this->self.serving || this->context.has_streams;
+    const bool others_serve = !this->context.others.empty();
+    this->self.serving = this->self.serving || this->context.has_streams || others_serve;
     return this->self.serving || this->lease.known.serving;
 }
 
@@ -197,8 +183,8 @@
 {
     const time_point now = event_loop::now();
     const std::vector<registered_target> engines = this->assumed_engines(service.id, now);
-    const layer_placement plan =
-        plan_layers(*service.engine, this->is_serving() ? engines : emptied(engines));
+    const bool is_anew = !this->is_serving() && has_outgrown_plan(engines);
+    const layer_placement plan = plan_layers(*service.engine, is_anew ? emptied(engines) : engines);
     for (const registered_target& engine : engines) {
         const auto wanted = plan.find(engine.id);
         if (wanted == plan.end() || wanted->second == engine.layers || this->pending.contains(engine.id)) {
--- a/src/entry/placer.hpp
+++ b/src/entry/placer.hpp
@@ -4,6 +4,7 @@
 #include "entry/lease.hpp"
 #include "entry/own_rows.hpp"
 #include "entry/store_client.hpp"
+#include "target/engine_arrivals.hpp"
 #include "target/layer_placement.hpp"
 
 #include <map>
@@ -38,7 +39,6 @@
     void take_lease_row(const stored_row& row, time_point now);
     void write_lease();
     void plan();
-    [[nodiscard]] bool has_settled(time_point now);
     [[nodiscard]] bool is_serving();
     void plan_service(const entry_service& service);
     [[nodiscard]] std::vector<registered_target> assumed_engines(const service_id& service, time_point now);
@@ -53,8 +53,7 @@
     lease_times times;
     lease_record self;
     std::map<target_id, pending_order> pending;
-    std::size_t engines_seen = 0;
-    time_point engines_changed_at{0};
+    engine_arrivals arrivals;
     event_loop::timer plan_timer;
     bool stopped = false;
 };
--- /dev/null
+++ b/src/target/engine_arrivals.cpp
@@ -0,0 +1,49 @@
+#include "target/engine_arrivals.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionstep {
+namespace {
+
+constexpr milliseconds settle_time{900};
+
+// An engine that already holds layers was there before, so that the registry was incomplete. An empty one is
+// a new engine, and while callers are served it does not wait for others.
+bool is_followed_by_others(const registered_target& engine, bool is_serving)
+{
+    return !is_serving || !engine.layers.empty();
+}
+
+} // namespace
+
+void note_engines(engine_arrivals& arrivals, const target_registry& registry, bool is_serving, time_point now)
+{
+    std::map<target_id, incarnation> present;
+    for (const auto& [id, target] : registry) {
+        if (target.kind.empty()) {
+            continue;
+        }
+        present.emplace_hint(present.end(), id, target.started);
+        const auto known = arrivals.known.find(id);
+        const bool is_new = known == arrivals.known.end() || known->second != target.started;
+        if (is_new && is_followed_by_others(target, is_serving)) {
+            arrivals.last_of_wave = now;
+        }
+    }
+    arrivals.known = std::move(present);
+}
+
+bool has_settled(const engine_arrivals& arrivals, time_point now)
+{
+    return now - arrivals.last_of_wave >= settle_time;
+}
+
+bool has_outgrown_plan(const std::vector<registered_target>& engines)
+{
+    const auto empty =
+        std::ranges::count_if(engines, [](const registered_target& engine) { return engine.layers.empty(); });
+    return 2 * empty >= std::ssize(engines);
+}
+
+} // namespace dandelionstep
