A silence ends no stream, and one without a path waits for its layers

Cause: a stream that was silent for a second and found no other path was ended, though its engines lived and were reading prompts; one whose engine broke off was ended when no path was there at that moment.

Change: a silence alone ends no stream: another path is looked for again and again, and the old one stays.

--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -37,6 +37,7 @@
 
     // stream_runner.cpp
     void send_next();
+    void wait_for_path();
     attempt_pointer send_along(const std::vector<hop>& path);
     void take_head(const attempt_pointer& attempt);
     bool take_body(const attempt_pointer& attempt, std::string_view part);
@@ -119,6 +120,7 @@
     bool maybe_ran = false;
     bool finished = false;
     event_loop::timer deadline_timer;
+    event_loop::timer send_timer;
 };
 
 //! Until another path is looked for after none was found.
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -148,6 +148,7 @@
 {
     this->finished = true;
     this->deadline_timer = {};
+    this->send_timer = {};
     for (const attempt_pointer& open : {this->current, this->successor}) {
         if (open) {
             end_attempt(this->context, this->request, *open);
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/stream_repair.cpp
@@ -6,7 +6,6 @@
 namespace dandelionstep::internal {
 namespace {
 
-constexpr int status_bad_gateway = 502;
 constexpr milliseconds engine_timeout{350};
 // An engine is asked no more often for all the streams together.
 constexpr milliseconds ask_interval{100};
@@ -162,19 +161,20 @@
     }
 }
 
-// The caller will soon give the stream up: without another attempt it had better try itself at once.
+// The caller will soon give the stream up. While no other path accepts it the engines may still go on: a
+// silence alone ends no stream.
 void stream_carrier::give_path_up(time_point now)
 {
     if (this->successor || now < this->next_change_at) {
         return;
     }
-    log_event("stream_silent", {{"id", this->request.facts.attempt_id},
-                                {"target", this->current->path.front().id.value},
-                                {"ms", this->silence(now)}});
-    this->begin_succession("silence", false);
-    if (!this->successor && !this->finished && this->is_repeatable()) {
-        this->fail(status_bad_gateway, "silence");
+    this->next_change_at = now + pause_without_path;
+    if (may_log(this->context.logs, log_weight::failure, now)) {
+        log_event("stream_silent", {{"id", this->request.facts.attempt_id},
+                                    {"target", this->current->path.front().id.value},
+                                    {"ms", this->silence(now)}});
     }
+    this->begin_succession("silence", false);
 }
 
 // Sends the request once more, to go on after the last event that was passed on. The current attempt stays
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -72,6 +72,10 @@
     // A stream whose caller has events already, or comes back with some, moves.
     const bool moves = this->splitter.last_id.has_value() || this->sent_count > 0;
     const std::vector<hop> chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
+    if (chosen.empty() && this->maybe_ran && this->is_repeatable()) {
+        this->wait_for_path();
+        return;
+    }
     if (chosen.empty()) {
         this->give_up("no_path", layers_return(this->context, this->service));
         return;
@@ -82,6 +86,20 @@
     this->current = this->send_along(chosen);
 }
 
+// The engines of a stream that ran have ended. Its layers are being loaded elsewhere, and until then its
+// caller would find no path either.
+void stream_carrier::wait_for_path()
+{
+    this->excluded.clear();
+    const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
+    this->send_timer = this->context.loop.run_after(pause_without_path, [watched] {
+        const auto self = watched.lock();
+        if (self && !self->finished) {
+            self->send_next();
+        }
+    });
+}
+
 std::shared_ptr<stream_attempt> stream_carrier::send_along(const std::vector<hop>& path)
 {
     ++this->sent_count;
--- a/tests/process/entry_failures_proof_test.cpp
+++ b/tests/process/entry_failures_proof_test.cpp
@@ -1,6 +1,7 @@
 #include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
+#include "support/entry_streams.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -12,77 +13,6 @@
 
 namespace {
 
-// The engines of the attempt's path, from the ledger of the one that it entered.
-std::string path_of(entry_cluster& cluster, const std::string& attempt)
-{
-    for (const std::string& id : cluster.replica_ids()) {
-        const json runs = cluster.ledger(id).value("runs", json::object());
-        if (runs.contains(attempt)) {
-            return runs[attempt].value("path", "");
-        }
-    }
-    return "";
-}
-
-std::string engine_in(entry_cluster& cluster, const std::string& path, bool first)
-{
-    for (const std::string& id : cluster.replica_ids()) {
-        const std::size_t at = path.find(to_string(cluster.address_of(id)) + "=");
-        if (at != std::string::npos && (at == 0) == first) {
-            return id;
-        }
-    }
-    return "";
-}
-
-std::string line_with(const std::string& text, const std::string& part)
-{
-    std::istringstream lines(text);
-    std::string line;
-    while (std::getline(lines, line)) {
-        if (line.find(part) != std::string::npos) {
-            return line;
-        }
-    }
-    return "";
-}
-
-// All of them, as they stand in the text.
-std::string lines_with(const std::string& text, const std::string& part)
-{
-    std::istringstream lines(text);
-    std::string line;
-    std::string found;
-    while (std::getline(lines, line)) {
-        if (line.find(part) != std::string::npos) {
-            found += line + "\n";
-        }
-    }
-    return found;
-}
-
-std::int64_t number_in(const std::string& line, const std::string& field)
-{
-    const std::size_t at = line.find(field + "=");
-    return at == std::string::npos ? -1 : std::stoll(line.substr(at + field.size() + 1));
-}
-
-// Streams one question while `strike` is carried out after its path is known.
-caller_answer stream_while(entry_cluster& cluster, const std::string& attempt, const std::string& body,
-                           const std::function<void(const std::string& path)>& strike)
-{
-    caller_answer answer;
-    std::thread asking([&] { answer = cluster.stream(0, attempt, body); });
-    std::string path;
-    eventually([&] {
-        path = path_of(cluster, attempt);
-        return !path.empty();
-    });
-    strike(path);
-    asking.join();
-    return answer;
-}
-
 // Streams that last longer than an engine that leaves serves on.
 entry_plan plan_of_long_streams()
 {
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -441,7 +441,9 @@
         const std::weak_ptr<running_stream> watched = stream;
         stream->step = this->loop.run_after({this->options.event_ms}, [this, watched] {
             const auto self = watched.lock();
-            if (self && self->has_lost_part) {
+            if (self && this->faults.on("holds_events")) {
+                this->next_event(self);
+            } else if (self && self->has_lost_part) {
                 this->stall(self, *self->stalled_on);
             } else if (self) {
                 this->ask_hops(self, 1);
