--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -107,6 +107,26 @@
     return handle;
 }
 
+event_loop::timer event_loop::run_at(time_point due, callback run)
+{
+    timer handle;
+    auto state = make_state(this->raw, -1, EV_TIMEOUT, {});
+    timer_state* held = state.get();
+    held->run = [held, due, run = std::move(run)] {
+        const milliseconds left = due - now();
+        if (left > milliseconds{0}) {
+            const timeval again = to_timeval(left);
+            event_add(held->raw, &again);
+            return;
+        }
+        run();
+    };
+    const timeval after = to_timeval(due - now());
+    event_add(state->raw, &after);
+    handle.state = std::move(state);
+    return handle;
+}
+
 event_loop::timer event_loop::run_every(milliseconds interval, callback run)
 {
     timer handle;
--- a/src/adapters/event_loop.hpp
+++ b/src/adapters/event_loop.hpp
@@ -38,8 +38,10 @@
     //! The civil time, for records that other machines read.
     [[nodiscard]] static wall_time wall_now();
 
-    //! Runs the callback once after the delay.
+    //! Runs the callback once after the delay, or some milliseconds before its end.
     [[nodiscard]] timer run_after(milliseconds delay, callback run);
+    //! Runs the callback once when `now` has reached the time, never before.
+    [[nodiscard]] timer run_at(time_point due, callback run);
     //! Runs the callback again and again at the interval.
     [[nodiscard]] timer run_every(milliseconds interval, callback run);
     //! Runs the callback on the loop soon; may be called from any thread.
--- a/src/entry/call_outcome.cpp
+++ b/src/entry/call_outcome.cpp
@@ -113,7 +113,7 @@
     if (this->refusals <= max_refusals && this->may_send_again("refused")) {
         this->send_next();
     } else if (this->running == 0) {
-        this->give_up("refused_by_targets");
+        this->wait_or_give_up("refused_by_targets");
     }
 }
 
@@ -155,6 +155,11 @@
         refuse(this->context, this->request, status_bad_gateway, reason, {0});
         return;
     }
+    const std::optional<time_point> rested = all_rest_until(this->context, this->request.service);
+    if (rested) {
+        refuse_until(this->context, this->request, "targets_rest", *rested);
+        return;
+    }
     refuse_for_now(this->context, this->request, reason, target_return(this->context, this->request.service));
 }
 
--- a/src/entry/call_runner.cpp
+++ b/src/entry/call_runner.cpp
@@ -3,6 +3,9 @@
 #include "adapters/http_text.hpp"
 #include "adapters/log.hpp"
 #include "entry/internal/call_carrier.hpp"
+#include "entry/refusal.hpp"
+#include "entry/target_notices.hpp"
+#include "request/rest_wait.hpp"
 #include "route/pick_target.hpp"
 
 #include <algorithm>
@@ -49,7 +52,7 @@
     query.draw = this->context.draw();
     const registered_target* target = pick_target(query, this->context.targets, this->context.conditions);
     if (target == nullptr && this->running == 0) {
-        this->give_up("no_target");
+        this->wait_or_give_up("no_target");
         return;
     }
     if (target != nullptr) {
@@ -57,6 +60,29 @@
     }
 }
 
+// Targets that were tried may be asked again once they have rested.
+void call_carrier::wait_or_give_up(const char* reason)
+{
+    const time_point now = event_loop::now();
+    const std::optional<time_point> ready = all_rest_until(this->context, this->request.service);
+    const bool is_worth = ready && is_worth_waiting(*ready, this->request.deadline - answer_margin,
+                                                    this->request.route->latency_objective, now);
+    const bool was_sent = this->refusals > 0 || this->sent_count > 0;
+    if (!is_worth || this->has_waited || (was_sent && !this->may_send_again("rested"))) {
+        this->give_up(reason);
+        return;
+    }
+    this->has_waited = true;
+    this->tried.clear();
+    const std::weak_ptr<call_carrier> watched = this->weak_from_this();
+    this->rest_timer = this->context.loop.run_at(*ready, [watched] {
+        const auto self = watched.lock();
+        if (self && !self->finished) {
+            self->send_next();
+        }
+    });
+}
+
 void call_carrier::send_to(const registered_target& target)
 {
     auto sent = std::make_shared<attempt>(this->context.answer_bytes);
@@ -98,6 +124,7 @@
         if (const auto self = watched.lock()) {
             sent->head = head;
             sent->facts = this->context.dialect.read_response(head.status, head.headers);
+            take_notices(this->context, {sent->target.id, sent->target.started}, sent->facts);
         }
     };
     callbacks.on_body = [sent](std::string_view part) { return sent->body.append(part); };
@@ -179,6 +206,7 @@
     this->finished = true;
     this->deadline_timer = {};
     this->silence_timer = {};
+    this->rest_timer = {};
     for (const std::shared_ptr<attempt>& open : this->attempts) {
         if (!open->ended) {
             this->context.channels.cancel(open->exchange);
--- a/src/entry/dialect.hpp
+++ b/src/entry/dialect.hpp
@@ -45,6 +45,12 @@
     bool did_not_run = false;
     bool is_encoded = false;
     std::optional<target_load> load;
+    //! The target says that it leaves; answers of another target at its address never do.
+    bool is_leaving = false;
+    //! For how long a target that refuses wants no further request from this daemon.
+    std::optional<milliseconds> rest;
+    //! It says so with a figure that can't be used.
+    bool has_unreadable_rest = false;
     //! The engine of the path that caused a refusal.
     std::optional<endpoint> at_fault;
 };
--- a/src/entry/engine_calls.cpp
+++ b/src/entry/engine_calls.cpp
@@ -1,6 +1,7 @@
 #include "entry/engine_calls.hpp"
 
 #include "adapters/log.hpp"
+#include "entry/target_notices.hpp"
 
 namespace dandelionstep {
 
@@ -22,7 +23,25 @@
         }
         done(*report);
     };
-    send_call(context, to, context.dialect.report_call(id), timeout, take);
+    call_engine(context, id, to, context.dialect.report_call(id), timeout, take);
+}
+
+void call_engine(entry_context& context, const target_id& id, const endpoint& to, const outgoing_call& call,
+                 milliseconds timeout, http_answer_callback done)
+{
+    // The engine that answers is the process that is registered now.
+    const auto known = context.targets.find(id);
+    const incarnation started = known == context.targets.end() ? incarnation{} : known->second.started;
+    const auto take = [&context, id, started, done = std::move(done)](const http_answer& answer) {
+        if (started != incarnation{}) {
+            const response_facts facts = context.dialect.read_response(answer.status, answer.headers);
+            if (facts.is_leaving) {
+                note_leaving(context, {id, started}, "report");
+            }
+        }
+        done(answer);
+    };
+    send_call(context, to, call, timeout, take);
 }
 
 } // namespace dandelionstep
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -15,6 +15,7 @@
 #include "route/return_time.hpp"
 #include "target/engine_use.hpp"
 #include "target/entry_target.hpp"
+#include "target/leaving.hpp"
 #include "target/target_condition.hpp"
 #include "vm/planned_stop.hpp"
 
@@ -50,6 +51,9 @@
     time_point config_as_of{0};
     time_point config_watched_until{0};
     target_registry targets;
+    //! Processes of targets that leave, by their registration or their own answers. No older registration
+    //! undoes it.
+    leaving_marks leaving;
     //! Targets that vanished from the registry around an outage of the store, and until when they are kept
     //! all the same, as they may have lapsed with it.
     doubtful_targets doubtful;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -5,6 +5,12 @@
 namespace dandelionstep {
 namespace {
 
+void append_count(std::string& text, std::string_view name, std::int64_t count)
+{
+    const std::string metric(name);
+    absl::StrAppend(&text, "# TYPE ", metric, " counter\n", metric, " ", count, "\n");
+}
+
 void append_counts(std::string& text, const std::string& name, const std::string& label,
                    const std::map<std::string, std::int64_t>& counts)
 {
@@ -34,8 +40,9 @@
     std::string text;
     append_counts(text, "dandelionstep_entry_requests_total", "kind", "result", metrics.requests);
     append_counts(text, "dandelionstep_entry_retries_total", "reason", metrics.retries);
-    absl::StrAppend(&text, "# TYPE dandelionstep_entry_deaths_under_requests_total counter\n",
-                    "dandelionstep_entry_deaths_under_requests_total ", metrics.deaths_under_requests, "\n");
+    append_count(text, "dandelionstep_entry_deaths_under_requests_total", metrics.deaths_under_requests);
+    append_count(text, "dandelionstep_entry_leaving_by_answer_total", metrics.leaving_by_answer);
+    append_count(text, "dandelionstep_entry_rests_total", metrics.rests);
     append_counts(text, "dandelionstep_entry_store_calls_total", "reason", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
     for (const auto& [name, value] : metrics.gauges) {
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -20,6 +20,9 @@
     std::map<std::string, std::int64_t> retries;
     //! Targets that died while a request was on them, once for each of those requests.
     std::int64_t deaths_under_requests = 0;
+    //! Targets that were known to leave by an answer first, and answers that asked for a rest.
+    std::int64_t leaving_by_answer = 0;
+    std::int64_t rests = 0;
     //! Calls to the store by what they were made for, then by result.
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -42,6 +42,8 @@
     //! Retries that are allowed besides in each window, over all daemons.
     double retry_slack = 100;
     milliseconds retry_window{10'000};
+    //! No target that asks for a rest is left alone for longer.
+    milliseconds longest_rest{60'000};
     //! Most bytes of a row's value in the store.
     std::int64_t max_row_bytes = 65'536;
     //! What the vm has for this daemon.
--- a/src/entry/http_calls.cpp
+++ b/src/entry/http_calls.cpp
@@ -50,6 +50,7 @@
     callbacks.on_head = [&context, running, give_up, rest](const http_head& head) {
         context.heard_at = event_loop::now();
         running->answer.status = head.status;
+        running->answer.headers = head.headers;
         if (rest > milliseconds{0}) {
             running->timeout = context.loop.run_after(rest, give_up);
         }
--- a/src/entry/http_calls.hpp
+++ b/src/entry/http_calls.hpp
@@ -13,6 +13,7 @@
     exchange_end end = exchange_end::not_sent;
     //! 0 when no whole response came in time.
     int status = 0;
+    http_headers headers;
     std::string body;
 };
 
--- a/src/entry/internal/call_carrier.hpp
+++ b/src/entry/internal/call_carrier.hpp
@@ -35,6 +35,7 @@
 
     // call_runner.cpp
     void send_next();
+    void wait_or_give_up(const char* reason);
     void send_to(const registered_target& target);
     exchange_callbacks callbacks_of(const std::shared_ptr<attempt>& sent);
     void watch_silence(const std::shared_ptr<attempt>& sent);
@@ -68,9 +69,12 @@
     int refusals = 0;
     int running = 0;
     bool maybe_ran = false;
+    //! Whether it has waited for targets to end their rest.
+    bool has_waited = false;
     bool finished = false;
     event_loop::timer deadline_timer;
     event_loop::timer silence_timer;
+    event_loop::timer rest_timer;
 };
 
 } // namespace dandelionstep::internal
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/internal/stream_carrier.hpp
@@ -38,6 +38,7 @@
     // stream_runner.cpp
     void send_next();
     void wait_for_path();
+    void wait_or_give_up(const char* reason, std::optional<milliseconds> expected);
     attempt_pointer send_along(const std::vector<hop>& path);
     void take_head(const attempt_pointer& attempt);
     bool take_body(const attempt_pointer& attempt, std::string_view part);
@@ -61,6 +62,7 @@
     void resume(const char* reason);
     void log_resumed(const char* reason) const;
     void give_up(std::string_view reason, std::optional<milliseconds> expected);
+    void give_up_until(time_point ready);
     void fail(int status, std::string_view reason);
     void caller_gone();
     void end();
@@ -118,6 +120,8 @@
     time_point move_at = never;
     time_point next_change_at{0};
     bool maybe_ran = false;
+    //! Whether it has waited for engines to end their rest.
+    bool has_waited = false;
     bool finished = false;
     event_loop::timer deadline_timer;
     event_loop::timer send_timer;
--- a/src/entry/known_state.cpp
+++ b/src/entry/known_state.cpp
@@ -34,8 +34,23 @@
     }
 }
 
-void put_target(entry_context& context, const registered_target& target)
+namespace {
+
+// A process that leaves does so to its end, whatever an older registration or another daemon says.
+registered_target with_known_leaving(entry_context& context, registered_target target)
 {
+    if (target.leaving) {
+        mark_leaving(context.leaving, target.id, target.started);
+    }
+    target.leaving = is_marked(context.leaving, target.id, target.started);
+    return target;
+}
+
+} // namespace
+
+void put_target(entry_context& context, const registered_target& registered)
+{
+    const registered_target target = with_known_leaving(context, registered);
     const auto known = context.targets.find(target.id);
     if (known != context.targets.end() && says_the_same(known->second, target)) {
         known->second = target;
@@ -59,6 +74,10 @@
     log_event("target_gone", {{"target", id.value}, {"service", known->second.service.value}});
     context.channels.forget(known->second.address);
     context.conditions.erase(id);
+    if (known->second.started == incarnation{}) {
+        // The next registration may be that of another process.
+        context.leaving.erase(id);
+    }
     context.targets.erase(known);
     tell_change(context, id);
 }
--- a/src/entry/path_choice.cpp
+++ b/src/entry/path_choice.cpp
@@ -54,6 +54,10 @@
         candidate.memory_used = room > 0 ? use.token_layers / room : 1;
     }
     candidate.memory_used = std::max(candidate.memory_used, present_memory_share(condition, now));
+    candidate.may_enter = !is_resting(condition, now);
+    if (!has_returned(condition, condition.entered)) {
+        candidate.entry_used = std::max(candidate.entry_used, 1.0);
+    }
     candidate.slowness = present_pace(condition, now);
     if (kind != nullptr) {
         candidate.reading = candidate.slowness * read_time_ms(profile, *kind, 1, use.reading);
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -34,6 +34,10 @@
         told.registry_digest = registry_digest(this->context.targets, this->context.doubtful);
     }
     const time_point now = event_loop::now();
+    if (!knows_numbers) {
+        this->told_leaving.clear();
+    }
+    told.leaving = this->untold_leaving();
     const suspect_news own = news_since(
         this->context.suspects, knows_numbers ? std::optional(this->told_suspects) : std::nullopt, now);
     told.suspects = own.reports;
@@ -68,15 +72,33 @@
     }
 }
 
+// Those that are registered, said so themselves, and are not told yet.
+leaving_marks peer_exchange::untold_leaving() const
+{
+    leaving_marks untold;
+    for (const auto& [id, started] : this->context.leaving) {
+        const auto known = this->context.targets.find(id);
+        const bool is_present = known != this->context.targets.end() && known->second.started == started;
+        if (is_present && !is_marked(this->told_leaving, id, started)) {
+            untold[id] = started;
+        }
+    }
+    return untold;
+}
+
 void peer_exchange::note_told(const peer_question& question)
 {
     this->told_suspects = std::max(this->told_suspects, question.told_suspects);
+    this->told_leaving.insert(question.leaving.begin(), question.leaving.end());
 }
 
 void peer_exchange::take_targets(const peer_answer& answer)
 {
     for (const registered_target& target : answer.registry.targets) {
         put_target(this->context, target);
+        if (target.leaving) {
+            mark_leaving(this->told_leaving, target.id, target.started);
+        }
     }
     for (const target_id& id : gone_by(answer.registry, this->context.targets)) {
         drop_target(this->context, id);
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -39,6 +39,7 @@
 
 private:
     void take_targets(const peer_answer& answer);
+    [[nodiscard]] leaving_marks untold_leaving() const;
 
     entry_context& context;
     //! Whose numbering of changes the registry here follows.
@@ -47,6 +48,8 @@
     std::int64_t reader_suspects = -1;
     //! The last change of suspects here that a reader was told.
     std::int64_t told_suspects = 0;
+    //! Targets that the reader was told to leave.
+    leaving_marks told_leaving;
     //! When a reader was last told what one's own requests take.
     time_point told_uses_at{0};
 };
--- a/src/entry/peer_messages.cpp
+++ b/src/entry/peer_messages.cpp
@@ -38,6 +38,26 @@
     return uses;
 }
 
+json leaving_json(const leaving_marks& marks)
+{
+    json list = json::array();
+    for (const auto& [id, started] : marks) {
+        list.push_back({{"id", id.value}, {"started", started.value}});
+    }
+    return list;
+}
+
+leaving_marks parse_leaving(const json& message)
+{
+    leaving_marks marks;
+    for (const json& item : message.value("leaving", json::array())) {
+        if (item.is_object()) {
+            marks[target_id(string_or(item, "id", ""))] = {integer_or(item, "started", 0)};
+        }
+    }
+    return marks;
+}
+
 json peer_json(const peer& one)
 {
     return {{"vm", one.vm.value}, {"at", to_string(one.at)}};
@@ -99,6 +119,9 @@
     if (question.uses) {
         message["uses"] = uses_json(*question.uses);
     }
+    if (!question.leaving.empty()) {
+        message["leaving"] = leaving_json(question.leaving);
+    }
     message["suspects_sequence"] = question.suspects_sequence;
     if (!question.suspects.empty()) {
         message["suspects"] = suspects_json(question.suspects);
@@ -130,6 +153,7 @@
     question.takes_packed = boolean_or(*parsed, "takes_packed", false);
     question.wait = {integer_or(*parsed, "wait_ms", 0)};
     question.uses = parse_uses(*parsed);
+    question.leaving = parse_leaving(*parsed);
     question.suspects = parse_suspects(*parsed, "suspects");
     question.suspects_sequence = integer_or(*parsed, "suspects_sequence", -1);
     return question;
--- a/src/entry/peer_messages.hpp
+++ b/src/entry/peer_messages.hpp
@@ -7,6 +7,7 @@
 #include "entry/store_position.hpp"
 #include "request/suspects.hpp"
 #include "target/engine_use.hpp"
+#include "target/leaving.hpp"
 #include "vm/peer.hpp"
 
 #include <cstdint>
@@ -41,6 +42,8 @@
     milliseconds wait{0};
     //! What the asker's own requests take; told now and then, and answered with what all take.
     std::optional<engine_uses> uses;
+    //! Targets of which the asker knows by their own answers that they leave.
+    leaving_marks leaving;
     //! Suspects that the asker tells, and the last change of suspects that it has of this process.
     std::vector<suspect_report> suspects;
     std::int64_t suspects_sequence = -1;
--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -4,6 +4,7 @@
 #include "entry/known_state.hpp"
 #include "entry/registry_messages.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
+#include "entry/target_notices.hpp"
 
 #include <algorithm>
 
@@ -113,6 +114,9 @@
         return;
     }
     learn_suspects(this->context, question->suspects, "peer");
+    for (const auto& [target, started] : question->leaving) {
+        note_leaving(this->context, {target, started}, "peer");
+    }
     if (question->reads_store) {
         this->announced = peer{question->vm, question->at};
         this->announced_at = event_loop::now();
--- a/src/entry/placer.cpp
+++ b/src/entry/placer.cpp
@@ -242,21 +242,21 @@
                               {"order_sequence", report.order_sequence},
                               {"fencing_number", order.fencing_number}});
     this->assume(engine, wanted, lasting);
-    send_call(this->context, engine.address, this->context.dialect.place_call(engine.id, order),
-              engine_timeout, [this, engine, lasting, wanted](const http_answer& answer) {
-                  const bool accepted = answer.status == status_ok || answer.status == status_accepted;
-                  ++this->context.metrics.orders[accepted ? "accepted" : "failed"];
-                  if (accepted) {
-                      return;
-                  }
-                  log_event("place_order_failed", {{"target", engine.id.value}, {"status", answer.status}});
-                  // Without an answer the order may still be carried out.
-                  if (answer.status == 0) {
-                      this->assume(engine, wanted, lasting);
-                  } else {
-                      this->assume(engine, engine.layers, pause_after_refusal);
-                  }
-              });
+    call_engine(this->context, engine.id, engine.address, this->context.dialect.place_call(engine.id, order),
+                engine_timeout, [this, engine, lasting, wanted](const http_answer& answer) {
+                    const bool accepted = answer.status == status_ok || answer.status == status_accepted;
+                    ++this->context.metrics.orders[accepted ? "accepted" : "failed"];
+                    if (accepted) {
+                        return;
+                    }
+                    log_event("place_order_failed", {{"target", engine.id.value}, {"status", answer.status}});
+                    // Without an answer the order may still be carried out.
+                    if (answer.status == 0) {
+                        this->assume(engine, wanted, lasting);
+                    } else {
+                        this->assume(engine, engine.layers, pause_after_refusal);
+                    }
+                });
 }
 
 } // namespace dandelionstep
--- a/src/entry/refusal.cpp
+++ b/src/entry/refusal.cpp
@@ -1,6 +1,7 @@
 #include "entry/refusal.hpp"
 
 #include "adapters/log.hpp"
+#include "route/pick_target.hpp"
 #include "route/return_time.hpp"
 #include "target/uncovered_layers.hpp"
 
@@ -63,29 +64,61 @@
         }
         const target_condition& condition = condition_of(context.conditions, id);
         const time_point tried_until = is_on_trial(condition, now) ? condition.trial_until : now;
-        const milliseconds wait = std::max({condition.avoid_until, tried_until, now}) - now;
+        const milliseconds wait =
+            std::max({condition.avoid_until, condition.rests_until, tried_until, now}) - now;
         first = first ? std::min(*first, wait) : wait;
     }
     return first;
 }
 
-void refuse_for_now(entry_context& context, const accepted_request& request, std::string_view reason,
-                    std::optional<milliseconds> expected)
+std::optional<time_point> all_rest_until(const entry_context& context, const service_id& service)
+{
+    const time_point now = event_loop::now();
+    for (const auto& [id, target] : context.targets) {
+        const bool is_offered = target.service == service && !target.leaving;
+        if (is_offered && !is_resting(condition_of(context.conditions, id), now)) {
+            return std::nullopt;
+        }
+    }
+    return first_rest_end(service, context.targets, context.conditions, now);
+}
+
+namespace {
+
+void refuse_after(entry_context& context, const accepted_request& request, std::string_view reason,
+                  std::optional<milliseconds> expected, milliseconds after)
 {
     const time_point now = event_loop::now();
-    refusal_span& span = context.refusals[request.service];
-    extend_refusals(span, now);
-    const milliseconds lasting = refused_for(span, now);
-    const milliseconds after = return_time(lasting, expected, context.draw());
     if (may_log(context.logs, log_weight::failure, now)) {
         log_event("refused_for_now", {{"id", request.facts.attempt_id},
                                       {"reason", reason},
                                       {"service", request.service.value},
-                                      {"refused_for_ms", lasting},
+                                      {"refused_for_ms", refused_for(context.refusals[request.service], now)},
                                       {"expected_ms", expected.value_or(milliseconds{-1})},
                                       {"retry_after_ms", after}});
     }
     refuse(context, request, status_unavailable, reason, after);
 }
 
+} // namespace
+
+void refuse_for_now(entry_context& context, const accepted_request& request, std::string_view reason,
+                    std::optional<milliseconds> expected)
+{
+    const time_point now = event_loop::now();
+    refusal_span& span = context.refusals[request.service];
+    extend_refusals(span, now);
+    const milliseconds after = return_time(refused_for(span, now), expected, context.draw());
+    refuse_after(context, request, reason, expected, after);
+}
+
+void refuse_until(entry_context& context, const accepted_request& request, std::string_view reason,
+                  time_point ready)
+{
+    const time_point now = event_loop::now();
+    extend_refusals(context.refusals[request.service], now);
+    const milliseconds expected = std::max(ready - now, milliseconds{0});
+    refuse_after(context, request, reason, expected, return_after_rest(expected, context.draw()));
+}
+
 } // namespace dandelionstep
--- a/src/entry/refusal.hpp
+++ b/src/entry/refusal.hpp
@@ -16,9 +16,16 @@
 //! When the first target of a plain service is used again; nullopt when it has none.
 std::optional<milliseconds> target_return(const entry_context& context, const service_id& service);
 
+//! When the first of the service's targets ends its rest, if all of them rest; nullopt otherwise.
+std::optional<time_point> all_rest_until(const entry_context& context, const service_id& service);
+
 //! Refuses a request that has run nowhere and tells its caller when to come back. `expected`: when capacity
 //! is expected, if anything tells.
 void refuse_for_now(entry_context& context, const accepted_request& request, std::string_view reason,
                     std::optional<milliseconds> expected);
 
+//! The same while every target that could take it rests until then.
+void refuse_until(entry_context& context, const accepted_request& request, std::string_view reason,
+                  time_point ready);
+
 } // namespace dandelionstep
--- a/src/entry/stream_attempt.cpp
+++ b/src/entry/stream_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_text.hpp"
 #include "entry/path_choice.hpp"
+#include "entry/target_notices.hpp"
 
 #include <algorithm>
 
@@ -39,6 +40,7 @@
 {
     attempt.head = head;
     attempt.facts = context.dialect.read_response(head.status, head.headers);
+    take_notices(context, {attempt.path.front().id, attempt.path.front().started}, attempt.facts);
     const bool is_success = head.status >= first_success && head.status < first_redirect;
     attempt.is_stream = is_success && attempt.facts.is_signed && !attempt.facts.is_encoded;
 }
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -87,7 +87,9 @@
             at_fault = part;
         }
     }
-    note_refusal(this->context.conditions[at_fault.id], pause_after_refusal, now);
+    const milliseconds rest =
+        std::min(attempt.facts.rest.value_or(milliseconds{0}), this->context.settings.longest_rest);
+    note_refusal(this->context.conditions[at_fault.id], std::max(pause_after_refusal, rest), now);
     this->excluded.insert(at_fault.id);
     --this->sent_count;
     ++this->refusals;
@@ -167,6 +169,18 @@
     refuse_for_now(this->context, this->request, reason, expected);
 }
 
+// Every engine that could take the request rests until then.
+void stream_carrier::give_up_until(time_point ready)
+{
+    constexpr const char* reason = "targets_rest";
+    if (this->maybe_ran) {
+        this->fail(status_bad_gateway, reason);
+        return;
+    }
+    this->end();
+    refuse_until(this->context, this->request, reason, ready);
+}
+
 void stream_carrier::fail(int status, std::string_view reason)
 {
     if (this->finished) {
--- a/src/entry/stream_path_change.cpp
+++ b/src/entry/stream_path_change.cpp
@@ -96,7 +96,8 @@
             self->path_refused(answer, change);
         }
     };
-    send_call(this->context, changed->path.front().address, call, order_timeout, take);
+    const hop& first = changed->path.front();
+    call_engine(this->context, first.id, first.address, call, order_timeout, take);
 }
 
 // The refusal usually names a part that is not there: an engine that died together with the lost one, or one
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -3,6 +3,8 @@
 #include "adapters/log.hpp"
 #include "entry/internal/stream_carrier.hpp"
 #include "entry/refusal.hpp"
+#include "request/rest_wait.hpp"
+#include "route/pick_target.hpp"
 
 #include <algorithm>
 
@@ -77,7 +79,7 @@
         return;
     }
     if (chosen.empty()) {
-        this->give_up("no_path", layers_return(this->context, this->service));
+        this->wait_or_give_up("no_path", layers_return(this->context, this->service));
         return;
     }
     this->progress.sent_at = event_loop::now();
@@ -100,6 +102,34 @@
     });
 }
 
+// Engines that were tried may be asked again once they have rested.
+void stream_carrier::wait_or_give_up(const char* reason, std::optional<milliseconds> expected)
+{
+    const time_point now = event_loop::now();
+    const std::optional<time_point> ready =
+        first_rest_end(this->service.id, this->context.targets, this->context.conditions, now);
+    if (!ready || layers_return(this->context, this->service)) {
+        this->give_up(reason, expected);
+        return;
+    }
+    const bool is_worth = is_worth_waiting(*ready, this->request.deadline - answer_margin,
+                                           this->request.route->latency_objective, now);
+    const bool was_sent = this->refusals > 0 || this->sent_count > 0;
+    if (!is_worth || this->has_waited || (was_sent && !this->may_send_again("rested"))) {
+        this->give_up_until(*ready);
+        return;
+    }
+    this->has_waited = true;
+    this->excluded.clear();
+    const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
+    this->send_timer = this->context.loop.run_at(*ready, [watched] {
+        const auto self = watched.lock();
+        if (self && !self->finished) {
+            self->send_next();
+        }
+    });
+}
+
 std::shared_ptr<stream_attempt> stream_carrier::send_along(const std::vector<hop>& path)
 {
     ++this->sent_count;
--- /dev/null
+++ b/src/entry/target_notices.cpp
@@ -0,0 +1,55 @@
+#include "entry/target_notices.hpp"
+
+#include "adapters/log.hpp"
+#include "entry/known_state.hpp"
+
+namespace dandelionstep {
+namespace {
+
+void take_rest(entry_context& context, const answering_target& from, milliseconds rest)
+{
+    const time_point now = event_loop::now();
+    target_condition& condition = context.conditions[from.id];
+    const bool was_resting = is_resting(condition, now);
+    note_rest(condition, rest, {.longest = context.settings.longest_rest}, context.draw(), now);
+    ++context.metrics.rests;
+    if (!was_resting) {
+        log_event("target_rests", {{"target", from.id.value},
+                                   {"asked_ms", rest},
+                                   {"for_ms", condition.rests_until - now},
+                                   {"in_flight", condition.in_flight}});
+    }
+}
+
+} // namespace
+
+void take_notices(entry_context& context, const answering_target& from, const response_facts& facts)
+{
+    if (facts.is_leaving) {
+        note_leaving(context, from, "answer");
+    }
+    if (facts.rest) {
+        take_rest(context, from, *facts.rest);
+    }
+    if (facts.has_unreadable_rest && may_log(context.logs, log_weight::failure, event_loop::now())) {
+        log_event("rest_unreadable", {{"target", from.id.value}});
+    }
+}
+
+void note_leaving(entry_context& context, const answering_target& target, std::string_view origin)
+{
+    if (!mark_leaving(context.leaving, target.id, target.started)) {
+        return;
+    }
+    log_event("target_says_leaving",
+              {{"target", target.id.value}, {"started", target.started.value}, {"from", origin}});
+    const auto known = context.targets.find(target.id);
+    if (known == context.targets.end() || known->second.leaving || known->second.started > target.started) {
+        return;
+    }
+    ++context.metrics.leaving_by_answer;
+    known->second.leaving = true;
+    tell_change(context, target.id);
+}
+
+} // namespace dandelionstep
--- /dev/null
+++ b/src/entry/target_notices.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "entry/entry_context.hpp"
+
+namespace dandelionstep {
+
+//! A process of a target that answered.
+struct answering_target {
+    target_id id;
+    incarnation started;
+};
+
+//! Takes what a target says of itself in an answer: that it leaves, or for how long it wants no requests.
+void take_notices(entry_context& context, const answering_target& from, const response_facts& facts);
+
+//! Notes that a process of a target leaves, whoever says so. `origin` tells the log who did.
+void note_leaving(entry_context& context, const answering_target& target, std::string_view origin);
+
+} // namespace dandelionstep
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -154,6 +154,9 @@
         if (this->query.previous != nullptr) {
             return this->hop_cost(this->query.previous->data_centre, centre);
         }
+        if (!candidate.may_enter) {
+            return unreachable;
+        }
         const double way_in = centre == this->query.entry ? same_centre_hop_ms : other_centre_entry_ms;
         return way_in + full_entry_ms * crowding(candidate.entry_used);
     }
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -23,6 +23,9 @@
     double reading = 0;
     //! Factor on its cost alone. Drawn anew for each choice, it spreads many that choose at the same time.
     double weight = 1;
+    //! Whether requests may enter there; an engine that rests is passed through by those that entered
+    //! elsewhere.
+    bool may_enter = true;
 };
 
 //! One engine's part of a path.
--- a/src/route/pick_target.cpp
+++ b/src/route/pick_target.cpp
@@ -6,7 +6,7 @@
 namespace dandelionstep {
 namespace {
 
-// Stands for the mean response time of targets that have not answered yet.
+// Stands for the mean response time of a service that has not answered yet.
 constexpr double unknown_response_ms = 20;
 // What a failure costs the caller, against waiting for a response.
 constexpr double failure_cost_ms = 500;
@@ -22,10 +22,24 @@
     double cost = 0;
 };
 
+// A target that has not answered yet is expected to be like the others.
+double usual_response_ms(const service_id& service, const target_registry& registry,
+                         const target_conditions& conditions)
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto& [id, target] : registry) {
+        const double response = target.service == service ? condition_of(conditions, id).response_ms : 0;
+        sum += response;
+        count += response > 0 ? 1 : 0;
+    }
+    return count > 0 ? sum / count : unknown_response_ms;
+}
+
 double expected_cost(const registered_target& target, const target_condition& condition,
-                     const target_query& query)
+                     const target_query& query, double usual_ms)
 {
-    const double response = condition.response_ms > 0 ? condition.response_ms : unknown_response_ms;
+    const double response = condition.response_ms > 0 ? condition.response_ms : usual_ms;
     const bool is_fresh = query.now - condition.load_reported_at < load_age_limit;
     const std::int64_t load =
         std::max(condition.in_flight, is_fresh ? condition.reported_load : std::int64_t{0});
@@ -43,6 +57,7 @@
 const registered_target* pick_target(const target_query& query, const target_registry& registry,
                                      const target_conditions& conditions)
 {
+    const double usual_ms = usual_response_ms(query.service, registry, conditions);
     std::vector<scored_target> usable;
     std::vector<scored_target> last_resort;
     for (const auto& [id, target] : registry) {
@@ -50,11 +65,12 @@
             continue;
         }
         const target_condition& condition = condition_of(conditions, id);
-        if (is_on_trial(condition, query.now)) {
+        if (is_on_trial(condition, query.now) || is_resting(condition, query.now)) {
             continue;
         }
-        const scored_target scored{&target, expected_cost(target, condition, query)};
-        (is_usable(condition, query.now) ? usable : last_resort).push_back(scored);
+        const bool is_good = is_usable(condition, query.now) && has_returned(condition, condition.in_flight);
+        const scored_target scored{&target, expected_cost(target, condition, query, usual_ms)};
+        (is_good ? usable : last_resort).push_back(scored);
     }
     std::vector<scored_target>& candidates = usable.empty() ? last_resort : usable;
     if (candidates.empty()) {
@@ -66,4 +82,17 @@
     return candidates[std::min(index, candidates.size() - 1)].target;
 }
 
+std::optional<time_point> first_rest_end(const service_id& service, const target_registry& registry,
+                                         const target_conditions& conditions, time_point now)
+{
+    std::optional<time_point> first;
+    for (const auto& [id, target] : registry) {
+        const target_condition& condition = condition_of(conditions, id);
+        if (target.service == service && !target.leaving && is_resting(condition, now)) {
+            first = std::min(first.value_or(condition.rests_until), condition.rests_until);
+        }
+    }
+    return first;
+}
+
 } // namespace dandelionstep
--- a/src/route/pick_target.hpp
+++ b/src/route/pick_target.hpp
@@ -4,6 +4,7 @@
 #include "target/target_condition.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 
 namespace dandelionstep {
@@ -21,8 +22,13 @@
 };
 
 //! The target that is expected to answer first; one that is out of use only when there is no other. Null when
-//! the service has none, or none but such as can't be reached and are being tried by another request.
+//! the service has none, or none but such as rest, or can't be reached and are being tried by another
+//! request.
 const registered_target* pick_target(const target_query& query, const target_registry& registry,
                                      const target_conditions& conditions);
 
+//! When the first of the service's targets ends its rest; nullopt when none rests.
+std::optional<time_point> first_rest_end(const service_id& service, const target_registry& registry,
+                                         const target_conditions& conditions, time_point now);
+
 } // namespace dandelionstep
--- a/src/route/return_time.cpp
+++ b/src/route/return_time.cpp
@@ -45,6 +45,13 @@
     return milliseconds{static_cast<std::int64_t>(base * (1 + spread * draw))};
 }
 
+milliseconds return_after_rest(milliseconds rest, double draw)
+{
+    const auto base = static_cast<double>(std::max(rest, least_return).count);
+    const auto spread_over = static_cast<double>(std::min(rest, most_return).count);
+    return milliseconds{static_cast<std::int64_t>(base + spread_over * spread * draw)};
+}
+
 milliseconds next_end(milliseconds duration, double running)
 {
     return milliseconds{
--- a/src/route/return_time.hpp
+++ b/src/route/return_time.hpp
@@ -26,6 +26,9 @@
 //! return.
 milliseconds return_time(milliseconds refused_for, std::optional<milliseconds> expected, double draw);
 
+//! The same when the targets themselves have said when they take requests again.
+milliseconds return_after_rest(milliseconds rest, double draw);
+
 //! The time in which one of so many requests ends that take `duration` each and began independently.
 milliseconds next_end(milliseconds duration, double running);
 
--- a/src/target/target_condition.cpp
+++ b/src/target/target_condition.cpp
@@ -33,6 +33,9 @@
 constexpr std::int64_t unreached_before_trials = 2;
 constexpr milliseconds trial_interval{1'000};
 
+// A target that was given so many requests at a time after a rest is as before.
+constexpr std::int64_t most_returning = 64;
+
 void update_share(target_condition& condition, double observed, time_point now)
 {
     condition.failure_share = present_failure_share(condition, now);
@@ -88,6 +91,8 @@
                                 ? observed
                                 : condition.response_ms + newest_weight * (observed - condition.response_ms);
     note_reached(condition);
+    condition.returning_limit =
+        condition.returning_limit * 2 > most_returning ? 0 : condition.returning_limit * 2;
     condition.failures_in_a_row = 0;
     condition.refusals_in_a_row = 0;
     condition.avoid_until = {0};
@@ -119,6 +124,25 @@
     condition.pressure_set_at = now;
 }
 
+void note_rest(target_condition& condition, milliseconds rest, const rest_limits& limits, double draw,
+               time_point now)
+{
+    const auto bounded = static_cast<double>(std::min(rest, limits.longest).count);
+    const milliseconds lasting{static_cast<std::int64_t>(std::ceil(bounded * (1 + limits.spread * draw)))};
+    condition.rests_until = std::max(condition.rests_until, now + lasting);
+    condition.returning_limit = 1;
+}
+
+bool is_resting(const target_condition& condition, time_point now)
+{
+    return now < condition.rests_until;
+}
+
+bool has_returned(const target_condition& condition, std::int64_t present)
+{
+    return condition.returning_limit == 0 || present < condition.returning_limit;
+}
+
 void note_load(target_condition& condition, std::int64_t load, time_point now)
 {
     condition.reported_load = load;
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -36,6 +36,11 @@
     time_point pressure_set_at{0};
     //! Not used before this time, unless nothing else is left.
     time_point avoid_until{0};
+    //! Nothing is sent to it before this time, as it asked for that.
+    time_point rests_until{0};
+    //! After a rest, requests that it is given at the same time; doubled with each answer. 0: as many as
+    //! come.
+    std::int64_t returning_limit = 0;
     //! The last load that it reported, and when.
     std::int64_t reported_load = 0;
     time_point load_reported_at{0};
@@ -88,6 +93,24 @@
 //! for longer each time that it refuses again.
 void note_refusal(target_condition& condition, milliseconds pause, time_point now);
 
+//! How rests are taken.
+struct rest_limits {
+    //! No target is left alone for longer, whatever it says.
+    milliseconds longest{60'000};
+    //! Rests end later by up to this share, so that a target does not meet all daemons in one instant.
+    double spread = 0.2;
+};
+
+//! Notes that it wants no request for `rest`. `draw`, uniform in [0, 1), spreads the end.
+void note_rest(target_condition& condition, milliseconds rest, const rest_limits& limits, double draw,
+               time_point now);
+
+//! Whether it wants no requests now.
+bool is_resting(const target_condition& condition, time_point now);
+
+//! Whether it may be given one more beside `present`: after a rest it starts slowly.
+bool has_returned(const target_condition& condition, std::int64_t present);
+
 //! Notes the load that a response told.
 void note_load(target_condition& condition, std::int64_t load, time_point now);
 
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -4,6 +4,7 @@
 #include "support/scripted_peer.hpp"
 
 #include <doctest/doctest.h>
+#include <optional>
 #include <vector>
 
 using namespace dandelionstep;
--- a/tests/entry/peer_messages_test.cpp
+++ b/tests/entry/peer_messages_test.cpp
@@ -43,8 +43,15 @@
     question.registry_digest = 17'000'000'000'000'000'003ULL;
     question.takes_packed = true;
     question.uses = engine_uses{{target_id("i-1"), {3, 1, 4'000.5, 12.25}}};
+    question.leaving = {{target_id("i-1"), incarnation{1'700'000'000'123}}};
+    question.suspects = {{{5}, {{takedown_id{6}, {}}}, {70}, false}};
+    question.suspects_sequence = 8;
     const absl::StatusOr<peer_question> read = parse_peer_question(to_text(question));
     REQUIRE(read.ok());
+    CHECK(read->leaving == question.leaving);
+    REQUIRE(read->suspects.size() == 1);
+    CHECK(read->suspects.front().takedowns == question.suspects.front().takedowns);
+    CHECK(read->suspects_sequence == 8);
     CHECK(read->vm == question.vm);
     CHECK(read->process == question.process);
     CHECK(read->sequence == 7);
--- /dev/null
+++ b/tests/entry/target_notices_test.cpp
@@ -0,0 +1,113 @@
+#include "dialect.hpp"
+#include "entry/known_state.hpp"
+#include "entry/target_notices.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr incarnation first_start{100};
+constexpr incarnation second_start{200};
+const target_id name("t");
+
+registered_target registration(incarnation started, bool leaving = false)
+{
+    registered_target target;
+    target.id = name;
+    target.started = started;
+    target.leaving = leaving;
+    return target;
+}
+
+struct informed_daemon {
+    event_loop loop;
+    entry_context context{this->loop, platform::users_platform(), {}};
+
+    informed_daemon() { put_target(this->context, registration(first_start)); }
+
+    void hear(incarnation from, const response_facts& facts)
+    {
+        take_notices(this->context, {name, from}, facts);
+    }
+
+    void hear_leaving(incarnation from)
+    {
+        response_facts facts;
+        facts.is_leaving = true;
+        this->hear(from, facts);
+    }
+
+    [[nodiscard]] bool leaves() const { return this->context.targets.at(name).leaving; }
+};
+
+} // namespace
+
+TEST_CASE("what a target says of its leaving holds at once, is told to followers, and counts once")
+{
+    informed_daemon daemon;
+    const std::int64_t before = daemon.context.changes.sequence;
+    daemon.hear_leaving(first_start);
+    CHECK(daemon.leaves());
+    CHECK(daemon.context.changes.sequence == before + 1);
+    daemon.hear_leaving(first_start);
+    CHECK(daemon.context.changes.sequence == before + 1);
+    CHECK(daemon.context.metrics.leaving_by_answer == 1);
+}
+
+TEST_CASE("an older registration does not undo that a target leaves, a new process does")
+{
+    informed_daemon daemon;
+    daemon.hear_leaving(first_start);
+    put_target(daemon.context, registration(first_start));
+    CHECK(daemon.leaves());
+    drop_target(daemon.context, name);
+    put_target(daemon.context, registration(first_start));
+    CHECK(daemon.leaves());
+    put_target(daemon.context, registration(second_start));
+    CHECK_FALSE(daemon.leaves());
+}
+
+TEST_CASE("a registration that says so holds against an older one as well")
+{
+    informed_daemon daemon;
+    put_target(daemon.context, registration(first_start, true));
+    put_target(daemon.context, registration(first_start));
+    CHECK(daemon.leaves());
+}
+
+TEST_CASE("an answer of an earlier process says nothing of the one that runs now")
+{
+    informed_daemon daemon;
+    put_target(daemon.context, registration(second_start));
+    daemon.hear_leaving(first_start);
+    CHECK_FALSE(daemon.leaves());
+}
+
+TEST_CASE("where registrations do not tell processes apart, a target leaves until it was registered anew")
+{
+    informed_daemon daemon;
+    drop_target(daemon.context, name);
+    put_target(daemon.context, registration({}));
+    daemon.hear_leaving({});
+    put_target(daemon.context, registration({}));
+    CHECK(daemon.leaves());
+    drop_target(daemon.context, name);
+    put_target(daemon.context, registration({}));
+    CHECK_FALSE(daemon.leaves());
+}
+
+TEST_CASE("a rest that a target asks for is taken, within the setting's bound")
+{
+    informed_daemon daemon;
+    daemon.context.settings.longest_rest = {2'000};
+    response_facts facts;
+    facts.rest = milliseconds{60'000};
+    daemon.hear(first_start, facts);
+    const time_point now = event_loop::now();
+    const target_condition& condition = daemon.context.conditions[name];
+    CHECK(is_resting(condition, now));
+    CHECK(condition.rests_until - now <= milliseconds{2'400});
+    CHECK(daemon.context.metrics.rests == 1);
+}
--- a/tests/platform/message_headers_test.cpp
+++ b/tests/platform/message_headers_test.cpp
@@ -109,3 +109,30 @@
                        {"Dandelionstep-Weight-Versions", "3"},
                        {"Content-Type", "text/plain"}});
 }
+
+TEST_CASE("a target says in any answer of its own that it leaves")
+{
+    const http_headers leaving{{"Server-Leaving", "1"}};
+    for (const int status : {200, 202, 409, 500, 503}) {
+        CAPTURE(status);
+        CHECK(read_response_headers(status, leaving).is_leaving);
+        CHECK_FALSE(read_response_headers(status, {}).is_leaving);
+    }
+    CHECK_FALSE(read_response_headers(200, {{"Server-Leaving", "0"}}).is_leaving);
+    // Another target at the address answers so.
+    CHECK_FALSE(read_response_headers(421, leaving).is_leaving);
+}
+
+TEST_CASE("a refusal may ask for a rest, in seconds and fractions")
+{
+    CHECK(read_response_headers(503, {{"Retry-After", "2"}}).rest == milliseconds{2'000});
+    CHECK(read_response_headers(503, {{"Retry-After", "0.25"}}).rest == milliseconds{250});
+    CHECK_FALSE(read_response_headers(503, {}).rest.has_value());
+    CHECK_FALSE(read_response_headers(200, {{"Retry-After", "2"}}).rest.has_value());
+    for (const char* figure : {"soon", "-1", "1e99", "nan", "inf", "Fri, 04 Dec 2026 21:00:00 GMT"}) {
+        CAPTURE(figure);
+        const response_facts facts = read_response_headers(503, {{"Retry-After", figure}});
+        CHECK_FALSE(facts.rest.has_value());
+        CHECK(facts.has_unreadable_rest);
+    }
+}
--- a/tests/route/layer_path_test.cpp
+++ b/tests/route/layer_path_test.cpp
@@ -106,6 +106,21 @@
     CHECK(ids_of(find_layer_path(query_from(profile, "n"), candidates)) == std::vector<std::string>{"fast"});
 }
 
+TEST_CASE("an engine that rests takes in no request, but those that entered elsewhere pass through it")
+{
+    const engine_profile profile = mixed_profile();
+    const std::vector<registered_target> engines{engine_with("rests", "large", "n", 0, 60),
+                                                 engine_with("slow", "small", "n", 0, 20),
+                                                 engine_with("last", "large", "n", 60, 80)};
+    auto candidates = candidates_of(engines);
+    CHECK(ids_of(find_layer_path(query_from(profile, "n"), candidates)).front() == "rests");
+    candidates[0].may_enter = false;
+    CHECK(ids_of(find_layer_path(query_from(profile, "n"), candidates)) ==
+          std::vector<std::string>{"slow", "rests", "last"});
+    candidates[1].may_enter = false;
+    CHECK(find_layer_path(query_from(profile, "n"), candidates).empty());
+}
+
 TEST_CASE("reading takes as long as the tokens, the layers and the kind of accelerator say")
 {
     const engine_profile profile = mixed_profile();
--- a/tests/route/pick_target_test.cpp
+++ b/tests/route/pick_target_test.cpp
@@ -180,3 +180,64 @@
     }
     CHECK(picks == std::map<std::string, int>{{"a", draws / 3}, {"b", draws / 3}, {"c", draws / 3}});
 }
+
+TEST_CASE("a target that rests is not picked, not even as the last one")
+{
+    constexpr time_point now{5'000};
+    const target_registry registry = registry_of({replica("rests"), replica("good")});
+    target_conditions conditions;
+    note_rest(conditions[target_id("rests")], {1'000}, {}, 0, now);
+    target_query query = query_at(now);
+    CHECK(pick_target(query, registry, conditions)->id.value == "good");
+    query.excluded = {target_id("good")};
+    CHECK(pick_target(query, registry, conditions) == nullptr);
+    query.now = now + milliseconds{1'000};
+    CHECK(pick_target(query, registry, conditions)->id.value == "rests");
+}
+
+TEST_CASE("the end of the first rest is known, whatever other services' targets do")
+{
+    constexpr time_point now{5'000};
+    registered_target other = replica("other");
+    other.service = service_id("else");
+    registered_target leaving = replica("leaving");
+    leaving.leaving = true;
+    const target_registry registry = registry_of({replica("a"), replica("b"), other, leaving});
+    const service_id service("orders");
+    target_conditions conditions;
+    CHECK_FALSE(first_rest_end(service, registry, conditions, now));
+    note_rest(conditions[target_id("a")], {900}, {}, 0, now);
+    note_rest(conditions[target_id("b")], {600}, {}, 0, now);
+    note_rest(conditions[target_id("other")], {10}, {}, 0, now);
+    note_rest(conditions[target_id("leaving")], {20}, {}, 0, now);
+    CHECK(first_rest_end(service, registry, conditions, now) == now + milliseconds{600});
+    CHECK_FALSE(first_rest_end(service, registry, conditions, now + milliseconds{900}));
+}
+
+TEST_CASE("a target that has returned from a rest is given one request at first")
+{
+    constexpr time_point now{5'000};
+    const target_registry registry = registry_of({replica("returned"), replica("busy")});
+    target_conditions conditions;
+    note_rest(conditions[target_id("returned")], {1}, {}, 0, {1'000});
+    conditions[target_id("busy")].in_flight = 10;
+    const target_query query = query_at(now);
+    CHECK(pick_target(query, registry, conditions)->id.value == "returned");
+    conditions[target_id("returned")].in_flight = 1;
+    CHECK(pick_target(query, registry, conditions)->id.value == "busy");
+}
+
+// The load that it answers: replicas that start beside others whose answers take a millisecond.
+TEST_CASE("a target that has not answered yet is taken to be like the others")
+{
+    const target_registry registry = registry_of({replica("known"), replica("new")});
+    target_conditions conditions;
+    note_response(conditions[target_id("known")], {1}, {4'000});
+    std::set<std::string> picked;
+    for (const double draw : {0.1, 0.9}) {
+        target_query query = query_at({5'000});
+        query.draw = draw;
+        picked.insert(pick_target(query, registry, conditions)->id.value);
+    }
+    CHECK(picked.size() == 2);
+}
--- a/tests/route/return_time_test.cpp
+++ b/tests/route/return_time_test.cpp
@@ -171,3 +171,11 @@
     CHECK(next_end({6'000}, 30) == milliseconds{200});
     CHECK(next_end({6'000}, 0) == milliseconds{6'000});
 }
+
+TEST_CASE("callers of targets that rest are told the whole rest, and come back spread")
+{
+    CHECK(return_after_rest({6'000}, 0) == milliseconds{6'000});
+    CHECK(return_after_rest({6'000}, 0.999) > milliseconds{6'500});
+    CHECK(return_after_rest({6'000}, 0.999) <= milliseconds{7'000});
+    CHECK(return_after_rest({0}, 0) >= milliseconds{50});
+}
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -140,6 +140,9 @@
 
     void receive(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
+        if (this->faults.on("says_leaving")) {
+            reply->add_header("Server-Leaving", "1");
+        }
         if (this->faults.handle(request, reply)) {
             if (request.path == "/faults") {
                 this->register_self();
@@ -306,6 +309,12 @@
     {
         const std::string path_text = request.header("Dandelionstep-Hop-Count");
         const std::vector<path_hop> path = parse_path(path_text);
+        this->ledger["arrivals"].push_back(event_loop::wall_now().count);
+        if (this->faults.take("rests")) {
+            reply->add_header("Retry-After", this->faults.text("rest_s"));
+            this->refuse(reply, status_unavailable);
+            return;
+        }
         if (this->faults.take("refuse")) {
             this->refuse(reply, status_unavailable);
             return;
@@ -520,7 +529,10 @@
     fault_switches faults;
     http_client client;
     http_server server;
-    json ledger = {{"runs", json::object()}, {"placed", json::array()}, {"bad_paths", json::array()}};
+    json ledger = {{"runs", json::object()},
+                   {"arrivals", json::array()},
+                   {"placed", json::array()},
+                   {"bad_paths", json::array()}};
     std::map<std::string, std::shared_ptr<running_stream>> streams;
     std::vector<std::shared_ptr<http_reply>> held;
     std::int64_t begin_layer = 0;
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -39,11 +39,13 @@
 //! of their body, answers streams along a path of engines, takes orders and reports. Layers that an order
 //! makes it give up wait for the streams that pass through them before new ones are loaded.
 //!
-//! `GET /ledger` tells what it ran: for each attempt how often, with which organisation, path and body. Fault
-//! switches: `draining`, `refuse` (count), `hang` (count), `drop_answers` (count), `delay_ms`, `unsigned`
-//! (count), `refuse_paths` (count: a new path is refused for the sake of its second engine), `endless`
-//! (count: the body of the answer, or the first event of the stream, goes on until the connection is closed),
-//! `holds_events` (streams wait, as behind other requests).
+//! `GET /ledger` tells what it ran: for each attempt how often, with which organisation, path and body; and
+//! when requests arrived. Fault switches: `draining`, `says_leaving` (in each answer, but not in its
+//! registration), `rests` (count of refusals that ask for a rest of `rest_s` seconds, a text), `refuse`
+//! (count), `hang` (count), `drop_answers` (count), `delay_ms`, `unsigned` (count), `refuse_paths` (count: a
+//! new path is refused for the sake of its second engine), `endless` (count: the body of the answer, or the
+//! first event of the stream, goes on until the connection is closed), `holds_events` (streams wait, as
+//! behind other requests).
 absl::Status run_replica(const replica_options& options);
 
 } // namespace dandelionstep::standins
--- a/tests/target/target_condition_test.cpp
+++ b/tests/target/target_condition_test.cpp
@@ -141,3 +141,43 @@
           doctest::Approx(present_reading(condition, {now}) / 2).epsilon(0.001));
     CHECK(present_reading(condition, {now + 10'000}) < 1);
 }
+
+TEST_CASE("a target rests for as long as it asked, and a little longer by the draw")
+{
+    constexpr time_point now{10'000};
+    constexpr rest_limits limits{.longest = {5'000}, .spread = 0.2};
+    target_condition condition;
+    CHECK_FALSE(is_resting(condition, now));
+    note_rest(condition, {1'000}, limits, 0.5, now);
+    CHECK(is_resting(condition, now + milliseconds{1'099}));
+    CHECK_FALSE(is_resting(condition, now + milliseconds{1'100}));
+
+    SUBCASE("a shorter rest does not end a longer one")
+    {
+        note_rest(condition, {10}, limits, 0, now);
+        CHECK(is_resting(condition, now + milliseconds{1'099}));
+    }
+    SUBCASE("no rest is longer than the limit")
+    {
+        note_rest(condition, {3'600'000}, limits, 0, now);
+        CHECK(is_resting(condition, now + milliseconds{4'999}));
+        CHECK_FALSE(is_resting(condition, now + milliseconds{5'000}));
+    }
+}
+
+TEST_CASE("a target that comes back from a rest gets twice as many at a time with each answer")
+{
+    constexpr time_point now{10'000};
+    target_condition condition;
+    CHECK(has_returned(condition, 1'000));
+    note_rest(condition, {100}, {}, 0, now);
+    CHECK(has_returned(condition, 0));
+    CHECK_FALSE(has_returned(condition, 1));
+    note_response(condition, {5}, now);
+    CHECK(has_returned(condition, 1));
+    CHECK_FALSE(has_returned(condition, 2));
+    for (int i = 0; i < 6; ++i) {
+        note_response(condition, {5}, now);
+    }
+    CHECK(has_returned(condition, 1'000));
+}
