Callers who do not read share a bound on the bytes that wait for them

What was wrong: each caller could make a daemon hold 8 MB of answers that it did not read; 30 such callers end a daemon of 260 MB and with it every other caller's request.

Change: answers that wait share a quarter of the vm's memory, each caller a share of what is left, as answers that are gathered do. A caller beyond that is cut and counted (callers_cut_unread_total, caller_does_not_read). The connection of a caller moves into a file of its own, and the look at the settings file out of the daemon's tick.

Evidence: adapters.caller_port, 100 callers who ask for 12 MB each and do not read, with 16 MB for all: never more than 16 MB held, a caller who reads is answered beside them.

--- /dev/null
+++ b/src/adapters/caller_connection.cpp
@@ -0,0 +1,262 @@
+#include "adapters/internal/caller_connection.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "adapters/http_text.hpp"
+#include "adapters/socket_options.hpp"
+
+#include <algorithm>
+#include <event2/buffer.h>
+
+namespace dandelionstep {
+namespace {
+
+// Bytes taken from a connection whose request is being answered; the rest waits in the kernel.
+constexpr std::size_t max_early_bytes = std::size_t{64} * 1024;
+constexpr int status_request_timeout = 408;
+constexpr int status_body_too_large = 413;
+constexpr int status_head_too_large = 431;
+constexpr int status_bad_request = 400;
+
+void on_output(evbuffer* /*output*/, const evbuffer_cb_info* change, void* argument)
+{
+    auto* unread = static_cast<byte_budget*>(argument);
+    unread->held += change->n_added;
+    unread->held -= std::min(unread->held, change->n_deleted);
+}
+
+void on_read(bufferevent* /*raw*/, void* argument)
+{
+    static_cast<caller_connection*>(argument)->on_readable();
+}
+
+void on_write(bufferevent* /*raw*/, void* argument)
+{
+    static_cast<caller_connection*>(argument)->on_written();
+}
+
+void on_event(bufferevent* /*raw*/, short what, void* argument)
+{
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        static_cast<caller_connection*>(argument)->end(true);
+    }
+}
+
+} // namespace
+
+void caller_connection::open(caller_port::state& port, evutil_socket_t socket)
+{
+    this->owner = &port;
+    this->last_activity = event_loop::now();
+    set_socket_options(socket);
+    this->raw = bufferevent_socket_new(port.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(this->raw, on_read, on_write, on_event, this);
+    evbuffer_add_cb(bufferevent_get_output(this->raw), on_output, port.unread.get());
+    bufferevent_enable(this->raw, EV_READ | EV_WRITE);
+}
+
+void caller_connection::take_body(std::string_view part)
+{
+    if (this->reading->body.size() + part.size() > this->owner->bounds.max_body_bytes) {
+        this->body_too_large = true;
+        return;
+    }
+    this->reading->body.append(part);
+}
+
+bool caller_connection::write(std::string_view bytes)
+{
+    const std::size_t waiting = evbuffer_get_length(bufferevent_get_output(this->raw));
+    if (!may_grow(*this->owner->unread, waiting, bytes.size())) {
+        if (this->owner->on_unread) {
+            this->owner->on_unread(waiting);
+        }
+        this->end(true);
+        return false;
+    }
+    bufferevent_write(this->raw, bytes.data(), bytes.size());
+    return true;
+}
+
+void caller_connection::on_readable()
+{
+    if (this->closing || this->current) {
+        // The next request waits until this one is answered.
+        bufferevent_setwatermark(this->raw, EV_READ, 0, max_early_bytes);
+        return;
+    }
+    this->last_activity = event_loop::now();
+    evbuffer* input = bufferevent_get_input(this->raw);
+    while (!this->closing && !this->current && evbuffer_get_length(input) > 0) {
+        if (!this->reading) {
+            this->reading = std::make_shared<caller_exchange>();
+            this->reading->began = this->last_activity;
+        }
+        const std::size_t size = evbuffer_get_length(input);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+        const http_reader::result read = this->reader.feed(std::string_view(bytes, size));
+        evbuffer_drain(input, read.taken);
+        if (read.state == http_reader::progress::malformed) {
+            this->refuse(status_bad_request);
+        } else if (this->body_too_large) {
+            this->refuse(status_body_too_large);
+        } else if (!this->reader.head_done() &&
+                   this->reader.head_bytes() > this->owner->bounds.max_header_bytes) {
+            this->refuse(status_head_too_large);
+        } else if (read.state == http_reader::progress::complete) {
+            this->dispatch();
+        } else {
+            return;
+        }
+    }
+}
+
+// Answers a request that could not be read; what follows on the connection has no known beginning.
+void caller_connection::refuse(int status)
+{
+    this->reading.reset();
+    this->closing = true;
+    this->write(response_text(status, {{"Connection", "close"}}, ""));
+}
+
+void caller_connection::dispatch()
+{
+    this->current = std::move(this->reading);
+    this->reading.reset();
+    this->current->connection = this;
+    this->keep = this->current->head.keep_alive;
+    const std::shared_ptr<caller_exchange> dispatched = this->current;
+    this->owner->handle(dispatched);
+}
+
+// The answer is in the buffer; the connection takes the next request or ends once the buffer is empty.
+void caller_connection::answered()
+{
+    this->current->connection = nullptr;
+    this->current->on_gone = nullptr;
+    this->current.reset();
+    this->last_activity = event_loop::now();
+    if (!this->keep || this->owner->draining) {
+        this->closing = true;
+        if (evbuffer_get_length(bufferevent_get_output(this->raw)) == 0) {
+            this->end(false);
+        }
+        return;
+    }
+    bufferevent_setwatermark(this->raw, EV_READ, 0, 0);
+    if (evbuffer_get_length(bufferevent_get_input(this->raw)) > 0) {
+        this->owner->loop.post([this, watch = std::weak_ptr(this->owner->alive), owner = this->owner] {
+            if (!watch.expired() && owner->open.contains(this)) {
+                this->on_readable();
+            }
+        });
+    }
+}
+
+void caller_connection::on_written()
+{
+    this->last_activity = event_loop::now();
+    if (this->closing && evbuffer_get_length(bufferevent_get_output(this->raw)) == 0) {
+        this->end(false);
+    }
+}
+
+void caller_connection::end(bool gone)
+{
+    const auto found = this->owner->open.find(this);
+    if (found == this->owner->open.end()) {
+        return;
+    }
+    const std::shared_ptr<caller_connection> kept = std::move(found->second);
+    this->owner->open.erase(found);
+    const std::shared_ptr<caller_exchange> cut = std::move(this->current);
+    bufferevent_disable(this->raw, EV_READ | EV_WRITE);
+    bufferevent_setcb(this->raw, nullptr, nullptr, nullptr, nullptr);
+    evbuffer* output = bufferevent_get_output(this->raw);
+    evbuffer_remove_cb(output, on_output, this->owner->unread.get());
+    this->owner->unread->held -= std::min(this->owner->unread->held, evbuffer_get_length(output));
+    this->owner->loop.post([kept] { bufferevent_free(kept->raw); });
+    if (cut) {
+        cut->connection = nullptr;
+        const std::function<void()> notify = std::move(cut->on_gone);
+        if (gone && notify) {
+            notify();
+        }
+    }
+}
+
+void caller_connection::check_timeouts(time_point now)
+{
+    if (this->current) {
+        return;
+    }
+    const milliseconds quiet = now - this->last_activity;
+    if (this->closing || !this->reader.inside_message()) {
+        if (quiet > this->owner->bounds.idle_timeout) {
+            this->end(true);
+        }
+        return;
+    }
+    const bool head_is_late = !this->reader.head_done() && this->reading &&
+                              now - this->reading->began > this->owner->bounds.header_timeout;
+    if (head_is_late || quiet > this->owner->bounds.idle_timeout) {
+        this->refuse(status_request_timeout);
+    }
+}
+
+void caller_exchange::answer(int status, const http_headers& headers, std::string_view text)
+{
+    if (this->gone()) {
+        return;
+    }
+    http_headers all = headers;
+    if (!this->connection->keep || this->connection->owner->draining) {
+        this->connection->keep = false;
+        all.emplace_back("Connection", "close");
+    }
+    if (this->connection->write(response_text(status, all, text))) {
+        this->connection->answered();
+    }
+}
+
+void caller_exchange::start(int status, const http_headers& headers)
+{
+    if (this->gone() || this->is_started) {
+        return;
+    }
+    this->is_started = true;
+    http_headers all = headers;
+    if (!this->connection->keep || this->connection->owner->draining) {
+        this->connection->keep = false;
+        all.emplace_back("Connection", "close");
+    }
+    all.emplace_back("Transfer-Encoding", "chunked");
+    this->connection->write(response_head(status, all));
+}
+
+void caller_exchange::write(std::string_view part)
+{
+    if (this->gone() || part.empty()) {
+        return;
+    }
+    this->connection->write(
+        absl::StrCat(absl::Hex(part.size()), "\r\n", absl::string_view(part.data(), part.size()), "\r\n"));
+}
+
+void caller_exchange::finish()
+{
+    if (this->gone()) {
+        return;
+    }
+    if (this->connection->write("0\r\n\r\n")) {
+        this->connection->answered();
+    }
+}
+
+void caller_exchange::abort()
+{
+    if (!this->gone()) {
+        this->connection->end(false);
+    }
+}
+
+} // namespace dandelionstep
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -3,6 +3,7 @@
 #include "absl/status/status.h"
 #include "adapters/event_loop.hpp"
 #include "adapters/http_reader.hpp"
+#include "common/gathered_text.hpp"
 #include "route/entry_config.hpp"
 #include "target/endpoint.hpp"
 
@@ -13,7 +14,8 @@
 
 namespace dandelionstep {
 
-//! One caller's request and the way to answer it once. After the caller has gone every call does nothing.
+//! One caller's request and the way to answer it once. After the caller has gone every call does nothing. A
+//! caller that does not read more than may wait for it is gone.
 class caller_exchange {
 public:
     http_head head;
@@ -48,8 +50,11 @@
 class caller_port {
 public:
     using handler = std::function<void(const std::shared_ptr<caller_exchange>&)>;
+    //! Told the bytes that waited for a caller whose connection was ended for them.
+    using unread_callback = std::function<void(std::size_t bytes)>;
 
-    caller_port(event_loop& loop, handler handle);
+    //! `unread` bounds the bytes of all answers together that wait for callers who do not read.
+    caller_port(event_loop& loop, std::shared_ptr<byte_budget> unread, handler handle);
     ~caller_port();
     caller_port(const caller_port&) = delete;
     caller_port& operator=(const caller_port&) = delete;
@@ -59,6 +64,7 @@
     absl::Status listen(const endpoint& at);
     //! The bounds for all connections from now on.
     void set_bounds(const caller_bounds& bounds);
+    void on_unread(unread_callback run);
     //! From now on every answer ends its connection, and idle connections are closed.
     void close_after_answers();
     //! Closes connections that wait for a request.
--- /dev/null
+++ b/src/adapters/internal/caller_connection.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "adapters/caller_port.hpp"
+#include "common/gathered_text.hpp"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace dandelionstep {
+
+//! One caller's connection; freed from the loop's queue only, as its own callbacks end it.
+struct caller_connection {
+    caller_port::state* owner = nullptr;
+    bufferevent* raw = nullptr;
+    http_reader reader;
+    std::shared_ptr<caller_exchange> current;
+    std::shared_ptr<caller_exchange> reading;
+    time_point last_activity;
+    bool keep = true;
+    bool closing = false;
+    bool body_too_large = false;
+
+    caller_connection()
+        : reader(http_reader::kind::requests,
+                 {[this](http_head& head) { this->reading->head = std::move(head); },
+                  [this](std::string_view part) { this->take_body(part); }})
+    {}
+
+    //! Takes over an accepted socket.
+    void open(caller_port::state& port, evutil_socket_t socket);
+    void take_body(std::string_view part);
+    //! False, and the connection has ended, when that would be more than may wait for callers to read it.
+    bool write(std::string_view bytes);
+    void on_readable();
+    void on_written();
+    void refuse(int status);
+    void dispatch();
+    void answered();
+    void end(bool gone);
+    void check_timeouts(time_point now);
+};
+
+//! What all connections of a port share.
+struct caller_port::state {
+    event_loop& loop;
+    std::shared_ptr<byte_budget> unread;
+    unread_callback on_unread;
+    handler handle;
+    caller_bounds bounds;
+    evconnlistener* listener = nullptr;
+    event_loop::timer sweep;
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> open;
+    bool draining = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    state(event_loop& loop_in, std::shared_ptr<byte_budget> unread_in, handler handle_in)
+        : loop(loop_in), unread(std::move(unread_in)), handle(std::move(handle_in))
+    {}
+
+    static void on_accept(evconnlistener* listener, evutil_socket_t socket, sockaddr* from, int length,
+                          void* argument);
+};
+
+} // namespace dandelionstep
--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -31,7 +31,8 @@
 inline constexpr std::int64_t unknown_daemons = 96;
 inline constexpr std::int64_t unknown_siblings = 3;
 
-//! The part of the vm's memory that answers may take while they are gathered.
+//! The part of the vm's memory that answers may take while they are gathered; and again while they wait for
+//! their callers.
 byte_budget answer_budget(const entry_settings& settings);
 
 //! What all parts of an entry daemon share; touched by the loop alone.
@@ -41,6 +42,8 @@
     entry_settings settings;
     //! For answers while they are gathered.
     std::shared_ptr<byte_budget> answer_bytes;
+    //! For answers that wait for callers to read them.
+    std::shared_ptr<byte_budget> unread_bytes;
     channel_pool channels;
     //! Null until the first configuration is known.
     std::shared_ptr<const entry_config> config;
@@ -99,7 +102,8 @@
 
     entry_context(event_loop& loop_in, const entry_dialect& dialect_in, entry_settings settings_in)
         : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)),
-          answer_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))), channels(loop_in),
+          answer_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))),
+          unread_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))), channels(loop_in),
           random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
     {}
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -9,6 +9,7 @@
 #include "entry/peer_port.hpp"
 #include "entry/placer.hpp"
 #include "entry/request_relay.hpp"
+#include "entry/settings_watch.hpp"
 #include "entry/status_port.hpp"
 #include "entry/store_watch.hpp"
 
@@ -39,9 +40,9 @@
           placement(this->context, this->store, this->process), streams(this->context),
           relay(this->context, this->streams), peers(this->context, this->process),
           follower(this->context, this->watch, this->rows),
-          callers(this->loop,
+          callers(this->loop, this->context.unread_bytes,
                   [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
-          readiness(this->loop), metrics(this->loop)
+          readiness(this->loop), metrics(this->loop), settings_file(this->settings_path)
     {}
 
     absl::Status run()
@@ -55,6 +56,7 @@
                               {"data_centre", this->context.settings.data_centre.value},
                               {"process", static_cast<std::int64_t>(getpid())}});
         this->report_overlong();
+        this->report_unread();
         this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
         this->watch.on_first_known = [this] { this->relay.take_early(); };
         this->rows.on_rows = [this](const stored_rows& read) {
@@ -101,6 +103,16 @@
         });
     }
 
+    void report_unread()
+    {
+        this->callers.on_unread([this](std::size_t bytes) {
+            ++this->context.metrics.callers_cut_unread;
+            if (may_log(this->context.logs, log_weight::failure, event_loop::now())) {
+                log_event("caller_does_not_read", {{"bytes", static_cast<std::int64_t>(bytes)}});
+            }
+        });
+    }
+
     absl::Status listen()
     {
         const entry_settings& settings = this->context.settings;
@@ -156,6 +168,7 @@
         gauges["responses_skipped"] = this->context.channels.counts().skipped_responses;
         gauges["responses_overlong"] = this->context.channels.counts().overlong_responses;
         gauges["answer_bytes_held"] = static_cast<std::int64_t>(this->context.answer_bytes->held);
+        gauges["unread_bytes_held"] = static_cast<std::int64_t>(this->context.unread_bytes->held);
         gauges["log_lines_dropped"] =
             dropped_log_lines() + this->context.logs.dropped_failures + this->context.logs.dropped_successes;
         return {status_ok, to_prometheus(this->context.metrics)};
@@ -196,7 +209,9 @@
     {
         flush_log();
         const time_point now = event_loop::now();
-        this->check_settings_file(now);
+        if (this->settings_file.has_changed(now)) {
+            this->reload();
+        }
         this->add_up_uses(now);
         if (!this->context.stop) {
             return;
@@ -239,24 +254,6 @@
         }
     }
 
-    // The file may change without a signal.
-    void check_settings_file(time_point now)
-    {
-        constexpr milliseconds file_check_interval{1'000};
-        if (now - this->file_checked_at < file_check_interval) {
-            return;
-        }
-        this->file_checked_at = now;
-        std::ifstream file(this->settings_path);
-        std::ostringstream text;
-        text << file.rdbuf();
-        const std::uint64_t hash = hash_of(text.str());
-        if (this->file_hash != 0 && hash != this->file_hash) {
-            this->reload();
-        }
-        this->file_hash = hash;
-    }
-
     std::string settings_path;
     event_loop loop;
     entry_context context;
@@ -272,8 +269,7 @@
     caller_port callers;
     status_port readiness;
     status_port metrics;
-    time_point file_checked_at{0};
-    std::uint64_t file_hash = 0;
+    settings_watch settings_file;
 };
 
 } // namespace
--- a/src/entry/entry_metrics.hpp
+++ b/src/entry/entry_metrics.hpp
@@ -23,6 +23,8 @@
     //! Targets that were known to leave by an answer first, and answers that asked for a rest.
     std::int64_t leaving_by_answer = 0;
     std::int64_t rests = 0;
+    //! Callers whose connections were ended as they did not read.
+    std::int64_t callers_cut_unread = 0;
     //! Calls to the store by what they were made for, then by result.
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -44,7 +44,9 @@
 
 peer_port::peer_port(entry_context& context_in, std::uint64_t process_in)
     : context(context_in), process(process_in),
-      port(context_in.loop, [this](const std::shared_ptr<caller_exchange>& caller) { this->take(caller); })
+      // Callers who do not read take nothing from what daemons tell each other.
+      port(context_in.loop, std::make_shared<byte_budget>(answer_budget(context_in.settings)),
+           [this](const std::shared_ptr<caller_exchange>& caller) { this->take(caller); })
 {
     context_in.on_change = [this] { this->answer_soon(); };
 }
--- a/tests/adapters/caller_port_test.cpp
+++ b/tests/adapters/caller_port_test.cpp
@@ -4,7 +4,10 @@
 #include "support/cluster.hpp"
 #include "support/scripted_peer.hpp"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace dandelionstep;
@@ -12,13 +15,16 @@
 
 namespace {
 
+constexpr std::size_t unread_bytes = std::size_t{16} * 1024 * 1024;
+
 struct served_port {
     event_loop loop;
     std::vector<std::shared_ptr<caller_exchange>> taken;
+    std::shared_ptr<byte_budget> unread = std::make_shared<byte_budget>(byte_budget{unread_bytes, 0});
     caller_port port;
     endpoint at{"127.0.0.1", free_port()};
 
-    served_port() : port(loop, [this](const auto& exchange) { this->taken.push_back(exchange); })
+    served_port() : port(loop, unread, [this](const auto& exchange) { this->taken.push_back(exchange); })
     {
         REQUIRE(this->port.listen(this->at).ok());
     }
@@ -35,6 +41,19 @@
 
 constexpr const char* plain_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
+// A caller that never reads; its socket.
+int connect_and_ask(const endpoint& to, std::string_view bytes)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
+    const int made = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(made, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(send(made, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    return made;
+}
+
 } // namespace
 
 TEST_CASE("a kept connection carries one request after the other, also when they come together")
@@ -139,3 +158,44 @@
     CHECK(busy->received.ends_with("late"));
     CHECK(served.port.connections() == 0);
 }
+
+// The load that it answers: callers who ask for long answers and do not read them.
+TEST_CASE("what waits for callers who do not read is bounded over all of them, and others are answered")
+{
+    constexpr std::size_t callers = 100;
+    const std::string part(std::size_t{64} * 1024, 'p');
+    served_port served;
+    std::size_t cut = 0;
+    served.port.on_unread([&cut](std::size_t bytes) { cut += bytes > 0 ? 1 : 0; });
+    std::vector<int> sockets;
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.push_back(connect_and_ask(served.at, plain_request));
+    }
+    REQUIRE(run_until(served.loop, [&] { return served.taken.size() == callers; }));
+    const std::vector<std::shared_ptr<caller_exchange>> idle = served.taken;
+    std::size_t most = 0;
+    int answered = 0;
+    for (int round = 0; round < 200; ++round) {
+        for (const std::shared_ptr<caller_exchange>& one : idle) {
+            one->start(200, {});
+            one->write(part);
+            most = std::max(most, served.unread->held);
+        }
+        run_until(served.loop, [] { return false; }, {1});
+        if (served.unread->held > unread_bytes / 2 && answered == 0) {
+            // Beside them a caller who reads is answered.
+            const auto reader = served.ask(plain_request);
+            served.taken.back()->answer(200, {}, part);
+            REQUIRE(run_until(served.loop, [&] { return reader->received.size() > part.size(); }));
+            ++answered;
+        }
+    }
+    CHECK(answered == 1);
+    CHECK(most <= unread_bytes);
+    CHECK(cut > callers / 2);
+    for (const int socket : sockets) {
+        close(socket);
+    }
+    CHECK(run_until(served.loop, [&] { return served.port.connections() == 0; }));
+    CHECK(served.unread->held == 0);
+}
