Fields with a space in their name are refused

Found by reading the users' rules one by one (a request smuggled inside another): the parser takes "Transfer-Encoding : chunked" for a field of that odd name and passes it on; a target may read it as the field that it resembles, and the body as a second request.

Change: a field's name must be a token, in requests and in responses. Evidence: adapters.http_reader fails on such heads before and passes now.

--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_reader.hpp"
 
+#include <algorithm>
 #include <http_parser.h>
 
 namespace dandelionstep {
@@ -9,6 +10,18 @@
 constexpr std::size_t max_response_headers = 256;
 constexpr int max_interim_responses = 16;
 
+constexpr std::string_view token_marks = "!#$%&'*+-.^_`|~";
+
+// The parser lets a space stand in a field's name, and two servers may read such a field differently.
+bool is_token(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char each) {
+        const bool is_digit = each >= '0' && each <= '9';
+        const bool is_letter = (each >= 'a' && each <= 'z') || (each >= 'A' && each <= 'Z');
+        return is_digit || is_letter || token_marks.find(each) != std::string_view::npos;
+    });
+}
+
 } // namespace
 
 struct http_reader::state {
@@ -51,6 +64,9 @@
             // Trailers after a chunked body carry nothing that is used.
             return 0;
         }
+        if (!is_token({text, size})) {
+            return 1;
+        }
         if (self.in_value || self.head.headers.empty()) {
             if (self.reads == kind::responses && self.head.headers.size() >= max_response_headers) {
                 self.too_many_headers = true;
--- a/tests/adapters/http_reader_test.cpp
+++ b/tests/adapters/http_reader_test.cpp
@@ -81,12 +81,19 @@
 
 TEST_CASE("bytes that are no message are found")
 {
-    for (const std::string bytes : {"\x01\x02\x03 nonsense\r\n\r\n", "GET\r\n\r\n", "HTTP/9 x\r\n\r\n",
-                                    "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
+    for (const std::string bytes :
+         {"\x01\x02\x03 nonsense\r\n\r\n", "GET\r\n\r\n", "HTTP/9 x\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding\t: chunked\r\n\r\n", "POST / HTTP/1.1\r\nA B: c\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"}) {
         CAPTURE(bytes);
         CHECK(read_in_parts(http_reader::kind::requests, bytes, 1'000).malformed);
     }
     CHECK(read_in_parts(http_reader::kind::responses, "oops", 1'000).malformed);
+    const std::string spaced = "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok";
+    CHECK(read_in_parts(http_reader::kind::responses, spaced, 1'000).malformed);
 }
 
 TEST_CASE("a response without a length ends with its connection")
