An organisation that floods a service takes nothing from those that ask for little

What callers saw: beside a burst, one organisation that sends many times its usual fills every engine, and requests of the nine others are refused as often as its own.

Change (organisation/fair_share, played without a network): while requests find no room, each organisation's part that is sent on is held to one level for all, which falls while some find no room and rises when all do. Who asks for less is never held; what is held is refused at once.

--- a/src/entry/entry_context.hpp
+++ b/src/entry/entry_context.hpp
@@ -10,6 +10,7 @@
 #include "entry/registry_news.hpp"
 #include "entry/store_position.hpp"
 #include "entry/suspects/shared_suspects.hpp"
+#include "organisation/fair_share.hpp"
 #include "route/entry_config.hpp"
 #include "route/retry_budget.hpp"
 #include "route/return_time.hpp"
@@ -78,6 +79,8 @@
     //! When anything last came from a target or the store.
     time_point heard_at{0};
     std::map<service_id, retry_budget> retry_budgets;
+    //! How organisations share each service while that turns requests away.
+    std::map<service_id, fair_share> shares;
     //! Of each service, since when its requests are refused; under no name, of requests that know none yet.
     std::map<service_id, refusal_span> refusals;
     //! Daemons that share the retry budget with this one, itself included.
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -233,6 +233,34 @@
         refuse(this->context, request, status_unavailable, "ends_targets", held);
     }
 
+    [[nodiscard]] bool is_within_share(const accepted_request& request) const
+    {
+        if (!request.organisation) {
+            return true;
+        }
+        fair_share& share = this->context.shares[request.service];
+        const time_point now = event_loop::now();
+        note_asked(share, *request.organisation, now);
+        return this->context.draw() < part_to_send(share, *request.organisation, now);
+    }
+
+    // Its organisation asks for more than the others leave, and there is no room for all.
+    void refuse_over_share(const accepted_request& request) const
+    {
+        const time_point now = event_loop::now();
+        if (may_log(this->context.logs, log_weight::failure, now)) {
+            const fair_share& share = this->context.shares[request.service];
+            log_event("request_over_share",
+                      {{"id", request.facts.attempt_id},
+                       {"organisation", request.organisation->value},
+                       {"part_sent_percent",
+                        static_cast<std::int64_t>(100 * part_to_send(share, *request.organisation, now))},
+                       {"organisations", static_cast<std::int64_t>(share.asked.size())},
+                       {"full_ms_ago", now - share.full_at}});
+        }
+        refuse_for_now(this->context, request, "organisation_over_share", std::nullopt);
+    }
+
     void dispatch(accepted_request& request) const
     {
         const service_id* service = pick_service(*request.route, this->context.draw());
@@ -249,6 +277,10 @@
             this->refuse_held(request, held);
             return;
         }
+        if (!this->is_within_share(request)) {
+            this->refuse_over_share(request);
+            return;
+        }
         const auto known = request.config->services.find(request.service);
         const bool has_engines = known != request.config->services.end() && known->second.engine.has_value();
         if (has_engines && request.facts.attempt_id.empty()) {
--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -165,6 +165,9 @@
         this->fail(status_bad_gateway, reason);
         return;
     }
+    if (this->refusals > 0) {
+        note_no_room(this->context.shares[this->request.service], event_loop::now());
+    }
     this->end();
     refuse_for_now(this->context, this->request, reason, expected);
 }
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/stream_runner.cpp
@@ -158,6 +158,9 @@
     if (this->finished || !attempt->is_stream) {
         return;
     }
+    if (!this->maybe_ran) {
+        note_room(this->context.shares[this->request.service], event_loop::now());
+    }
     this->maybe_ran = true;
     if (attempt == this->successor) {
         this->succeed();
