--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "replica_standin.hpp"
 #include "support/cluster.hpp"
+#include "support/kept_caller.hpp"
 
 #include <algorithm>
 #include <stdexcept>
@@ -185,8 +186,8 @@
         to_string(this->daemons[index].callers), "\"\nReady = \"", to_string(this->daemons[index].readiness),
         "\"\n[Bounds]\nDrainMs = ", this->plan.drain_ms, "\nConfigurationApplyMs = ", this->plan.config_ms,
         "\nStabilityWindowMs = ", this->plan.stability_ms, "\nGracePeriodS = ", this->plan.grace_s,
-        "\nRetryBudgetRatio = 0.2\nRetryBudgetSlack = 1000\n[Platform]\nAddress = \"", to_string(store),
-        "\"\n");
+        "\nRetryBudgetRatio = 0.2\nRetryBudgetSlack = ", this->plan.retry_slack, "\n[Platform]\nAddress = \"",
+        to_string(store), "\"\n");
 }
 
 void entry_cluster::start_daemon(std::size_t index)
@@ -251,6 +252,18 @@
     }
 }
 
+void entry_cluster::remove_row(const std::string& writer, const std::string& table, const std::string& key)
+{
+    const json row = {{"Table", table}, {"part", ""}, {"Key", key}};
+    const http_result removed =
+        post(this->addresses.at("store"), "/rows-tx",
+             {{"ExpectedRevision", json::array()}, {"Puts", json::array()}, {"Remove", json::array({row})}},
+             {{"Writer", writer}});
+    if (removed.status != 200) {
+        throw std::runtime_error("the row " + key + " was not removed");
+    }
+}
+
 bool entry_cluster::is_ready(std::size_t index)
 {
     return get(this->daemons.at(index).readiness, "/readiness").status == 200;
@@ -301,12 +314,9 @@
         {20'000});
 }
 
-caller_answer entry_cluster::ask(std::size_t daemon, const std::string& method, const std::string& path,
-                                 const std::string& attempt, const std::string& body, http_headers extra)
+http_request caller_request(const std::string& method, const std::string& path, const std::string& attempt,
+                            const std::string& body, http_headers extra)
 {
-    event_loop loop;
-    http_client client(loop);
-    caller_answer answer;
     http_request request;
     request.method = method;
     request.path = path;
@@ -322,17 +332,14 @@
     add("Dandelionstep-Credential", entry_key);
     add("Dandelionstep-Token-Counts", "100,40");
     add("Dandelionstep-Deadline-Remaining", "10000");
-    client.stream(
-        this->callers_of(daemon), std::move(request), [&](std::string_view part) { answer.body += part; },
-        [&](const http_result& result) {
-            answer.status = result.status;
-            answer.headers = result.headers;
-            answer.whole = result.answered();
-            answer.body += result.body;
-            loop.stop();
-        });
-    loop.run();
-    return answer;
+    return request;
+}
+
+caller_answer entry_cluster::ask(std::size_t daemon, const std::string& method, const std::string& path,
+                                 const std::string& attempt, const std::string& body, http_headers extra)
+{
+    return kept_caller().ask(this->callers_of(daemon),
+                             caller_request(method, path, attempt, body, std::move(extra)));
 }
 
 caller_answer entry_cluster::stream(std::size_t daemon, const std::string& attempt, const std::string& body)
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -38,6 +38,8 @@
     std::int64_t grace_s = 8;
     std::int64_t stall_ms = 3'000;
     std::int64_t event_ms = 20;
+    //! Repeats that all daemons together may send beyond a share of the requests.
+    std::int64_t retry_slack = 1'000;
     //! Whether the daemons may ask each other; else each reads the store for itself.
     bool has_peers = true;
     //! The longest pause between events that the streaming route allows.
@@ -48,8 +50,8 @@
     std::map<std::string, endpoint> store_seen_at;
     //! Where each replica registers itself, if not at its own address.
     std::map<std::string, endpoint> replica_seen_at;
-    //! Requests whose body or path holds this text end each replica that runs them: the first engine of a path,
-    //! or the later ones. None when empty.
+    //! Requests whose body or path holds this text end each replica that runs them: the first engine of a
+    //! path, or the later ones. None when empty.
     std::string crashes_on;
     bool crashes_later_engines = false;
     //! Called with the address of the store and of each replica when it has started.
@@ -67,6 +69,10 @@
     bool whole = false;
 };
 
+//! A request of a caller with the key that is always valid; `extra` headers go before the usual ones.
+http_request caller_request(const std::string& method, const std::string& path, const std::string& attempt,
+                            const std::string& body = "", http_headers extra = {});
+
 //! The users' store, replicas and entry daemons as separate processes on loopback.
 class entry_cluster {
 public:
@@ -79,6 +85,8 @@
     //! Writes `value` into the store, as `writer` would.
     void write_row(const std::string& writer, const std::string& table, const std::string& key,
                    const std::string& value);
+    //! Removes a row, as `writer` would.
+    void remove_row(const std::string& writer, const std::string& table, const std::string& key);
     //! Whether the daemon says that it is ready.
     bool is_ready(std::size_t index);
     //! Writes a configuration and waits until every daemon serves streams.
