--- /dev/null
+++ b/tests/soak/soak_judge.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "soak/soak_callers.hpp"
+
+#include <vector>
+
+namespace dandelionstep::soak {
+
+//! Adds what callers and replicas saw that breaks a promise, and counts the requests.
+void judge_answers(testing::entry_cluster& cluster, const std::vector<asked>& requests, soak_result& into);
+
+} // namespace dandelionstep::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -3,14 +3,15 @@
 
 #include "absl/strings/str_cat.h"
 #include "soak/fault_proxy.hpp"
+#include "soak/soak_judge.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
 
-#include <atomic>
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <random>
 #include <set>
 #include <thread>
@@ -21,23 +22,11 @@
 using namespace dandelionstep::testing;
 
 constexpr milliseconds heal_time{2'500};
+constexpr std::chrono::milliseconds restart_pause{600};
 constexpr milliseconds recovery_limit{15'000};
 // Longest that a single fault lasts.
 constexpr int most_fault_ms = 2'500;
 
-// One request of a caller and what came of it.
-struct asked {
-    std::string attempt;
-    std::string kind;
-    std::string body;
-    caller_answer answer;
-};
-
-bool promises_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 void pause_ms(std::int64_t ms)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
@@ -45,11 +34,13 @@
 
 class soak_run {
 public:
-    explicit soak_run(const soak_options& options_in) : options(options_in), random(options_in.seed)
+    explicit soak_run(const soak_options& options_in)
+        : options(options_in), random(options_in.seed), answer_random(~options_in.seed)
     {
         entry_plan plan = usual_entry_plan();
         plan.daemons.assign(options_in.daemons, "n");
         plan.event_ms = 30;
+        plan.crashes_on = ending_text;
         for (std::size_t i = 0; i < options_in.daemons; ++i) {
             const std::string name = absl::StrCat("daemon", i);
             this->proxies[name] = std::make_unique<fault_proxy>();
@@ -72,20 +63,15 @@
             this->violation("the cluster did not become ready");
             return std::move(this->result);
         }
-        std::vector<std::thread> callers;
-        callers.reserve(static_cast<std::size_t>(this->options.callers));
-        for (int i = 0; i < this->options.callers; ++i) {
-            callers.emplace_back([this, i] { this->call_until_stopped(i); });
-        }
+        soak_callers callers(*this->cluster, this->options);
         this->inject();
         this->heal();
-        pause_ms(heal_time.count);
-        this->stopped = true;
-        for (std::thread& caller : callers) {
-            caller.join();
-        }
+        this->tend_until(std::chrono::steady_clock::now() + std::chrono::milliseconds(heal_time.count));
+        this->check_deaths();
+        const std::vector<asked> requests = callers.stop();
+        this->tend_until(std::chrono::steady_clock::now() + 2 * restart_pause);
         this->check_recovery();
-        this->check_answers();
+        judge_answers(*this->cluster, requests, this->result);
         this->check_processes();
         return std::move(this->result);
     }
@@ -119,30 +105,6 @@
         this->result.actions.push_back(absl::StrCat(ms, " ms: ", action));
     }
 
-    void call_until_stopped(int caller)
-    {
-        std::mt19937_64 draws(this->options.seed * 1'000 + static_cast<std::uint64_t>(caller));
-        for (int i = 0; !this->stopped; ++i) {
-            asked one;
-            one.attempt = absl::StrCat("c", caller, "-", i);
-            one.body = absl::StrCat("body of ", one.attempt);
-            const std::size_t daemon = draws() % this->options.daemons;
-            const std::uint64_t kind = draws() % 3;
-            if (kind == 0) {
-                one.kind = "stream";
-                one.answer = this->cluster->stream(daemon, one.attempt, one.body);
-            } else if (kind == 1) {
-                one.kind = "order";
-                one.answer = this->cluster->order(daemon, one.attempt, one.body);
-            } else {
-                one.kind = "lookup";
-                one.answer = this->cluster->look_up(daemon, one.attempt);
-            }
-            const std::lock_guard guard(this->lock);
-            this->requests.push_back(std::move(one));
-        }
-    }
-
     // Each action undoes itself after its time, while others begin.
     void inject()
     {
@@ -150,7 +112,32 @@
         while (std::chrono::steady_clock::now() < end) {
             this->undo_due();
             this->strike();
-            pause_ms(static_cast<std::int64_t>(100 + this->below(600)));
+            this->strike_by_answer();
+            this->tend_until(std::chrono::steady_clock::now() +
+                             std::chrono::milliseconds(100 + this->below(600)));
+        }
+    }
+
+    // Starts replicas again that a request has ended.
+    void tend_until(std::chrono::steady_clock::time_point end)
+    {
+        constexpr int look_pause_ms = 10;
+        while (std::chrono::steady_clock::now() < end) {
+            const auto now = std::chrono::steady_clock::now();
+            for (const std::string& id : this->cluster->replica_ids()) {
+                if (this->down.contains(id) || this->cluster->processes.at(id).running()) {
+                    continue;
+                }
+                const auto [due, is_new] = this->restart_at.try_emplace(id, now + restart_pause);
+                if (is_new) {
+                    this->note(absl::StrCat(id, " ended by a request"));
+                    this->deaths.push_back(now);
+                } else if (now >= due->second) {
+                    this->cluster->start_replica(id);
+                    this->restart_at.erase(due);
+                }
+            }
+            pause_ms(look_pause_ms);
         }
     }
 
@@ -275,7 +262,7 @@
     void kill_engine()
     {
         const std::string id = this->pick(this->engines);
-        if (this->down.contains(id)) {
+        if (!this->is_sound(id)) {
             return;
         }
         this->note(absl::StrCat("kill ", id));
@@ -293,14 +280,79 @@
             {{"refuse", 3}}, {{"hang", 2}}, {{"drop_answers", 3}}, {{"unsigned", 2}}, {{"draining", true}}};
         const std::string id = this->pick(this->services);
         const json& fault = faults[this->below(faults.size())];
+        if (!this->is_sound(id)) {
+            return;
+        }
         this->note(absl::StrCat("replica ", id, " ", fault.dump()));
         this->cluster->set_faults(id, fault);
         this->later([this, id] {
+            if (!this->is_sound(id)) {
+                return;
+            }
             this->cluster->set_faults(
                 id, {{"refuse", 0}, {"hang", 0}, {"drop_answers", 0}, {"unsigned", 0}, {"draining", false}});
         });
     }
 
+    // Draws of its own, so that a seed's other troubles stay what they were.
+    void strike_by_answer()
+    {
+        std::swap(this->random, this->answer_random);
+        switch (this->below(6)) {
+        case 0:
+            this->have_leave_by_answer();
+            break;
+        case 1:
+            this->have_rest();
+            break;
+        default:
+            break;
+        }
+        std::swap(this->random, this->answer_random);
+    }
+
+    // A replica that says in its answers alone that it leaves, and is another process when it is back.
+    void have_leave_by_answer()
+    {
+        const std::string id = this->below(2) == 0 ? this->pick(this->engines) : this->pick(this->services);
+        if (!this->is_sound(id)) {
+            return;
+        }
+        this->note(absl::StrCat(id, " leaves and says so in its answers"));
+        this->cluster->set_faults(id, {{"says_leaving", true}});
+        this->later([this, id] {
+            if (!this->is_sound(id)) {
+                return;
+            }
+            this->cluster->processes.at(id).kill();
+            this->cluster->start_replica(id);
+        });
+    }
+
+    // One of them, always the same, asks for far more than it needs.
+    void have_rest()
+    {
+        const std::string id = this->pick(this->services);
+        if (!this->is_sound(id)) {
+            return;
+        }
+        const bool is_liar = id == this->services.front();
+        this->note(absl::StrCat(id, is_liar ? " asks for a long rest" : " asks for a rest"));
+        this->cluster->set_faults(id, {{"rests", is_liar ? 50 : 2}, {"rest_s", is_liar ? "30" : "0.8"}});
+        this->later([this, id] {
+            if (this->is_sound(id)) {
+                this->cluster->set_faults(id, {{"rests", 0}});
+            }
+        });
+    }
+
+    // Whether the replica runs, as far as this run has seen.
+    bool is_sound(const std::string& id)
+    {
+        return !this->down.contains(id) && !this->restart_at.contains(id) &&
+               this->cluster->processes.at(id).running();
+    }
+
     // Each configuration has one more key, and not the one before.
     void change_config()
     {
@@ -325,6 +377,26 @@
         this->cluster->set_faults("store", sound_store());
     }
 
+    // A request that has ended three targets reaches at most three more, later than the stability window
+    // after the third and while nothing disturbs the daemons. Its caller goes on all the while.
+    void check_deaths()
+    {
+        constexpr std::size_t first_deaths = 3;
+        constexpr std::ptrdiff_t allowed_retries = 3;
+        constexpr int calm_seconds = 2;
+        const auto window = std::chrono::milliseconds(usual_entry_plan().stability_ms);
+        auto from = std::chrono::steady_clock::now();
+        this->tend_until(from + std::chrono::seconds(calm_seconds));
+        if (this->deaths.size() < first_deaths) {
+            return;
+        }
+        from = std::max(from, this->deaths[first_deaths - 1] + window);
+        const auto late = std::ranges::count_if(this->deaths, [from](auto at) { return at > from; });
+        if (late > allowed_retries) {
+            this->violation(absl::StrCat("a request ended ", late, " targets after it was known"));
+        }
+    }
+
     void check_recovery()
     {
         this->change_config();
@@ -353,58 +425,6 @@
         }
     }
 
-    void check_answers()
-    {
-        std::map<std::string, std::int64_t> runs;
-        for (const std::string& id : this->cluster->replica_ids()) {
-            const json ledger = this->cluster->ledger(id);
-            // items() refers to its object, which must outlive the loop.
-            const json all = ledger.value("runs", json::object());
-            for (const auto& [attempt, run] : all.items()) {
-                runs[attempt] += integer_or(run, "count", 0);
-            }
-            if (!ledger.value("bad_paths", json::array()).empty()) {
-                this->violation(absl::StrCat(id, " was given a path that does not run every layer once"));
-            }
-        }
-        for (const asked& one : this->requests) {
-            ++this->result.requests;
-            this->result.served += one.answer.status == 200 && one.answer.whole ? 1 : 0;
-            this->check_answer(one, runs[one.attempt]);
-        }
-    }
-
-    void check_answer(const asked& one, std::int64_t runs)
-    {
-        const std::string what = absl::StrCat(one.kind, " ", one.attempt, " (status ", one.answer.status,
-                                              ", ran ", runs, " times)");
-        if (one.kind == "order" && runs > 1) {
-            this->violation(absl::StrCat(what, " ran more than once"));
-        }
-        if (one.kind == "order" && promises_not_run(one.answer.status) && runs > 0) {
-            this->violation(absl::StrCat(what, " was said not to have run"));
-        }
-        if (one.kind == "order" && one.answer.status == 200 && one.answer.whole &&
-            one.answer.body != absl::StrCat("echo:", one.body)) {
-            this->violation(absl::StrCat(what, " got another answer"));
-        }
-        if (one.kind == "lookup" && one.answer.status == 200 && one.answer.whole &&
-            one.answer.body != "echo:") {
-            this->violation(absl::StrCat(what, " got another answer"));
-        }
-        if (one.kind == "stream" && one.answer.status == 200 &&
-            !is_stream_prefix(one.answer.body, one.body)) {
-            this->violation(absl::StrCat(what, " lost, repeated or mixed events"));
-        }
-        if (one.kind == "stream" && one.answer.status == 200 && one.answer.whole &&
-            !is_whole_stream(one.answer, one.body)) {
-            this->violation(absl::StrCat(what, " looks complete and is not"));
-        }
-        if (one.answer.status == 401 || one.answer.status == 404) {
-            this->violation(absl::StrCat(what, " was denied though every configuration allows it"));
-        }
-    }
-
     void check_processes()
     {
         for (std::size_t i = 0; i < this->options.daemons; ++i) {
@@ -417,16 +437,19 @@
 
     soak_options options;
     std::mt19937_64 random;
+    //! Draws what replicas say in their answers.
+    std::mt19937_64 answer_random;
     // Proxies outlive the processes that connect through them.
     std::map<std::string, std::unique_ptr<fault_proxy>> proxies;
     std::unique_ptr<entry_cluster> cluster;
     std::vector<std::string> engines;
     std::vector<std::string> services;
     std::multimap<std::chrono::steady_clock::time_point, std::function<void()>> undos;
+    //! Processes that are down on purpose.
     std::set<std::string> down;
-    std::atomic<bool> stopped = false;
-    std::mutex lock;
-    std::vector<asked> requests;
+    //! Replicas that a request has ended, and when they start again; all those ends.
+    std::map<std::string, std::chrono::steady_clock::time_point> restart_at;
+    std::vector<std::chrono::steady_clock::time_point> deaths;
     int keys = 0;
     std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
     soak_result result;
