--- a/tests/process/entry_target_notices_proof_test.cpp
+++ b/tests/process/entry_target_notices_proof_test.cpp
@@ -121,6 +121,7 @@
 {
     std::atomic<int> cut = 0;
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(callers));
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             for (int number = 0; wall_now() < until; ++number) {
