A target that answered slowly once is asked again

The daemon's log: the first answer of another replica took 149 ms, its later ones 60. From then on the third replica got every request, as the estimate of the slow one is never looked at again while the others do well, and a replica that has not answered yet is taken for the mean of all, the old outlier included.

What callers saw: one of a service's replicas works for all, the others idle; a replica that was slow once (a cold start, a busy machine) stays out of use for as long as the rest suffice.

Change: what a response took says less and less: the expectation comes near to that of the fastest of the service, half of the way in 1.5 s, and a new response then weighs more. A replica without an answer is expected to be like the fastest.

--- a/src/route/pick_target.cpp
+++ b/src/route/pick_target.cpp
@@ -6,7 +6,7 @@
 namespace dandelionstep {
 namespace {
 
-// Stands for the mean response time of a service that has not answered yet.
+// Stands for the response time of a service that has not answered yet.
 constexpr double unknown_response_ms = 20;
 // What a failure costs the caller, against waiting for a response.
 constexpr double failure_cost_ms = 500;
@@ -22,24 +22,25 @@
     double cost = 0;
 };
 
-// A target that has not answered yet is expected to be like the others.
+// What the fastest of the service takes. A target that has not answered yet, or only long ago, is expected to
+// be like it, so that it is tried.
 double usual_response_ms(const service_id& service, const target_registry& registry,
                          const target_conditions& conditions)
 {
-    double sum = 0;
-    double count = 0;
+    std::optional<double> least;
     for (const auto& [id, target] : registry) {
         const double response = target.service == service ? condition_of(conditions, id).response_ms : 0;
-        sum += response;
-        count += response > 0 ? 1 : 0;
+        if (response > 0) {
+            least = std::min(least.value_or(response), response);
+        }
     }
-    return count > 0 ? sum / count : unknown_response_ms;
+    return least.value_or(unknown_response_ms);
 }
 
 double expected_cost(const registered_target& target, const target_condition& condition,
                      const target_query& query, double usual_ms)
 {
-    const double response = condition.response_ms > 0 ? condition.response_ms : usual_ms;
+    const double response = present_response_ms(condition, usual_ms, query.now);
     const bool is_fresh = query.now - condition.load_reported_at < load_age_limit;
     const std::int64_t load =
         std::max(condition.in_flight, is_fresh ? condition.reported_load : std::int64_t{0});
--- a/src/target/target_condition.cpp
+++ b/src/target/target_condition.cpp
@@ -11,6 +11,8 @@
 constexpr double newest_weight = 0.2;
 // Time in which half of the past experience is forgotten, so that a recovered target is tried again.
 constexpr double half_life_ms = 4000;
+// The same for the time that its responses took: one slow response keeps it out of use for some seconds.
+constexpr double response_half_life_ms = 1500;
 // First time out of use after a failure; doubled with each further one up to the longest.
 constexpr milliseconds first_pause{400};
 constexpr milliseconds longest_pause{3000};
@@ -36,6 +38,13 @@
 // A target that was given so many requests at a time after a rest is as before.
 constexpr std::int64_t most_returning = 64;
 
+// What is left of an experience after that time.
+double remainder(time_point since, double half_life, time_point now)
+{
+    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - since).count));
+    return std::exp2(-age / half_life);
+}
+
 void update_share(target_condition& condition, double observed, time_point now)
 {
     condition.failure_share = present_failure_share(condition, now);
@@ -59,14 +68,12 @@
 
 double present_pressure(const target_condition& condition, time_point now)
 {
-    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - condition.pressure_set_at).count));
-    return 1 + (condition.pressure - 1) * std::exp2(-age / pressure_half_life_ms);
+    return 1 + (condition.pressure - 1) * remainder(condition.pressure_set_at, pressure_half_life_ms, now);
 }
 
 double present_failure_share(const target_condition& condition, time_point now)
 {
-    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - condition.last_change).count));
-    return condition.failure_share * std::exp2(-age / half_life_ms);
+    return condition.failure_share * remainder(condition.last_change, half_life_ms, now);
 }
 
 void note_sent(target_condition& condition, time_point now)
@@ -87,9 +94,12 @@
 void note_response(target_condition& condition, milliseconds took, time_point now)
 {
     const auto observed = static_cast<double>(took.count);
-    condition.response_ms = condition.response_ms == 0
-                                ? observed
-                                : condition.response_ms + newest_weight * (observed - condition.response_ms);
+    const double kept =
+        condition.response_ms == 0
+            ? 0
+            : (1 - newest_weight) * remainder(condition.responded_at, response_half_life_ms, now);
+    condition.response_ms = kept * condition.response_ms + (1 - kept) * observed;
+    condition.responded_at = now;
     note_reached(condition);
     condition.returning_limit =
         condition.returning_limit * 2 > most_returning ? 0 : condition.returning_limit * 2;
@@ -99,6 +109,15 @@
     update_share(condition, 0, now);
 }
 
+double present_response_ms(const target_condition& condition, double usual_ms, time_point now)
+{
+    const double excess = condition.response_ms - usual_ms;
+    if (condition.response_ms == 0 || excess <= 0) {
+        return condition.response_ms == 0 ? usual_ms : condition.response_ms;
+    }
+    return usual_ms + excess * remainder(condition.responded_at, response_half_life_ms, now);
+}
+
 void note_failure(target_condition& condition, target_failure failure, time_point now)
 {
     ++condition.failures_in_a_row;
@@ -165,8 +184,7 @@
 
 double present_reading(const target_condition& condition, time_point now)
 {
-    const auto age = static_cast<double>(std::max<std::int64_t>(0, (now - condition.reading_noted_at).count));
-    return condition.reading * std::exp2(-age / reading_half_life_ms);
+    return condition.reading * remainder(condition.reading_noted_at, reading_half_life_ms, now);
 }
 
 double present_pace(const target_condition& condition, time_point now)
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -20,8 +20,9 @@
     //! Tokens of prompts times layers that this daemon lately gave it to read in a millisecond, and when.
     double reading = 0;
     time_point reading_noted_at{0};
-    //! Mean time to a response, of those that came lately.
+    //! Mean time to a response, as of the last one, and when that came. 0: it has not answered yet.
     double response_ms = 0;
+    time_point responded_at{0};
     //! Share of lately sent requests that failed, 0 to 1.
     double failure_share = 0;
     std::int64_t failures_in_a_row = 0;
@@ -86,6 +87,10 @@
 //! Notes a response after `took`.
 void note_response(target_condition& condition, milliseconds took, time_point now);
 
+//! The time to a response that is expected now. What it took long ago says less and less: the expectation
+//! comes near to `usual_ms`, that of the others, if it was longer.
+double present_response_ms(const target_condition& condition, double usual_ms, time_point now);
+
 //! Notes a failure; repeated ones keep the target out of use for longer, up to a few seconds.
 void note_failure(target_condition& condition, target_failure failure, time_point now);
 
--- a/tests/route/pick_target_test.cpp
+++ b/tests/route/pick_target_test.cpp
@@ -3,8 +3,10 @@
 #include "absl/strings/str_cat.h"
 
 #include <doctest/doctest.h>
+#include <functional>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace dandelionstep;
 
@@ -241,3 +243,53 @@
     }
     CHECK(picked.size() == 2);
 }
+
+namespace {
+
+// Requests, one after the other, that went to each target, by what each takes to answer.
+std::map<std::string, int> play_one_by_one(const target_registry& registry, target_conditions& conditions,
+                                           const std::function<std::int64_t(const std::string&, int)>& takes,
+                                           milliseconds span)
+{
+    std::map<std::string, int> answered;
+    std::mt19937_64 random(7);
+    for (time_point now{1'000}; now < time_point{1'000} + span;) {
+        target_query query = query_at(now);
+        query.draw = std::uniform_real_distribution<double>(0, 1)(random);
+        const target_id picked = pick_target(query, registry, conditions)->id;
+        const milliseconds took{takes(picked.value, answered[picked.value]++)};
+        now = now + took;
+        note_response(conditions[picked], took, now);
+    }
+    return answered;
+}
+
+} // namespace
+
+// The load that it answers: replicas that were slow for one answer, as they had just started or their machine
+// was busy. All others' requests went to the only one that was not.
+TEST_CASE("a target whose only answer so far was slow is asked again within seconds, and so are new ones")
+{
+    const target_registry registry = registry_of({replica("good"), replica("slow_once"), replica("new")});
+    target_conditions conditions;
+    note_response(conditions[target_id("slow_once")], {150}, {900});
+    note_response(conditions[target_id("good")], {60}, {950});
+    const auto equal = [](const std::string&, int) { return 60; };
+    const std::map<std::string, int> early = play_one_by_one(registry, conditions, equal, {5'000});
+    CHECK(early.size() == 3);
+    const std::map<std::string, int> later = play_one_by_one(registry, conditions, equal, {15'000});
+    for (const auto& [target, answers] : later) {
+        CAPTURE(target);
+        CHECK(answers > 15'000 / 60 / 3 / 2);
+    }
+}
+
+TEST_CASE("a target that stays slow is tried now and then, and takes few of the requests")
+{
+    const target_registry registry = registry_of({replica("good"), replica("slow")});
+    target_conditions conditions;
+    const auto unequal = [](const std::string& target, int) { return target == "slow" ? 240 : 60; };
+    const std::map<std::string, int> answered = play_one_by_one(registry, conditions, unequal, {60'000});
+    CHECK(answered.at("slow") >= 60 / 15);
+    CHECK(answered.at("slow") <= 60 / 5);
+}
