An engine's rest keeps new streams away, and nothing else

Cause: a refusal's Retry-After also put the engine at fault out of use for as long, as engines without room are. So a resting engine was left out of every path, though streams that entered elsewhere are to pass through it (docs/PLATFORM), and when another engine than the one that answered was at fault, that one was left out for a rest that it had not asked for. The two hid each other in the test, and in its cluster the other copy of the model took the streams anyway.

Change: the time of a refusal is the same with and without Retry-After; the rest is kept by the engine that asked for it, as the first one of a path. In the test the resting engine is the only first one in the daemon's data centre, where streams stay if they can.

--- a/src/entry/stream_end.cpp
+++ b/src/entry/stream_end.cpp
@@ -87,9 +87,7 @@
             at_fault = part;
         }
     }
-    const milliseconds rest =
-        std::min(attempt.facts.rest.value_or(milliseconds{0}), this->context.settings.longest_rest);
-    note_refusal(this->context.conditions[at_fault.id], std::max(pause_after_refusal, rest), now);
+    note_refusal(this->context.conditions[at_fault.id], pause_after_refusal, now);
     this->excluded.insert(at_fault.id);
     --this->sent_count;
     ++this->refusals;
--- a/tests/process/entry_target_notices_proof_test.cpp
+++ b/tests/process/entry_target_notices_proof_test.cpp
@@ -94,17 +94,15 @@
     return text.empty() ? -1 : std::stod(text);
 }
 
-// An engine that holds the first layer.
-std::string first_engine(entry_cluster& cluster)
+// The one of the engines that holds the first layer.
+std::string first_engine(entry_cluster& cluster, const std::vector<std::string>& engines)
 {
-    for (const std::string& id : cluster.replica_ids()) {
-        const json layers =
-            id.starts_with("i-e") ? cluster.report(id).value("Layers", json::object()) : json();
-        if (!layers.empty() && integer_or(layers, "From", -1) == 0) {
-            return id;
-        }
-    }
-    return "";
+    const auto found = std::ranges::find_if(engines, [&](const std::string& id) {
+        const json layers = cluster.report(id).value("Layers", json::object());
+        return integer_or(layers, "From", -1) == 0 && integer_or(layers, "To", 0) > 0;
+    });
+    REQUIRE(found != engines.end());
+    return *found;
 }
 
 // Streams through the first daemon until one has entered at the engine; when it did.
@@ -179,7 +177,8 @@
     plan.event_ms = 80;
     entry_cluster cluster(plan);
     REQUIRE(cluster.become_ready());
-    const std::string first = first_engine(cluster);
+    const std::string first =
+        first_engine(cluster, {"i-e1", "i-e2", "i-e3", "i-e4", "i-e5", "i-e6", "i-e7", "i-e8"});
     cluster.set_faults(first, {{"says_leaving", true}});
     const wall_time passed_on = stream_from(cluster, first, "until");
     for (int i = 0; i < 6; ++i) {
@@ -264,11 +263,17 @@
     }
 }
 
+// The resting engine is the only first one in the daemon's own data centre, where streams stay if they can.
 TEST_CASE("an engine that asks for a rest takes in no streams meanwhile")
 {
-    entry_cluster cluster(usual_entry_plan());
+    entry_plan plan = usual_entry_plan();
+    const std::string other_centre = "s";
+    for (const char* id : {"i-e5", "i-e6", "i-e7", "i-e8"}) {
+        std::ranges::find(plan.replicas, id, &replica_plan::id)->data_centre = other_centre;
+    }
+    entry_cluster cluster(plan);
     REQUIRE(cluster.become_ready());
-    const std::string first = first_engine(cluster);
+    const std::string first = first_engine(cluster, {"i-e1", "i-e2", "i-e3", "i-e4"});
     cluster.set_faults(first, {{"rests", 1}, {"rest_s", "3"}});
     const wall_time asked = stream_from(cluster, first, "until");
     stream_together(cluster, 8, {asked.count + 2'800});
