Followers that come at the same moment are told the same line

What was wrong: a reader ranked its followers anew for each that asked. Dozens who lose their reader come to the next one within milliseconds, and each was told the ablest of those who had come before it. When that reader fails as well, up to a dozen of them think that they are next, or follow one that does, and each reads the store.

Change (vm/successor_line): the line is ranked when the first follower comes and again after five seconds; in between who is gone leaves it, and who comes is put at its end. Ruled out: ranking only at long intervals without removal (a dead daemon stays first).

Evidence: vm.successor_line, 60 followers, 100 seeds: all agree who is next; with the rule before, more than five different ones in some.

--- a/src/entry/peer_port.cpp
+++ b/src/entry/peer_port.cpp
@@ -19,7 +19,6 @@
 // An answer waits no longer for a change, and is late by no more than the interval.
 constexpr milliseconds longest_wait{2'000};
 constexpr milliseconds overdue_interval{30};
-constexpr std::size_t most_successors = 4;
 // A daemon that reached the store is named for so long to those that did not.
 constexpr milliseconds announcement_time{5'000};
 
@@ -69,20 +68,12 @@
 
 std::vector<peer> peer_port::successors() const
 {
-    std::vector<std::pair<double, peer>> ranked;
-    for (const auto& [vm, one] : this->askers) {
-        if (is_recent(one.asked_at) && one.at.port != 0) {
-            ranked.emplace_back(-one.capacity, peer{vm, one.at});
-        }
-    }
-    std::ranges::sort(ranked, [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first < b.first : a.second.vm < b.second.vm;
+    std::vector<peer> present;
+    std::ranges::copy_if(this->line.line, std::back_inserter(present), [this](const peer& one) {
+        const auto known = this->askers.find(one.vm);
+        return known != this->askers.end() && is_recent(known->second.asked_at);
     });
-    std::vector<peer> first;
-    for (std::size_t i = 0; i < std::min(ranked.size(), most_successors); ++i) {
-        first.push_back(ranked[i].second);
-    }
-    return first;
+    return present;
 }
 
 std::optional<peer> peer_port::better_reader() const
@@ -141,6 +132,13 @@
     const time_point now = event_loop::now();
     this->askers[question.vm] = {question.at, question.capacity, now};
     std::erase_if(this->askers, [](const auto& one) { return !is_recent(one.second.asked_at); });
+    std::vector<successor_candidate> candidates;
+    for (const auto& [vm, one] : this->askers) {
+        if (one.at.port != 0) {
+            candidates.push_back({{vm, one.at}, one.capacity});
+        }
+    }
+    update_line(this->line, std::move(candidates), now);
     if (question.uses) {
         note_uses(this->shared, question.vm, *question.uses, now);
     }
--- a/src/entry/peer_port.hpp
+++ b/src/entry/peer_port.hpp
@@ -5,6 +5,7 @@
 #include "entry/peer_messages.hpp"
 #include "entry/shared_answers.hpp"
 #include "entry/shared_uses.hpp"
+#include "vm/successor_line.hpp"
 
 #include <functional>
 #include <map>
@@ -75,6 +76,7 @@
     std::uint64_t process;
     caller_port port;
     std::map<vm_id, asker> askers;
+    successor_line line;
     //! A daemon that said that it reaches the store, and when.
     std::optional<peer> announced;
     time_point announced_at{0};
--- /dev/null
+++ b/src/vm/successor_line.cpp
@@ -0,0 +1,42 @@
+#include "vm/successor_line.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace dandelionstep {
+namespace {
+
+constexpr std::size_t most_successors = 4;
+// Until the last follower has asked again, some know the line as it was before it was ranked.
+constexpr milliseconds rank_interval{5'000};
+
+void rank(std::vector<successor_candidate>& candidates)
+{
+    std::ranges::sort(candidates, [](const successor_candidate& a, const successor_candidate& b) {
+        return a.capacity != b.capacity ? a.capacity > b.capacity : a.daemon.vm < b.daemon.vm;
+    });
+}
+
+} // namespace
+
+void update_line(successor_line& successors, std::vector<successor_candidate> candidates, time_point now)
+{
+    rank(candidates);
+    if (successors.line.empty()) {
+        successors.ranked_at = now;
+    } else if (now - successors.ranked_at >= rank_interval) {
+        successors = {{}, now};
+    }
+    std::vector<peer>& line = successors.line;
+    std::erase_if(line, [&](const peer& one) {
+        return std::ranges::find(candidates, one, &successor_candidate::daemon) == candidates.end();
+    });
+    for (const successor_candidate& candidate : candidates) {
+        const bool is_in_line = std::ranges::find(line, candidate.daemon) != line.end();
+        if (!is_in_line && line.size() < most_successors) {
+            line.push_back(candidate.daemon);
+        }
+    }
+}
+
+} // namespace dandelionstep
--- a/tests/process/entry_store_calls_test.cpp
+++ b/tests/process/entry_store_calls_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -19,6 +20,7 @@
 // the lease.
 constexpr std::int64_t reader_calls_per_second = 5;
 constexpr std::int64_t restarts = 10;
+constexpr std::size_t killed_in_a_row = 3;
 // Readers beside the first that an event may bring forth: those in line.
 constexpr std::int64_t most_readers = 5;
 
@@ -84,6 +86,24 @@
     return eventually([&] { return count_followers(cluster) == daemons - 1; }, {20'000});
 }
 
+// The one that most of the living follow by now.
+std::size_t await_reader(entry_cluster& cluster, const std::set<std::size_t>& dead)
+{
+    std::size_t reader = daemons;
+    REQUIRE(eventually(
+        [&] {
+            for (std::size_t i = 0; i < daemons; ++i) {
+                if (!dead.contains(i) && cluster.gauge_of(i, "followers") > 20) {
+                    reader = i;
+                    return true;
+                }
+            }
+            return false;
+        },
+        {20'000}));
+    return reader;
+}
+
 // Whether daemons all over the data centre take a new key in time.
 bool takes_new_key(entry_cluster& cluster, const std::string& key, std::size_t except)
 {
@@ -144,6 +164,22 @@
     CHECK(calls_within(cluster, 5) <= calls_of_readers(5));
     CHECK(takes_new_key(cluster, "key-killed", reader));
     CHECK(count_followers(cluster) >= daemons - 1 - most_readers);
+
+    MESSAGE("three more readers are killed, each as soon as it is followed");
+    std::set<std::size_t> dead{reader};
+    const std::int64_t before_kills = calls_so_far(cluster);
+    const time_point began = event_loop::now();
+    while (dead.size() < 1 + killed_in_a_row) {
+        reader = await_reader(cluster, dead);
+        daemon_of(cluster, reader).kill();
+        dead.insert(reader);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const std::int64_t seconds = (event_loop::now() - began).count / 1'000 + 1;
+    const std::int64_t calls = calls_so_far(cluster) - before_kills;
+    MESSAGE("calls in ", seconds, " s: ", calls);
+    CHECK(calls <= calls_of_readers(seconds));
+    CHECK(count_followers(cluster) >= daemons - dead.size() - most_readers);
 }
 
 TEST_CASE(
--- /dev/null
+++ b/tests/vm/successor_line_test.cpp
@@ -0,0 +1,97 @@
+#include "vm/successor_line.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+using namespace dandelionstep;
+
+namespace {
+
+successor_candidate candidate_of(int number, double capacity)
+{
+    return {{vm_id(absl::StrCat("vm", number)), {"10.0.0.1", 7'000}}, capacity};
+}
+
+std::vector<std::string> names_in(const std::vector<peer>& line)
+{
+    std::vector<std::string> names;
+    names.reserve(line.size());
+    for (const peer& one : line) {
+        names.push_back(one.vm.value);
+    }
+    return names;
+}
+
+// The simpler rule: the ablest of those that follow by now.
+std::vector<peer> ranked_anew(std::vector<successor_candidate> candidates)
+{
+    successor_line fresh;
+    update_line(fresh, std::move(candidates), {0});
+    return fresh.line;
+}
+
+// How many of the followers think that they are next, or follow such a one, when their reader fails just
+// after all of them have come.
+template <typename Tell>
+std::size_t next_ones(std::uint64_t seed, Tell tell)
+{
+    constexpr int followers = 60;
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> capacity(2, 40);
+    std::vector<successor_candidate> known;
+    std::set<std::string> next;
+    for (int i = 0; i < followers; ++i) {
+        known.push_back(candidate_of(i, capacity(random)));
+        next.insert(tell(known, i).front().vm.value);
+    }
+    return next.size();
+}
+
+constexpr time_point start{10'000};
+
+} // namespace
+
+TEST_CASE("followers that come within milliseconds agree who is next, ranked anew for each they do not")
+{
+    std::size_t most = 0;
+    std::size_t most_by_ranking = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        successor_line successors;
+        const auto by_line = [&](const auto& known, int i) {
+            update_line(successors, known, start + milliseconds{i});
+            return successors.line;
+        };
+        most = std::max(most, next_ones(seed, by_line));
+        const auto by_ranking = [](const auto& known, int) { return ranked_anew(known); };
+        most_by_ranking = std::max(most_by_ranking, next_ones(seed, by_ranking));
+    }
+    CHECK(most == 1);
+    CHECK(most_by_ranking > 5);
+}
+
+TEST_CASE("the ablest go first some seconds after the first has come")
+{
+    successor_line successors;
+    update_line(successors, {candidate_of(1, 5)}, start);
+    const std::vector<successor_candidate> all{candidate_of(1, 5), candidate_of(2, 9), candidate_of(3, 7),
+                                               candidate_of(4, 1), candidate_of(5, 2)};
+    update_line(successors, all, start + milliseconds{100});
+    CHECK(names_in(successors.line) == std::vector<std::string>{"vm1", "vm2", "vm3", "vm5"});
+    update_line(successors, all, start + milliseconds{5'000});
+    CHECK(names_in(successors.line) == std::vector<std::string>{"vm2", "vm3", "vm1", "vm5"});
+}
+
+TEST_CASE("who follows no longer leaves the line, and the others keep their order")
+{
+    successor_line successors;
+    update_line(successors, {candidate_of(1, 5)}, start);
+    update_line(successors, {candidate_of(1, 5), candidate_of(2, 9), candidate_of(3, 7)}, start);
+    update_line(successors, {candidate_of(2, 9), candidate_of(3, 7), candidate_of(4, 8)}, start);
+    CHECK(names_in(successors.line) == std::vector<std::string>{"vm2", "vm3", "vm4"});
+    update_line(successors, {}, start);
+    CHECK(successors.line.empty());
+}
