--- a/tests/route/pick_target_test.cpp
+++ b/tests/route/pick_target_test.cpp
@@ -278,9 +278,9 @@
     const std::map<std::string, int> early = play_one_by_one(registry, conditions, equal, {5'000});
     CHECK(early.size() == 3);
     const std::map<std::string, int> later = play_one_by_one(registry, conditions, equal, {15'000});
-    for (const auto& [target, answers] : later) {
-        CAPTURE(target);
-        CHECK(answers > 15'000 / 60 / 3 / 2);
+    for (const auto& answered : later) {
+        CAPTURE(answered.first);
+        CHECK(answered.second > 15'000 / 60 / 3 / 2);
     }
 }
 
