--- a/src/entry/periodic_watch.cpp
+++ b/src/adapters/periodic_watch.cpp
@@ -1,4 +1,4 @@
-#include "entry/periodic_watch.hpp"
+#include "adapters/periodic_watch.hpp"
 
 #include <iterator>
 
--- a/src/entry/call_outcome.cpp
+++ b/src/entry/calls/call_outcome.cpp
@@ -1,6 +1,6 @@
 #include "adapters/log.hpp"
-#include "entry/internal/call_carrier.hpp"
-#include "entry/refusal.hpp"
+#include "entry/calls/internal/call_carrier.hpp"
+#include "entry/requests/refusal.hpp"
 
 #include <algorithm>
 
--- a/src/entry/call_runner.cpp
+++ b/src/entry/calls/call_runner.cpp
@@ -1,10 +1,10 @@
-#include "entry/call_runner.hpp"
+#include "entry/calls/call_runner.hpp"
 
 #include "adapters/http_text.hpp"
 #include "adapters/log.hpp"
-#include "entry/internal/call_carrier.hpp"
-#include "entry/refusal.hpp"
-#include "entry/target_notices.hpp"
+#include "entry/calls/internal/call_carrier.hpp"
+#include "entry/registry/target_notices.hpp"
+#include "entry/requests/refusal.hpp"
 #include "request/rest_wait.hpp"
 #include "route/pick_target.hpp"
 
--- a/src/entry/dialect.hpp
+++ b/src/entry/context/dialect.hpp
@@ -2,7 +2,7 @@
 
 #include "absl/status/statusor.h"
 #include "adapters/received_request.hpp"
-#include "entry/entry_settings.hpp"
+#include "entry/context/entry_settings.hpp"
 #include "route/entry_config.hpp"
 #include "target/entry_target.hpp"
 
--- a/src/entry/entry_context.cpp
+++ b/src/entry/context/entry_context.cpp
@@ -1,4 +1,4 @@
-#include "entry/entry_context.hpp"
+#include "entry/context/entry_context.hpp"
 
 #include <algorithm>
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -1,4 +1,4 @@
-#include "entry/entry_metrics.hpp"
+#include "entry/context/entry_metrics.hpp"
 
 #include "absl/strings/str_cat.h"
 
--- a/src/entry/http_calls.cpp
+++ b/src/entry/context/http_calls.cpp
@@ -1,4 +1,4 @@
-#include "entry/http_calls.hpp"
+#include "entry/context/http_calls.hpp"
 
 #include "adapters/http_text.hpp"
 
--- a/src/entry/engine_calls.cpp
+++ b/src/entry/engines/engine_calls.cpp
@@ -1,7 +1,7 @@
-#include "entry/engine_calls.hpp"
+#include "entry/engines/engine_calls.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/target_notices.hpp"
+#include "entry/registry/target_notices.hpp"
 
 namespace dandelionstep {
 
--- a/src/entry/engine_calls.hpp
+++ b/src/entry/engines/engine_calls.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/http_calls.hpp"
+#include "entry/context/http_calls.hpp"
 
 #include <functional>
 #include <optional>
--- a/src/entry/engine_probes.cpp
+++ b/src/entry/engines/engine_probes.cpp
@@ -1,4 +1,4 @@
-#include "entry/engine_probes.hpp"
+#include "entry/engines/engine_probes.hpp"
 
 #include "adapters/log.hpp"
 
--- a/src/entry/engine_probes.hpp
+++ b/src/entry/engines/engine_probes.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/engine_calls.hpp"
+#include "entry/engines/engine_calls.hpp"
 
 #include <vector>
 
--- a/src/entry/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -1,4 +1,4 @@
-#include "entry/path_choice.hpp"
+#include "entry/engines/path_choice.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "route/local_path.hpp"
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -3,15 +3,15 @@
 #include "absl/strings/str_cat.h"
 #include "adapters/caller_port.hpp"
 #include "adapters/log.hpp"
-#include "entry/entry_context.hpp"
-#include "entry/known_state.hpp"
-#include "entry/peer_follower.hpp"
-#include "entry/peer_port.hpp"
-#include "entry/placer.hpp"
+#include "entry/context/entry_context.hpp"
+#include "entry/peers/peer_follower.hpp"
+#include "entry/peers/peer_port.hpp"
+#include "entry/placement/placer.hpp"
+#include "entry/registry/known_state.hpp"
+#include "entry/registry/store_watch.hpp"
 #include "entry/request_relay.hpp"
 #include "entry/settings_watch.hpp"
 #include "entry/status_port.hpp"
-#include "entry/store_watch.hpp"
 
 #include <csignal>
 #include <fstream>
@@ -260,7 +260,7 @@
     store_client store;
     store_watch watch;
     std::uint64_t process;
-    own_rows rows;
+    vm_rows rows;
     placer placement;
     request_tools streams;
     request_relay relay;
--- a/src/entry/inspection.cpp
+++ b/src/entry/inspection.cpp
@@ -1,8 +1,8 @@
 #include "entry/inspection.hpp"
 
-#include "entry/entry_context.hpp"
-#include "entry/own_rows.hpp"
-#include "entry/store_client.hpp"
+#include "entry/context/entry_context.hpp"
+#include "entry/peers/vm_rows.hpp"
+#include "entry/store/store_client.hpp"
 #include "route/layer_path.hpp"
 #include "route/placement_bound.hpp"
 #include "target/layer_placement.hpp"
--- a/src/entry/inspection.hpp
+++ b/src/entry/inspection.hpp
@@ -2,9 +2,9 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
-#include "entry/dialect.hpp"
-#include "entry/lease.hpp"
-#include "entry/vm_directory.hpp"
+#include "entry/context/dialect.hpp"
+#include "vm/lease.hpp"
+#include "vm/vm_directory.hpp"
 
 #include <ostream>
 #include <string>
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peers/peer_exchange.cpp
@@ -1,7 +1,7 @@
-#include "entry/peer_exchange.hpp"
+#include "entry/peers/peer_exchange.hpp"
 
-#include "entry/known_state.hpp"
-#include "entry/peer_port.hpp"
+#include "entry/peers/peer_port.hpp"
+#include "entry/registry/known_state.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
@@ -38,7 +38,7 @@
         this->told_leaving.clear();
     }
     told.leaving = this->untold_leaving();
-    const suspect_news own = news_since(
+    const suspect_update own = updates_since(
         this->context.suspects, knows_numbers ? std::optional(this->told_suspects) : std::nullopt, now);
     told.suspects = own.reports;
     told.told_suspects = own.sequence;
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peers/peer_exchange.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "entry/entry_context.hpp"
-#include "entry/peer_messages.hpp"
+#include "entry/context/entry_context.hpp"
+#include "entry/peers/peer_messages.hpp"
 
 #include <functional>
 
--- a/src/entry/peer_follower.cpp
+++ b/src/entry/peers/peer_follower.cpp
@@ -1,4 +1,4 @@
-#include "entry/peer_follower.hpp"
+#include "entry/peers/peer_follower.hpp"
 
 #include "adapters/log.hpp"
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-peer_follower::peer_follower(entry_context& context_in, store_watch& watch_in, own_rows& rows_in)
+peer_follower::peer_follower(entry_context& context_in, store_watch& watch_in, vm_rows& rows_in)
     : context(context_in), watch(watch_in), rows(rows_in), exchange(context_in), started_at(event_loop::now())
 {
     this->exchange.on_config = [&watch_in] {
--- a/src/entry/peer_follower.hpp
+++ b/src/entry/peers/peer_follower.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "entry/entry_context.hpp"
-#include "entry/http_calls.hpp"
-#include "entry/known_state.hpp"
-#include "entry/own_rows.hpp"
-#include "entry/peer_exchange.hpp"
-#include "entry/peer_port.hpp"
-#include "entry/store_watch.hpp"
+#include "entry/context/entry_context.hpp"
+#include "entry/context/http_calls.hpp"
+#include "entry/peers/peer_exchange.hpp"
+#include "entry/peers/peer_port.hpp"
+#include "entry/peers/vm_rows.hpp"
+#include "entry/registry/known_state.hpp"
+#include "entry/registry/store_watch.hpp"
 #include "vm/reader_search.hpp"
 #include "vm/reader_succession.hpp"
 #include "vm/store_trials.hpp"
@@ -31,7 +31,7 @@
 //! line after it.
 class peer_follower {
 public:
-    peer_follower(entry_context& context, store_watch& watch, own_rows& rows);
+    peer_follower(entry_context& context, store_watch& watch, vm_rows& rows);
 
     //! Whether this daemon must read the store itself, whoever else does.
     std::function<bool()> must_read;
@@ -93,7 +93,7 @@
 
     entry_context& context;
     store_watch& watch;
-    own_rows& rows;
+    vm_rows& rows;
     peer_exchange exchange;
     knowledge_source source = knowledge_source::search;
     reader_search searching;
--- a/src/entry/peer_line.cpp
+++ b/src/entry/peers/peer_line.cpp
@@ -1,7 +1,7 @@
-#include "entry/peer_follower.hpp"
+#include "entry/peers/peer_follower.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/shared_uses.hpp"
+#include "target/load_reports.hpp"
 
 #include <algorithm>
 
--- a/src/entry/peer_messages.cpp
+++ b/src/entry/peers/peer_messages.cpp
@@ -1,9 +1,9 @@
-#include "entry/peer_messages.hpp"
+#include "entry/peers/peer_messages.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "common/json.hpp"
 #include "common/packed_text.hpp"
-#include "entry/registry_messages.hpp"
+#include "entry/registry/registry_messages.hpp"
 #include "entry/suspects/suspect_messages.hpp"
 #include "target/parse_endpoint.hpp"
 
@@ -241,7 +241,7 @@
     answer.uses = parse_uses(*parsed);
     answer.suspects = parse_suspects(*parsed, "suspects");
     answer.suspects_sequence = integer_or(*parsed, "suspects_sequence", 0);
-    absl::StatusOr<registry_news> registry = parse_registry(*parsed);
+    absl::StatusOr<registry_update> registry = parse_registry(*parsed);
     if (!registry.ok()) {
         return registry.status();
     }
--- a/src/entry/peer_messages.hpp
+++ b/src/entry/peers/peer_messages.hpp
@@ -3,11 +3,11 @@
 #include "absl/status/statusor.h"
 #include "common/clock.hpp"
 #include "common/ids.hpp"
-#include "entry/registry_news.hpp"
-#include "entry/store_position.hpp"
+#include "entry/context/store_position.hpp"
 #include "request/suspects.hpp"
 #include "target/engine_use.hpp"
 #include "target/leaving.hpp"
+#include "target/registry_update.hpp"
 #include "vm/peer.hpp"
 
 #include <cstdint>
@@ -54,7 +54,7 @@
 //! What is new since the question's state, and how old that knowledge is.
 struct peer_answer {
     std::uint64_t process = 0;
-    registry_news registry;
+    registry_update registry;
     //! The configuration as the operators wrote it; empty when the asker has it.
     std::string config;
     //! Time since which the store may hold a newer configuration, or newer registrations.
--- a/src/entry/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -1,10 +1,10 @@
-#include "entry/peer_port.hpp"
+#include "entry/peers/peer_port.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/known_state.hpp"
-#include "entry/registry_messages.hpp"
+#include "entry/registry/known_state.hpp"
+#include "entry/registry/registry_messages.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
-#include "entry/target_notices.hpp"
 
 #include <algorithm>
 
@@ -242,9 +242,9 @@
     answer.successors = this->successors();
     answer.better = this->better_reader();
     const bool is_same_process = question.process == this->process;
-    const suspect_news suspects =
-        news_since(this->context.suspects,
-                   is_same_process ? std::optional(question.suspects_sequence) : std::nullopt, now);
+    const suspect_update suspects =
+        updates_since(this->context.suspects,
+                      is_same_process ? std::optional(question.suspects_sequence) : std::nullopt, now);
     answer.suspects = suspects.reports;
     answer.suspects_sequence = suspects.sequence;
     std::optional<std::string_view> packed_config;
@@ -271,11 +271,11 @@
     const bool knows_numbers = question.process == this->process && remembers(changes, question.sequence);
     if (knows_numbers) {
         return registry_text(
-            news_since(changes, this->context.targets, this->context.doubtful, question.sequence));
+            updates_since(changes, this->context.targets, this->context.doubtful, question.sequence));
     }
     if (question.registry_digest == registry_digest(this->context.targets, this->context.doubtful)) {
         // It knows all the targets and needs only the number of the last change.
-        registry_news nothing_new;
+        registry_update nothing_new;
         nothing_new.sequence = changes.sequence;
         return registry_text(nothing_new);
     }
--- a/src/entry/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "adapters/caller_port.hpp"
-#include "entry/entry_context.hpp"
-#include "entry/peer_messages.hpp"
-#include "entry/shared_answers.hpp"
-#include "entry/shared_uses.hpp"
+#include "entry/context/entry_context.hpp"
+#include "entry/peers/peer_messages.hpp"
+#include "entry/peers/shared_answers.hpp"
+#include "target/load_reports.hpp"
 #include "vm/successor_line.hpp"
 
 #include <functional>
@@ -80,7 +80,7 @@
     //! A daemon that said that it reaches the store, and when.
     std::optional<peer> announced;
     time_point announced_at{0};
-    shared_uses shared;
+    load_reports shared;
     shared_answers answers;
     std::vector<waiting_question> waiting;
     event_loop::timer overdue_timer;
--- a/src/entry/shared_answers.cpp
+++ b/src/entry/peers/shared_answers.cpp
@@ -1,8 +1,8 @@
-#include "entry/shared_answers.hpp"
+#include "entry/peers/shared_answers.hpp"
 
 #include "common/packed_text.hpp"
-#include "entry/peer_messages.hpp"
-#include "entry/registry_messages.hpp"
+#include "entry/peers/peer_messages.hpp"
+#include "entry/registry/registry_messages.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -23,7 +23,8 @@
                                               time_point now)
 {
     if (!answers.all || !is_valid(*answers.all, known, now)) {
-        const registry_news news = news_since(known.changes, known.registry, known.doubtful, std::nullopt);
+        const registry_update news =
+            updates_since(known.changes, known.registry, known.doubtful, std::nullopt);
         const std::string text = registry_text(news);
         answers.all = {
             text, packed_registry(text), news.sequence, known.doubtful, known.as_of, known.position, now};
@@ -40,7 +41,7 @@
     return answers.config;
 }
 
-const std::string& uses_text_of(shared_answers& answers, shared_uses& told,
+const std::string& uses_text_of(shared_answers& answers, load_reports& told,
                                 const std::function<engine_uses()>& own, time_point now)
 {
     const engine_uses& followers = total_of(told, now);
--- a/src/entry/shared_answers.hpp
+++ b/src/entry/peers/shared_answers.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/clock.hpp"
-#include "entry/registry_news.hpp"
-#include "entry/shared_uses.hpp"
+#include "target/load_reports.hpp"
+#include "target/registry_update.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -56,7 +56,7 @@
 
 //! What the requests of all daemons take together: the sum of what the followers told, and `own`, which is
 //! called when the sum is made.
-const std::string& uses_text_of(shared_answers& answers, shared_uses& told,
+const std::string& uses_text_of(shared_answers& answers, load_reports& told,
                                 const std::function<engine_uses()>& own, time_point now);
 
 } // namespace dandelionstep
--- a/src/entry/own_rows.cpp
+++ b/src/entry/peers/vm_rows.cpp
@@ -1,4 +1,4 @@
-#include "entry/own_rows.hpp"
+#include "entry/peers/vm_rows.hpp"
 
 #include "adapters/log.hpp"
 
@@ -22,7 +22,7 @@
 
 } // namespace
 
-own_rows::own_rows(entry_context& context_in, store_client& store_in, std::uint64_t process)
+vm_rows::vm_rows(entry_context& context_in, store_client& store_in, std::uint64_t process)
     : context(context_in), store(store_in)
 {
     this->self.vm = context_in.settings.vm;
@@ -32,7 +32,7 @@
     this->self.process = process;
 }
 
-void own_rows::look(std::function<void(bool could_read)> done)
+void vm_rows::look(std::function<void(bool could_read)> done)
 {
     this->store.call(this->context.dialect.rows_call(own_table, ""), call_timeout, store_reason::rows,
                      [this, done = std::move(done)](const store_answer& answer) {
@@ -44,7 +44,7 @@
                      });
 }
 
-void own_rows::keep()
+void vm_rows::keep()
 {
     if (this->stopped || this->keeping) {
         return;
@@ -54,7 +54,7 @@
     this->renew_timer = this->context.loop.run_after({0}, [this] { this->renew(); });
 }
 
-void own_rows::pause()
+void vm_rows::pause()
 {
     ++this->generation;
     this->keeping = false;
@@ -64,7 +64,7 @@
     this->renew_timer = {};
 }
 
-void own_rows::stop()
+void vm_rows::stop()
 {
     this->stopped = true;
     this->read_timer = {};
@@ -81,19 +81,19 @@
         });
 }
 
-void own_rows::read_soon()
+void vm_rows::read_soon()
 {
     this->read_after({0});
 }
 
-void own_rows::read_after(milliseconds pause)
+void vm_rows::read_after(milliseconds pause)
 {
     if (this->keeping && !this->stopped) {
         this->read_timer = this->context.loop.run_after(pause, [this] { this->read(); });
     }
 }
 
-void own_rows::read()
+void vm_rows::read()
 {
     const std::int64_t asked_in = this->generation;
     // The next reading is due even if this one's answer is overtaken.
@@ -107,7 +107,7 @@
     });
 }
 
-void own_rows::take(const stored_rows& rows)
+void vm_rows::take(const stored_rows& rows)
 {
     const time_point now = event_loop::now();
     std::vector<vm_id> read;
@@ -134,7 +134,7 @@
     }
 }
 
-void own_rows::count_daemons()
+void vm_rows::count_daemons()
 {
     vm_self counted{this->self.vm, this->self.data_centre, {}};
     if (this->followers) {
@@ -145,21 +145,21 @@
     this->context.siblings = counts.in_data_centre;
 }
 
-std::vector<peer> own_rows::readers(const std::set<vm_id>& excluded) const
+std::vector<peer> vm_rows::readers(const std::set<vm_id>& excluded) const
 {
     const reader_query query{this->self.vm, this->self.data_centre, std::nullopt, this->self.capacity,
                              excluded};
     return readers_of(this->directory, query, event_loop::now());
 }
 
-std::vector<peer> own_rows::senior_readers(const std::set<vm_id>& excluded) const
+std::vector<peer> vm_rows::senior_readers(const std::set<vm_id>& excluded) const
 {
     const reader_query query{this->self.vm, this->self.data_centre, this->reads_since, this->self.capacity,
                              excluded};
     return readers_of(this->directory, query, event_loop::now());
 }
 
-void own_rows::renew()
+void vm_rows::renew()
 {
     if (this->stopped || !this->keeping) {
         return;
@@ -173,7 +173,7 @@
     }
 }
 
-void own_rows::write_row()
+void vm_rows::write_row()
 {
     const bool leads = this->holds_lease && this->holds_lease();
     vm_record written = this->self;
@@ -198,7 +198,7 @@
                      });
 }
 
-void own_rows::remove_outdated()
+void vm_rows::remove_outdated()
 {
     std::vector<conditional_write> removals;
     for (const vm_id& vm : outdated_vms(this->directory, event_loop::now())) {
--- a/src/entry/own_rows.hpp
+++ b/src/entry/peers/vm_rows.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "entry/store_client.hpp"
-#include "entry/vm_directory.hpp"
+#include "entry/store/store_client.hpp"
 #include "vm/peer.hpp"
+#include "vm/vm_directory.hpp"
 
 #include <functional>
 #include <optional>
@@ -21,9 +21,9 @@
 
 //! Reads the product's own rows in the store, and keeps this daemon's row there while it reads the store for
 //! others.
-class own_rows {
+class vm_rows {
 public:
-    own_rows(entry_context& context, store_client& store, std::uint64_t process);
+    vm_rows(entry_context& context, store_client& store, std::uint64_t process);
 
     //! Called with all rows each time they were read.
     std::function<void(const stored_rows&)> on_rows;
--- a/src/entry/placer.cpp
+++ b/src/entry/placement/placer.cpp
@@ -1,4 +1,4 @@
-#include "entry/placer.hpp"
+#include "entry/placement/placer.hpp"
 
 #include "adapters/log.hpp"
 
--- a/src/entry/placer.hpp
+++ b/src/entry/placement/placer.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "entry/engine_calls.hpp"
-#include "entry/lease.hpp"
-#include "entry/own_rows.hpp"
-#include "entry/store_client.hpp"
+#include "entry/engines/engine_calls.hpp"
+#include "entry/peers/vm_rows.hpp"
+#include "entry/store/store_client.hpp"
 #include "target/engine_arrivals.hpp"
 #include "target/layer_placement.hpp"
+#include "vm/lease.hpp"
 
 #include <map>
 
--- a/src/entry/config_watch.cpp
+++ b/src/entry/registry/config_watch.cpp
@@ -1,6 +1,6 @@
-#include "entry/config_watch.hpp"
+#include "entry/registry/config_watch.hpp"
 
-#include "entry/known_state.hpp"
+#include "entry/registry/known_state.hpp"
 
 #include <algorithm>
 
--- a/src/entry/config_watch.hpp
+++ b/src/entry/registry/config_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/watch_calls.hpp"
+#include "entry/store/watch_calls.hpp"
 
 #include <functional>
 
--- a/src/entry/registry_messages.cpp
+++ b/src/entry/registry/registry_messages.cpp
@@ -1,4 +1,4 @@
-#include "entry/registry_messages.hpp"
+#include "entry/registry/registry_messages.hpp"
 
 #include "common/json.hpp"
 #include "common/packed_text.hpp"
@@ -59,9 +59,9 @@
     return target;
 }
 
-absl::StatusOr<registry_news> parse_plain_registry(const json& object)
+absl::StatusOr<registry_update> parse_plain_registry(const json& object)
 {
-    registry_news news;
+    registry_update news;
     news.sequence = integer_or(object, "sequence", 0);
     news.has_all = boolean_or(object, "has_all", false);
     for (const json& item : object.value("targets", json::array())) {
@@ -78,7 +78,7 @@
 
 } // namespace
 
-std::string registry_text(const registry_news& news)
+std::string registry_text(const registry_update& news)
 {
     json targets = json::array();
     for (const registered_target& target : news.targets) {
@@ -96,7 +96,7 @@
     return dump({{"registry_packed", pack_text(registry_text)}});
 }
 
-absl::StatusOr<registry_news> parse_registry(const json& answer)
+absl::StatusOr<registry_update> parse_registry(const json& answer)
 {
     const std::string packed = string_or(answer, "registry_packed", "");
     if (packed.empty()) {
--- a/src/entry/store_watch.cpp
+++ b/src/entry/registry/store_watch.cpp
@@ -1,6 +1,6 @@
-#include "entry/store_watch.hpp"
+#include "entry/registry/store_watch.hpp"
 
-#include "entry/known_state.hpp"
+#include "entry/registry/known_state.hpp"
 
 namespace dandelionstep {
 
--- a/src/entry/store_watch.hpp
+++ b/src/entry/registry/store_watch.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "entry/config_watch.hpp"
+#include "entry/registry/config_watch.hpp"
+#include "entry/registry/target_watch.hpp"
 #include "entry/suspects/suspect_rows.hpp"
-#include "entry/target_watch.hpp"
 
 #include <functional>
 
--- a/src/entry/target_notices.cpp
+++ b/src/entry/registry/target_notices.cpp
@@ -1,7 +1,7 @@
-#include "entry/target_notices.hpp"
+#include "entry/registry/target_notices.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/known_state.hpp"
+#include "entry/registry/known_state.hpp"
 
 namespace dandelionstep {
 namespace {
--- a/src/entry/target_watch.cpp
+++ b/src/entry/registry/target_watch.cpp
@@ -1,7 +1,7 @@
-#include "entry/target_watch.hpp"
+#include "entry/registry/target_watch.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/known_state.hpp"
+#include "entry/registry/known_state.hpp"
 
 #include <algorithm>
 
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -1,11 +1,10 @@
 #include "entry/request_relay.hpp"
 
-#include "absl/strings/str_format.h"
 #include "adapters/log.hpp"
-#include "entry/call_runner.hpp"
-#include "entry/known_state.hpp"
-#include "entry/refusal.hpp"
-#include "entry/stream_runner.hpp"
+#include "entry/calls/call_runner.hpp"
+#include "entry/registry/known_state.hpp"
+#include "entry/requests/refusal.hpp"
+#include "entry/streams/stream_runner.hpp"
 
 #include <algorithm>
 
@@ -16,90 +15,14 @@
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
-constexpr int first_failure_status = 400;
 // Time from the start within which requests wait for the first configuration; the store answers within
 // milliseconds, or it is away.
 constexpr milliseconds longest_first_read{400};
 // Another daemon takes the request at once.
 constexpr milliseconds retry_after_stop{50};
 
-std::string seconds_text(milliseconds span)
-{
-    constexpr double ms_per_second = 1000;
-    return absl::StrFormat("%.3f", static_cast<double>(span.count) / ms_per_second);
-}
-
 } // namespace
 
-bool take_another_send(entry_context& context, const accepted_request& request, int sent_count,
-                       const char* reason)
-{
-    if (sent_count >= request.route->max_attempts || !take_retry(budget_of(context, request.service))) {
-        return false;
-    }
-    ++context.metrics.retries[reason];
-    return true;
-}
-
-bool is_response_to(const entry_context& context, const std::string& attempt_id, const http_head& head)
-{
-    const response_facts facts = context.dialect.read_response(head.status, head.headers);
-    return facts.attempt_id.empty() || facts.attempt_id == attempt_id;
-}
-
-std::string_view name_of(route_kind kind)
-{
-    switch (kind) {
-    case route_kind::idempotent:
-        return "idempotent";
-    case route_kind::at_most_once:
-        return "at_most_once";
-    case route_kind::stream:
-        return "stream";
-    }
-    return "unknown";
-}
-
-void record_request(entry_context& context, const accepted_request& request, int status,
-                    std::string_view result, const target_id& target)
-{
-    const std::string kind(request.route != nullptr ? name_of(request.route->kind) : "unrouted");
-    ++context.metrics.requests[kind][std::string(result)];
-    if (result == "answered") {
-        end_refusals(context.refusals[request.service]);
-    }
-    const time_point now = event_loop::now();
-    const bool failed = status >= first_failure_status || result == "cut";
-    if (!may_log(context.logs, failed ? log_weight::failure : log_weight::success, now)) {
-        return;
-    }
-    log_event("request", {{"id", request.facts.attempt_id},
-                          {"kind", kind},
-                          {"route", request.route != nullptr ? request.route->name : ""},
-                          {"config", request.config ? request.config->version.value : 0},
-                          {"organisation", request.organisation ? request.organisation->value : ""},
-                          {"status", status},
-                          {"result", result},
-                          {"target", target.value},
-                          {"ms", now - request.caller->began},
-                          {"left_ms", request.deadline - now},
-                          {"fingerprint", request.fingerprint.value}});
-}
-
-void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
-            milliseconds retry_after)
-{
-    http_headers headers;
-    if (retry_after > milliseconds{0}) {
-        headers.emplace_back("Retry-After", seconds_text(retry_after));
-    }
-    if (!request.facts.attempt_id.empty()) {
-        headers.emplace_back("Content-Type", "text/plain");
-    }
-    record_request(context, request, status, reason, {});
-    request.caller->answer(status, headers, std::string(reason) + "\n");
-}
-
 struct request_relay::state {
     entry_context& context;
     request_tools& tools;
--- /dev/null
+++ b/src/entry/requests/accepted_request.cpp
@@ -0,0 +1,88 @@
+#include "entry/requests/accepted_request.hpp"
+
+#include "absl/strings/str_format.h"
+#include "adapters/log.hpp"
+
+namespace dandelionstep {
+namespace {
+
+constexpr int first_failure_status = 400;
+
+std::string seconds_text(milliseconds span)
+{
+    constexpr double ms_per_second = 1000;
+    return absl::StrFormat("%.3f", static_cast<double>(span.count) / ms_per_second);
+}
+
+} // namespace
+
+bool take_another_send(entry_context& context, const accepted_request& request, int sent_count,
+                       const char* reason)
+{
+    if (sent_count >= request.route->max_attempts || !take_retry(budget_of(context, request.service))) {
+        return false;
+    }
+    ++context.metrics.retries[reason];
+    return true;
+}
+
+bool is_response_to(const entry_context& context, const std::string& attempt_id, const http_head& head)
+{
+    const response_facts facts = context.dialect.read_response(head.status, head.headers);
+    return facts.attempt_id.empty() || facts.attempt_id == attempt_id;
+}
+
+std::string_view name_of(route_kind kind)
+{
+    switch (kind) {
+    case route_kind::idempotent:
+        return "idempotent";
+    case route_kind::at_most_once:
+        return "at_most_once";
+    case route_kind::stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+void record_request(entry_context& context, const accepted_request& request, int status,
+                    std::string_view result, const target_id& target)
+{
+    const std::string kind(request.route != nullptr ? name_of(request.route->kind) : "unrouted");
+    ++context.metrics.requests[kind][std::string(result)];
+    if (result == "answered") {
+        end_refusals(context.refusals[request.service]);
+    }
+    const time_point now = event_loop::now();
+    const bool failed = status >= first_failure_status || result == "cut";
+    if (!may_log(context.logs, failed ? log_weight::failure : log_weight::success, now)) {
+        return;
+    }
+    log_event("request", {{"id", request.facts.attempt_id},
+                          {"kind", kind},
+                          {"route", request.route != nullptr ? request.route->name : ""},
+                          {"config", request.config ? request.config->version.value : 0},
+                          {"organisation", request.organisation ? request.organisation->value : ""},
+                          {"status", status},
+                          {"result", result},
+                          {"target", target.value},
+                          {"ms", now - request.caller->began},
+                          {"left_ms", request.deadline - now},
+                          {"fingerprint", request.fingerprint.value}});
+}
+
+void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
+            milliseconds retry_after)
+{
+    http_headers headers;
+    if (retry_after > milliseconds{0}) {
+        headers.emplace_back("Retry-After", seconds_text(retry_after));
+    }
+    if (!request.facts.attempt_id.empty()) {
+        headers.emplace_back("Content-Type", "text/plain");
+    }
+    record_request(context, request, status, reason, {});
+    request.caller->answer(status, headers, std::string(reason) + "\n");
+}
+
+} // namespace dandelionstep
--- a/src/entry/refusal.cpp
+++ b/src/entry/requests/refusal.cpp
@@ -1,4 +1,4 @@
-#include "entry/refusal.hpp"
+#include "entry/requests/refusal.hpp"
 
 #include "adapters/log.hpp"
 #include "route/pick_target.hpp"
--- a/src/entry/refusal.hpp
+++ b/src/entry/requests/refusal.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/request_relay.hpp"
+#include "entry/requests/accepted_request.hpp"
 
 #include <optional>
 #include <string_view>
--- a/src/entry/request_tools.hpp
+++ b/src/entry/requests/request_tools.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "entry/engine_probes.hpp"
-#include "entry/periodic_watch.hpp"
+#include "adapters/periodic_watch.hpp"
+#include "entry/engines/engine_probes.hpp"
 #include "entry/suspects/crash_guard.hpp"
 
 namespace dandelionstep {
--- a/src/entry/store_client.cpp
+++ b/src/entry/store/store_client.cpp
@@ -1,7 +1,7 @@
-#include "entry/store_client.hpp"
+#include "entry/store/store_client.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/http_calls.hpp"
+#include "entry/context/http_calls.hpp"
 
 #include <algorithm>
 
--- a/src/entry/watch_calls.cpp
+++ b/src/entry/store/watch_calls.cpp
@@ -1,4 +1,4 @@
-#include "entry/watch_calls.hpp"
+#include "entry/store/watch_calls.hpp"
 
 #include <algorithm>
 
--- a/src/entry/watch_calls.hpp
+++ b/src/entry/store/watch_calls.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/store_client.hpp"
+#include "entry/store/store_client.hpp"
 
 namespace dandelionstep {
 
--- a/src/entry/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "entry/http_calls.hpp"
-#include "entry/path_choice.hpp"
-#include "entry/stream_attempt.hpp"
-#include "entry/stream_pace.hpp"
+#include "entry/context/http_calls.hpp"
+#include "entry/engines/path_choice.hpp"
+#include "entry/requests/request_tools.hpp"
+#include "entry/streams/stream_attempt.hpp"
+#include "entry/streams/stream_pace.hpp"
 #include "request/event_splitter.hpp"
 #include "request/stall_policy.hpp"
 
--- a/src/entry/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -1,8 +1,8 @@
-#include "entry/stream_attempt.hpp"
+#include "entry/streams/stream_attempt.hpp"
 
 #include "adapters/http_text.hpp"
-#include "entry/path_choice.hpp"
-#include "entry/target_notices.hpp"
+#include "entry/engines/path_choice.hpp"
+#include "entry/registry/target_notices.hpp"
 
 #include <algorithm>
 
--- a/src/entry/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -1,6 +1,6 @@
 #include "adapters/log.hpp"
-#include "entry/internal/stream_carrier.hpp"
-#include "entry/refusal.hpp"
+#include "entry/requests/refusal.hpp"
+#include "entry/streams/internal/stream_carrier.hpp"
 
 namespace dandelionstep::internal {
 namespace {
--- a/src/entry/stream_pace.cpp
+++ b/src/entry/streams/stream_pace.cpp
@@ -1,4 +1,4 @@
-#include "entry/stream_pace.hpp"
+#include "entry/streams/stream_pace.hpp"
 
 #include <algorithm>
 
--- a/src/entry/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -1,5 +1,6 @@
 #include "adapters/log.hpp"
-#include "entry/internal/stream_carrier.hpp"
+#include "entry/engines/engine_calls.hpp"
+#include "entry/streams/internal/stream_carrier.hpp"
 
 #include <algorithm>
 
--- a/src/entry/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -1,8 +1,8 @@
-#include "entry/stream_runner.hpp"
+#include "entry/streams/stream_runner.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/internal/stream_carrier.hpp"
-#include "entry/refusal.hpp"
+#include "entry/requests/refusal.hpp"
+#include "entry/streams/internal/stream_carrier.hpp"
 #include "request/rest_wait.hpp"
 #include "route/pick_target.hpp"
 
--- a/src/entry/stream_runner.hpp
+++ b/src/entry/streams/stream_runner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "entry/request_relay.hpp"
-#include "entry/request_tools.hpp"
+#include "entry/requests/accepted_request.hpp"
+#include "entry/requests/request_tools.hpp"
 
 namespace dandelionstep {
 
--- a/src/entry/suspects/suspect_rows.hpp
+++ b/src/entry/suspects/suspect_rows.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "entry/store/watch_calls.hpp"
 #include "entry/suspects/suspect_messages.hpp"
-#include "entry/watch_calls.hpp"
 
 #include <functional>
 #include <map>
--- a/src/entry/suspects/suspect_sharing.hpp
+++ b/src/entry/suspects/suspect_sharing.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/entry_context.hpp"
+#include "entry/context/entry_context.hpp"
 
 #include <string_view>
 #include <vector>
--- a/src/entry/log_budget.cpp
+++ b/src/report/log_budget.cpp
@@ -1,4 +1,4 @@
-#include "entry/log_budget.hpp"
+#include "report/log_budget.hpp"
 
 #include <algorithm>
 
--- a/src/entry/suspects/shared_suspects.cpp
+++ b/src/request/shared_suspects.cpp
@@ -1,4 +1,4 @@
-#include "entry/suspects/shared_suspects.hpp"
+#include "request/shared_suspects.hpp"
 
 #include <algorithm>
 
@@ -31,9 +31,10 @@
     return changed;
 }
 
-suspect_news news_since(const shared_suspects& known, std::optional<std::int64_t> sequence, time_point now)
+suspect_update updates_since(const shared_suspects& known, std::optional<std::int64_t> sequence,
+                             time_point now)
 {
-    suspect_news news;
+    suspect_update news;
     news.sequence = known.changes.sequence;
     const auto changed = sequence ? changed_since(known.changes, *sequence) : std::nullopt;
     for (const request_fingerprint request : changed ? *changed : known.shared) {
--- a/src/entry/suspects/shared_suspects.hpp
+++ b/src/request/shared_suspects.hpp
@@ -20,7 +20,7 @@
 };
 
 //! What daemons tell each other of suspects.
-struct suspect_news {
+struct suspect_update {
     //! Number of the last change that is told.
     std::int64_t sequence = 0;
     std::vector<suspect_report> reports;
@@ -35,7 +35,8 @@
 
 //! The shared suspects that changed after the change of that number, or all when it isn't given or not
 //! remembered: the latest ones, as many as a message holds.
-suspect_news news_since(const shared_suspects& known, std::optional<std::int64_t> sequence, time_point now);
+suspect_update updates_since(const shared_suspects& known, std::optional<std::int64_t> sequence,
+                             time_point now);
 
 //! One suspect as it is told.
 suspect_report report_of(const suspect_table& table, request_fingerprint request, time_point now);
--- a/src/entry/shared_uses.cpp
+++ b/src/target/load_reports.cpp
@@ -1,4 +1,4 @@
-#include "entry/shared_uses.hpp"
+#include "target/load_reports.hpp"
 
 #include <algorithm>
 
@@ -20,12 +20,12 @@
 
 } // namespace
 
-void note_uses(shared_uses& shared, const vm_id& vm, const engine_uses& uses, time_point now)
+void note_uses(load_reports& shared, const vm_id& vm, const engine_uses& uses, time_point now)
 {
     shared.parts[vm] = {uses, now};
 }
 
-const engine_uses& total_of(shared_uses& shared, time_point now)
+const engine_uses& total_of(load_reports& shared, time_point now)
 {
     if (shared.summed_at && now - *shared.summed_at < sum_interval) {
         return shared.total;
--- a/src/entry/shared_uses.hpp
+++ b/src/target/load_reports.hpp
@@ -10,7 +10,7 @@
 namespace dandelionstep {
 
 //! What the daemons of a data centre told of the engines that their requests take.
-struct shared_uses {
+struct load_reports {
     struct part {
         engine_uses uses;
         time_point told_at;
@@ -23,11 +23,11 @@
 };
 
 //! Notes what a daemon told.
-void note_uses(shared_uses& shared, const vm_id& vm, const engine_uses& uses, time_point now);
+void note_uses(load_reports& shared, const vm_id& vm, const engine_uses& uses, time_point now);
 
 //! What the requests of all together take, a quarter of a second ago at most; parts that are old are left
 //! out.
-const engine_uses& total_of(shared_uses& shared, time_point now);
+const engine_uses& total_of(load_reports& shared, time_point now);
 
 //! Adds what more requests take.
 void add_uses(engine_uses& sum, const engine_uses& added);
--- a/src/entry/registry_news.cpp
+++ b/src/target/registry_update.cpp
@@ -1,4 +1,4 @@
-#include "entry/registry_news.hpp"
+#include "target/registry_update.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "common/hash.hpp"
@@ -7,7 +7,7 @@
 namespace {
 
 // A doubtful target is not told as registered: others may have seen it go while this daemon was cut off.
-void add_present(registry_news& news, const registered_target& target, const doubtful_targets& doubtful)
+void add_present(registry_update& news, const registered_target& target, const doubtful_targets& doubtful)
 {
     if (doubtful.contains(target.id)) {
         news.doubtful.push_back(target.id);
@@ -18,10 +18,10 @@
 
 } // namespace
 
-registry_news news_since(const registry_log& log, const target_registry& registry,
-                         const doubtful_targets& doubtful, std::optional<std::int64_t> sequence)
+registry_update updates_since(const registry_log& log, const target_registry& registry,
+                              const doubtful_targets& doubtful, std::optional<std::int64_t> sequence)
 {
-    registry_news news;
+    registry_update news;
     news.sequence = log.sequence;
     const auto changed = sequence ? changed_since(log, *sequence) : std::nullopt;
     if (!changed) {
@@ -57,7 +57,7 @@
     return digest;
 }
 
-std::set<target_id> gone_by(const registry_news& news, const target_registry& known)
+std::set<target_id> gone_by(const registry_update& news, const target_registry& known)
 {
     std::set<target_id> gone(news.gone.begin(), news.gone.end());
     if (!news.has_all) {
--- a/src/entry/registry_news.hpp
+++ b/src/target/registry_update.hpp
@@ -2,7 +2,7 @@
 
 #include "common/change_log.hpp"
 #include "common/ids.hpp"
-#include "entry/doubtful_targets.hpp"
+#include "target/doubtful_targets.hpp"
 #include "target/entry_target.hpp"
 
 #include <cstdint>
@@ -16,7 +16,7 @@
 using registry_log = change_log<target_id>;
 
 //! What a daemon learns of the registry of targets from the one that it follows.
-struct registry_news {
+struct registry_update {
     //! Number of the last change that is told.
     std::int64_t sequence = 0;
     //! Whether `targets` and `doubtful` are all there are; else they are the changes.
@@ -28,13 +28,13 @@
 };
 
 //! The news after the change of that number; everything when it isn't given or not remembered any more.
-registry_news news_since(const registry_log& log, const target_registry& registry,
-                         const doubtful_targets& doubtful, std::optional<std::int64_t> sequence);
+registry_update updates_since(const registry_log& log, const target_registry& registry,
+                              const doubtful_targets& doubtful, std::optional<std::int64_t> sequence);
 
 //! A digest of the registered targets without the doubtful ones: equal where two daemons know the same.
 std::uint64_t registry_digest(const target_registry& registry, const doubtful_targets& doubtful);
 
 //! Known targets that are gone by the news.
-std::set<target_id> gone_by(const registry_news& news, const target_registry& known);
+std::set<target_id> gone_by(const registry_update& news, const target_registry& known);
 
 } // namespace dandelionstep
--- a/src/entry/lease.cpp
+++ b/src/vm/lease.cpp
@@ -1,4 +1,4 @@
-#include "entry/lease.hpp"
+#include "vm/lease.hpp"
 
 #include "common/json.hpp"
 
--- a/src/entry/vm_directory.cpp
+++ b/src/vm/vm_directory.cpp
@@ -1,4 +1,4 @@
-#include "entry/vm_directory.hpp"
+#include "vm/vm_directory.hpp"
 
 #include "common/json.hpp"
 #include "target/parse_endpoint.hpp"
--- a/tests/entry/peer_messages_test.cpp
+++ b/tests/entry/peers/peer_messages_test.cpp
@@ -1,5 +1,5 @@
-#include "entry/peer_messages.hpp"
-#include "entry/registry_messages.hpp"
+#include "entry/peers/peer_messages.hpp"
+#include "entry/registry/registry_messages.hpp"
 
 #include "common/packed_text.hpp"
 
@@ -150,7 +150,7 @@
 
 TEST_CASE("packed parts of an answer are read as the plain ones")
 {
-    registry_news news;
+    registry_update news;
     news.sequence = 12;
     news.has_all = true;
     news.targets = {some_target()};
--- a/tests/entry/shared_answers_test.cpp
+++ b/tests/entry/peers/shared_answers_test.cpp
@@ -1,8 +1,8 @@
-#include "entry/shared_answers.hpp"
+#include "entry/peers/shared_answers.hpp"
 
 #include "absl/strings/str_cat.h"
-#include "entry/peer_messages.hpp"
-#include "entry/registry_messages.hpp"
+#include "entry/peers/peer_messages.hpp"
+#include "entry/registry/registry_messages.hpp"
 
 #include <doctest/doctest.h>
 #include <vector>
@@ -41,14 +41,14 @@
     }
 };
 
-registry_news read(const std::string& registry)
+registry_update read(const std::string& registry)
 {
     const auto answer = parse_peer_answer(to_text({}, {registry, std::nullopt, std::nullopt}));
     REQUIRE(answer.ok());
     return answer->registry;
 }
 
-void take(const registry_news& news, target_registry& known)
+void take(const registry_update& news, target_registry& known)
 {
     for (const registered_target& target : news.targets) {
         known[target.id] = target;
@@ -102,7 +102,7 @@
     target_registry known;
     take(read(list.text), known);
     CHECK(known.size() == 20);
-    take(news_since(store_reader.changes, store_reader.registry, store_reader.doubtful, list.sequence),
+    take(updates_since(store_reader.changes, store_reader.registry, store_reader.doubtful, list.sequence),
          known);
     REQUIRE(known.size() == 20);
     CHECK(known.at(target_id("i-3")).slots == 7);
@@ -128,7 +128,7 @@
     store_reader.put(1, 1);
     CHECK(read(store_reader.list_at({10'000}).text).targets.size() == 2);
     store_reader.doubtful[target_id("i-1")] = {12'000};
-    const registry_news news = read(store_reader.list_at({10'010}).text);
+    const registry_update news = read(store_reader.list_at({10'010}).text);
     REQUIRE(news.targets.size() == 1);
     CHECK(news.targets.front().id == target_id("i-0"));
     CHECK(news.doubtful == std::vector<target_id>{target_id("i-1")});
@@ -137,7 +137,7 @@
 TEST_CASE("the use of engines is written as often as it is added up, with the reader's own")
 {
     shared_answers answers;
-    shared_uses told;
+    load_reports told;
     int own_asked = 0;
     const auto own = [&own_asked] {
         ++own_asked;
--- a/tests/entry/known_state_test.cpp
+++ b/tests/entry/registry/known_state_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/known_state.hpp"
+#include "entry/registry/known_state.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "dialect.hpp"
--- a/tests/entry/target_notices_test.cpp
+++ b/tests/entry/registry/target_notices_test.cpp
@@ -1,6 +1,6 @@
 #include "dialect.hpp"
-#include "entry/known_state.hpp"
-#include "entry/target_notices.hpp"
+#include "entry/registry/known_state.hpp"
+#include "entry/registry/target_notices.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/entry/store_client_test.cpp
+++ b/tests/entry/store/store_client_test.cpp
@@ -1,6 +1,6 @@
 #include "adapters/http_server.hpp"
 #include "dialect.hpp"
-#include "entry/store_client.hpp"
+#include "entry/store/store_client.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
--- a/tests/fuzz/entry_fuzz_targets.cpp
+++ b/tests/fuzz/entry_fuzz_targets.cpp
@@ -3,7 +3,7 @@
 #include "adapters/http_reader.hpp"
 #include "common/packed_text.hpp"
 #include "dialect.hpp"
-#include "entry/peer_messages.hpp"
+#include "entry/peers/peer_messages.hpp"
 #include "request/event_splitter.hpp"
 
 #include <cstdlib>
--- a/tests/platform/store_pages_test.cpp
+++ b/tests/platform/store_pages_test.cpp
@@ -2,7 +2,7 @@
 #include "adapters/http_server.hpp"
 #include "common/json.hpp"
 #include "dialect.hpp"
-#include "entry/store_watch.hpp"
+#include "entry/registry/store_watch.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/entry/suspects/shared_suspects_test.cpp
+++ b/tests/request/shared_suspects_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/suspects/shared_suspects.hpp"
+#include "request/shared_suspects.hpp"
 
 #include <doctest/doctest.h>
 
@@ -20,15 +20,15 @@
 {
     shared_suspects known;
     note_death(known, crasher, 1);
-    CHECK(news_since(known, std::nullopt, start).reports.empty());
+    CHECK(updates_since(known, std::nullopt, start).reports.empty());
     share(known, crasher);
-    const suspect_news first = news_since(known, std::nullopt, start);
+    const suspect_update first = updates_since(known, std::nullopt, start);
     REQUIRE(first.reports.size() == 1);
     CHECK(first.reports.front().fingerprint == crasher);
-    CHECK(news_since(known, first.sequence, start).reports.empty());
+    CHECK(updates_since(known, first.sequence, start).reports.empty());
     note_death(known, crasher, 2);
     share(known, crasher);
-    CHECK(news_since(known, first.sequence, start).reports.front().takedowns.size() == 2);
+    CHECK(updates_since(known, first.sequence, start).reports.front().takedowns.size() == 2);
 }
 
 TEST_CASE("who asks for changes that are forgotten gets all that is shared")
@@ -36,7 +36,7 @@
     shared_suspects known;
     note_death(known, crasher, 1);
     share(known, crasher);
-    CHECK(news_since(known, 7'000, start).reports.size() == 1);
+    CHECK(updates_since(known, 7'000, start).reports.size() == 1);
 }
 
 TEST_CASE("what another daemon tells is shared on, but not what was known")
@@ -57,7 +57,7 @@
         note_takedown(known.table, request_fingerprint{i}, takedown_id{i}, {}, start + milliseconds{i});
         share(known, request_fingerprint{i});
     }
-    const suspect_news news = news_since(known, std::nullopt, start + milliseconds{suspects});
+    const suspect_update news = updates_since(known, std::nullopt, start + milliseconds{suspects});
     CHECK(news.reports.size() < suspects);
     CHECK(news.reports.front().fingerprint == request_fingerprint{suspects});
 }
@@ -68,7 +68,7 @@
     note_death(known, crasher, 1);
     share(known, crasher);
     expire(known.table, start + known.table.limits.lapse);
-    CHECK(news_since(known, std::nullopt, start).reports.empty());
+    CHECK(updates_since(known, std::nullopt, start).reports.empty());
     share(known, request_fingerprint{2});
     CHECK_FALSE(known.shared.contains(crasher));
 }
--- a/tests/entry/doubtful_targets_test.cpp
+++ b/tests/target/doubtful_targets_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/doubtful_targets.hpp"
+#include "target/doubtful_targets.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/entry/shared_uses_test.cpp
+++ b/tests/target/load_reports_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/shared_uses.hpp"
+#include "target/load_reports.hpp"
 
 #include <doctest/doctest.h>
 
@@ -17,7 +17,7 @@
 
 TEST_CASE("what daemons told is added up, and what one told anew takes the place of what it told before")
 {
-    shared_uses shared;
+    load_reports shared;
     note_uses(shared, vm_id("a"), running(3), {1'000});
     note_uses(shared, vm_id("b"), running(4), {1'000});
     CHECK(total_of(shared, {1'000}).at(engine) == engine_use{7, 2, 70, 1});
@@ -27,7 +27,7 @@
 
 TEST_CASE("the sum is made anew a few times a second, however often it is asked for")
 {
-    shared_uses shared;
+    load_reports shared;
     note_uses(shared, vm_id("a"), running(3), {1'000});
     CHECK(total_of(shared, {1'000}).at(engine).running == 3);
     note_uses(shared, vm_id("a"), running(5), {1'010});
@@ -37,7 +37,7 @@
 
 TEST_CASE("a daemon that tells nothing any more does not count")
 {
-    shared_uses shared;
+    load_reports shared;
     note_uses(shared, vm_id("a"), running(3), {1'000});
     note_uses(shared, vm_id("b"), running(4), {4'000});
     CHECK(total_of(shared, {4'500}).at(engine).running == 4);
--- a/tests/entry/registry_news_test.cpp
+++ b/tests/target/registry_update_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/registry_news.hpp"
+#include "target/registry_update.hpp"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -37,7 +37,7 @@
     return {{target_id(id), time_point{1'900}}};
 }
 
-std::set<target_id> told(const registry_news& news)
+std::set<target_id> told(const registry_update& news)
 {
     std::set<target_id> ids;
     for (const registered_target& target : news.targets) {
@@ -51,7 +51,7 @@
 TEST_CASE("who asks for the first time is told all targets, and drops what is not among them")
 {
     const target_registry registry = registry_of({"a", "b"});
-    const registry_news news = news_since({}, registry, {}, std::nullopt);
+    const registry_update news = updates_since({}, registry, {}, std::nullopt);
     CHECK(news.has_all);
     CHECK(told(news) == ids_of({"a", "b"}));
     CHECK(gone_by(news, registry_of({"a", "c"})) == ids_of({"c"}));
@@ -64,7 +64,7 @@
     const std::int64_t asked = log.sequence;
     note_change(log, target_id("b"));
     note_change(log, target_id("c"));
-    const registry_news news = news_since(log, registry_of({"a", "b"}), {}, asked);
+    const registry_update news = updates_since(log, registry_of({"a", "b"}), {}, asked);
     CHECK_FALSE(news.has_all);
     CHECK(told(news) == ids_of({"b"}));
     CHECK(gone_by(news, registry_of({"a", "b", "c"})) == ids_of({"c"}));
@@ -76,7 +76,7 @@
 TEST_CASE("a target in doubt is given to nobody who does not know it, and stays with those who do")
 {
     const target_registry registry = registry_of({"a", "vanished"});
-    const registry_news news = news_since({}, registry, doubts_of("vanished"), std::nullopt);
+    const registry_update news = updates_since({}, registry, doubts_of("vanished"), std::nullopt);
     CHECK(told(news) == ids_of({"a"}));
     CHECK(gone_by(news, registry_of({"a", "vanished"})).empty());
     CHECK(gone_by(news, registry_of({"a"})).empty());
@@ -86,7 +86,7 @@
 {
     registry_log log;
     note_change(log, target_id("vanished"));
-    const registry_news news = news_since(log, registry_of({"vanished"}), doubts_of("vanished"), 0);
+    const registry_update news = updates_since(log, registry_of({"vanished"}), doubts_of("vanished"), 0);
     CHECK(told(news).empty());
     CHECK(gone_by(news, registry_of({"vanished"})).empty());
 }
--- a/tests/entry/lease_test.cpp
+++ b/tests/vm/lease_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/lease.hpp"
+#include "vm/lease.hpp"
 
 #include <array>
 #include <doctest/doctest.h>
--- a/tests/entry/vm_directory_test.cpp
+++ b/tests/vm/vm_directory_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/vm_directory.hpp"
+#include "vm/vm_directory.hpp"
 
 #include <doctest/doctest.h>
 #include <optional>
