A request that was answered shortly before is held at its fifth death, not at its third

Callers saw: a lookup that four callers ask all the time is refused by every daemon for ten minutes (503 ends_targets), after a request of somebody else ended the three targets of the service one after the other.

Cause: only an answer after the first death speaks for a request. What is asked often is aboard targets that die, whatever they die of; another request explains the deaths only when it was aboard all of them as far as anyone knows, and one of its deaths was known to a daemon alone that was killed 40 ms later. While a request is held nothing can clear it.

Ruled out: rests, the configuration (the old key is refused), engines (streams are whole).

Change: daemons remember for 60 s which requests they answered whole (8,192 at most, noted once a second), and such a request is condemned at five deaths at one place. One that begins to end its targets still has at most two deaths more after its third, below the three retries that the rule allows. The same at the product's own interface.

The soak says what the last answers were and keeps the daemons' logs on demand (--keep).

--- a/src/daemon/crash_guard.cpp
+++ b/src/daemon/crash_guard.cpp
@@ -140,9 +140,7 @@
 
 void crash_guard::note_answered(const generation_request& request)
 {
-    if (!this->context.suspects.suspects.empty()) {
-        note_finished(this->context.suspects, fingerprint_of(request));
-    }
+    note_finished(this->context.suspects, fingerprint_of(request), event_loop::now());
 }
 
 bool crash_guard::anything_suspected() const
--- a/src/entry/suspects/crash_guard.cpp
+++ b/src/entry/suspects/crash_guard.cpp
@@ -71,10 +71,11 @@
     this->deaths.clear(request);
     shared_suspects& known = this->context.suspects;
     const auto found = known.table.suspects.find(request);
-    if (found == known.table.suspects.end() || found->second.finished) {
+    const bool is_news = found != known.table.suspects.end() && !found->second.finished;
+    note_finished(known.table, request, event_loop::now());
+    if (!is_news) {
         return;
     }
-    note_finished(known.table, request);
     this->untold.erase(request);
     if (known.shared.contains(request)) {
         tell_suspect(this->context, request);
--- /dev/null
+++ b/src/request/recent_answers.cpp
@@ -0,0 +1,41 @@
+#include "request/recent_answers.hpp"
+
+namespace dandelionstep {
+namespace {
+
+// A request that is asked all the time need not be noted each time.
+constexpr milliseconds note_interval{1'000};
+
+void forget_first(recent_answers& answers)
+{
+    const auto [fingerprint, at] = answers.order.front();
+    answers.order.pop_front();
+    const auto found = answers.last.find(fingerprint);
+    if (found != answers.last.end() && found->second == at) {
+        answers.last.erase(found);
+    }
+}
+
+} // namespace
+
+void note_answered(recent_answers& answers, std::int64_t fingerprint, time_point now)
+{
+    const auto [found, is_new] = answers.last.try_emplace(fingerprint, now);
+    if (!is_new && now - found->second < note_interval) {
+        return;
+    }
+    found->second = now;
+    answers.order.emplace_back(fingerprint, now);
+    while (answers.order.size() > answers.max_requests ||
+           now - answers.order.front().second >= answers.remembered) {
+        forget_first(answers);
+    }
+}
+
+bool was_answered(const recent_answers& answers, std::int64_t fingerprint, time_point now)
+{
+    const auto found = answers.last.find(fingerprint);
+    return found != answers.last.end() && now - found->second < answers.remembered;
+}
+
+} // namespace dandelionstep
--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -63,6 +63,12 @@
     return known ? &found->second : nullptr;
 }
 
+std::size_t deaths_to_condemn(const suspect_table& table, request_fingerprint request, time_point now)
+{
+    const bool was_sound = was_answered(table.answered, request.value, now);
+    return was_sound ? table.limits.answered_condemned_at : table.limits.condemned_at;
+}
+
 enum class explanation { by_as_many_deaths, by_more_deaths };
 
 // Whether another request was aboard all the same targets, so that this one may only have been beside it.
@@ -81,16 +87,16 @@
 }
 
 bool may_be_condemned(const suspect_table& table, request_fingerprint request, const suspect& each,
-                      std::size_t unconfirmed)
+                      std::size_t unconfirmed, time_point now)
 {
-    return deaths_at_one_place(each) + unconfirmed >= table.limits.condemned_at &&
+    return deaths_at_one_place(each) + unconfirmed >= deaths_to_condemn(table, request, now) &&
            !is_explained(table, request, each, explanation::by_as_many_deaths);
 }
 
 bool is_condemned(const suspect_table& table, request_fingerprint request, const suspect& each,
                   time_point now)
 {
-    return now - each.last >= table.limits.settled_after && may_be_condemned(table, request, each, 0);
+    return now - each.last >= table.limits.settled_after && may_be_condemned(table, request, each, 0, now);
 }
 
 bool merge_one(suspect_table& table, const suspect_report& report, time_point now)
@@ -154,8 +160,9 @@
     expire(table, now);
 }
 
-void note_finished(suspect_table& table, request_fingerprint request)
+void note_finished(suspect_table& table, request_fingerprint request, time_point now)
 {
+    note_answered(table.answered, request.value, now);
     if (const auto found = table.suspects.find(request); found != table.suspects.end()) {
         found->second.finished = true;
     }
@@ -191,7 +198,7 @@
     if (standing_of(table, request, unconfirmed, now) == suspect_standing::condemned) {
         return lapses_in(table, request, now);
     }
-    if (!may_be_condemned(table, request, *found, unconfirmed)) {
+    if (!may_be_condemned(table, request, *found, unconfirmed, now)) {
         return {0};
     }
     // Until the last death is settled; one that is not confirmed yet settles later.
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 #include "common/ids.hpp"
 #include "common/strong.hpp"
+#include "request/recent_answers.hpp"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,9 @@
     //! A request that was aboard this many targets that died at the same place is refused,
     //! unless another request was aboard all of them too.
     std::size_t condemned_at = 3;
+    //! The same for a request that was answered whole shortly before: targets that all die at once had it
+    //! aboard, and nobody is left who could answer it and so clear it.
+    std::size_t answered_condemned_at = 5;
     //! The news of the last death has reached every daemon after this time; before, nobody is refused for it.
     milliseconds settled_after{100};
     //! At this many deaths, at whatever place, a request is refused at once, unless another one was aboard
@@ -65,6 +69,7 @@
 struct suspect_table {
     suspect_limits limits;
     std::map<request_fingerprint, suspect> suspects;
+    recent_answers answered;
 };
 
 //! A suspect as daemons tell each other of it.
@@ -85,14 +90,14 @@
 //! Records that a target's incarnation died with the request aboard.
 void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, crash_place place,
                    time_point now);
-//! Records that a request was answered whole; one that is no suspect needs no record.
-void note_finished(suspect_table& table, request_fingerprint request);
+//! Records that a request was answered whole.
+void note_finished(suspect_table& table, request_fingerprint request, time_point now);
 
 //! How the request is to be treated; `unconfirmed` counts deaths that are not confirmed yet.
 suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
                              time_point now);
 //! For how long the request is not to be sent to any target; zero when it may be. One that has ended
-//! `condemned_at` targets at one place, counting `unconfirmed` deaths, waits until all that speaks for it is
+//! enough targets at one place to be condemned, counting `unconfirmed` deaths, waits until all that speaks for it is
 //! known.
 milliseconds held_for(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
                       time_point now);
--- a/tests/entry/suspects/suspect_rows_test.cpp
+++ b/tests/entry/suspects/suspect_rows_test.cpp
@@ -50,7 +50,7 @@
 
     void see_answer()
     {
-        note_finished(this->context.suspects.table, crasher);
+        note_finished(this->context.suspects.table, crasher, event_loop::now());
         tell_suspect(this->context, crasher);
     }
 
--- /dev/null
+++ b/tests/request/recent_answers_test.cpp
@@ -0,0 +1,54 @@
+#include "request/recent_answers.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionstep;
+
+namespace {
+
+constexpr time_point start{10'000'000};
+
+} // namespace
+
+TEST_CASE("an answer is remembered for its time, counted from the last one")
+{
+    recent_answers answers;
+    CHECK_FALSE(was_answered(answers, 1, start));
+    note_answered(answers, 1, start);
+    const milliseconds half = answers.remembered / 2;
+    note_answered(answers, 1, start + half);
+    CHECK(was_answered(answers, 1, start + answers.remembered));
+    CHECK_FALSE(was_answered(answers, 1, start + half + answers.remembered));
+    CHECK_FALSE(was_answered(answers, 2, start));
+}
+
+TEST_CASE("the oldest answers are forgotten above the bound")
+{
+    recent_answers answers;
+    answers.max_requests = 3;
+    for (std::int64_t i = 1; i <= 5; ++i) {
+        note_answered(answers, i, start + milliseconds{i});
+    }
+    CHECK(answers.last.size() == 3);
+    CHECK_FALSE(was_answered(answers, 2, start));
+    CHECK(was_answered(answers, 3, start));
+}
+
+TEST_CASE("a request that is answered all the time takes no more room than its time needs")
+{
+    recent_answers answers;
+    for (std::int64_t ms = 0; ms < answers.remembered.count * 3; ms += 10) {
+        note_answered(answers, 1, start + milliseconds{ms});
+    }
+    CHECK(answers.last.size() == 1);
+    CHECK(answers.order.size() <= 61);
+}
+
+TEST_CASE("what is long past leaves the memory with the next answer")
+{
+    recent_answers answers;
+    note_answered(answers, 1, start);
+    note_answered(answers, 2, start + answers.remembered);
+    CHECK(answers.last.size() == 1);
+    CHECK(answers.order.size() == 1);
+}
--- a/tests/request/suspects_test.cpp
+++ b/tests/request/suspects_test.cpp
@@ -100,7 +100,7 @@
 
     SUBCASE("a request that was answered whole explains nothing")
     {
-        note_finished(table, crasher);
+        note_finished(table, crasher, settled);
         CHECK((standing_of(table, innocent, 0, settled) == suspect_standing::condemned));
     }
     SUBCASE("a death of its own is not explained")
@@ -153,11 +153,36 @@
 TEST_CASE("a request that was answered whole is never condemned")
 {
     suspect_table table = after_deaths(innocent, 2);
-    note_finished(table, innocent);
+    note_finished(table, innocent, start);
     note_takedown(table, innocent, death(7), same_place, start);
     CHECK((standing_of(table, innocent, 0, start) == suspect_standing::clear));
 }
 
+TEST_CASE("a request that was answered shortly before its first death is held two deaths later than another")
+{
+    suspect_table table;
+    note_finished(table, innocent, start);
+    for (int i = 1; i <= 4; ++i) {
+        note_takedown(table, innocent, death(i), same_place, start);
+    }
+    CHECK((standing_of(table, innocent, 0, settled) == suspect_standing::suspected));
+    CHECK(held_for(table, innocent, 0, settled) == milliseconds{0});
+    note_takedown(table, innocent, death(5), same_place, start);
+    CHECK((standing_of(table, innocent, 0, settled) == suspect_standing::condemned));
+}
+
+TEST_CASE("an answer long before the deaths does not speak for a request")
+{
+    suspect_table table;
+    note_finished(table, crasher, start);
+    const time_point later = start + table.answered.remembered;
+    for (int i = 1; i <= 3; ++i) {
+        note_takedown(table, crasher, death(i), same_place, later);
+    }
+    CHECK((standing_of(table, crasher, 0, later + table.limits.settled_after) ==
+           suspect_standing::condemned));
+}
+
 TEST_CASE("a suspicion lapses")
 {
     suspect_table table = after_deaths(crasher, 3);
@@ -263,7 +288,7 @@
     }
     CHECK(held_for(table, crasher, 0, start) == milliseconds{0});
     suspect_table finished = after_deaths(innocent, 3);
-    note_finished(finished, innocent);
+    note_finished(finished, innocent, start);
     CHECK(held_for(finished, innocent, 0, start) == milliseconds{0});
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,7 @@
     app.add_option("--seconds", options.seconds, "Time of faults in each run");
     app.add_option("--daemons", options.daemons, "Number of daemons");
     app.add_option("--callers", options.callers, "Number of callers");
+    app.add_option("--keep", options.keep_logs_in, "Folder for the logs of runs that broke a promise");
     CLI11_PARSE(app, argument_count, arguments);
     if (first == 0) {
         constexpr std::uint64_t most_seeds = 1'000'000;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -32,6 +32,11 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+std::string text_of(const caller_answer& answer)
+{
+    return absl::StrCat(answer.status, answer.whole ? " " : " (broken off) ", answer.body);
+}
+
 class soak_run {
 public:
     explicit soak_run(const soak_options& options_in)
@@ -73,6 +78,7 @@
         this->check_recovery();
         judge_answers(*this->cluster, requests, this->result);
         this->check_processes();
+        this->keep_logs();
         return std::move(this->result);
     }
 
@@ -402,17 +408,20 @@
         this->change_config();
         const std::string newest = absl::StrCat("extra-", this->keys);
         for (std::size_t i = 0; i < this->options.daemons; ++i) {
+            caller_answer found;
+            caller_answer streamed;
             const bool serves = eventually(
                 [&] {
-                    const caller_answer found = this->cluster->ask(i, "GET", "/look/x", "after", "",
-                                                                   {{"Dandelionstep-Credential", newest}});
-                    return found.status == 200 &&
-                           is_whole_stream(this->cluster->stream(i, absl::StrCat("after-", i), "after"),
-                                           "after");
+                    found = this->cluster->ask(i, "GET", "/look/x", "after", "",
+                                               {{"Dandelionstep-Credential", newest}});
+                    streamed = this->cluster->stream(i, absl::StrCat("after-", i), "after");
+                    return found.status == 200 && is_whole_stream(streamed, "after");
                 },
                 recovery_limit);
             if (!serves) {
-                this->violation(absl::StrCat("daemon", i, " does not serve after all faults are over"));
+                this->violation(absl::StrCat("daemon", i, " does not serve after all faults are over: ",
+                                             text_of(found), ", stream ", streamed.status,
+                                             is_whole_stream(streamed, "after") ? " whole" : " not whole"));
             }
             if (this->keys > 1) {
                 const std::string before = absl::StrCat("extra-", this->keys - 1);
@@ -425,6 +434,13 @@
         }
     }
 
+    void keep_logs()
+    {
+        if (!this->result.violations.empty() && !this->options.keep_logs_in.empty()) {
+            this->cluster->keep_logs(absl::StrCat(this->options.keep_logs_in, "/seed-", this->options.seed));
+        }
+    }
+
     void check_processes()
     {
         for (std::size_t i = 0; i < this->options.daemons; ++i) {
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -148,7 +148,7 @@
 {
     target.aboard.erase(number);
     const request_state& request = this->requests[number];
-    note_finished(this->tables[request.daemon], request.fingerprint);
+    note_finished(this->tables[request.daemon], request.fingerprint, this->time());
     ++this->innocents_finished;
 }
 
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -8,6 +8,9 @@
 #include "support/kept_caller.hpp"
 
 #include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -387,6 +390,15 @@
     post(this->address_of(name), "/faults", faults);
 }
 
+void entry_cluster::keep_logs(const std::string& in)
+{
+    std::filesystem::create_directories(in);
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        this->processes.at(daemon_name(i)).signal(SIGKILL);
+        std::ofstream(absl::StrCat(in, "/", daemon_name(i), ".log")) << this->output_of(i);
+    }
+}
+
 std::int64_t entry_cluster::gauge_of(std::size_t daemon, const std::string& name)
 {
     const std::string page = get({own_address(daemon), metrics_port}, "/metrics").body;
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -112,6 +112,8 @@
     void set_faults(const std::string& name, const json& faults);
     //! Everything that the daemon wrote, after it has ended.
     [[nodiscard]] std::string output_of(std::size_t daemon);
+    //! Ends all daemons and writes what they logged, one file each, into a new folder.
+    void keep_logs(const std::string& in);
     //! The value of one of the daemon's gauges; -1 when it can't be read.
     [[nodiscard]] std::int64_t gauge_of(std::size_t daemon, const std::string& name);
     //! The settings file of a daemon.
