Tests' ports: a process holds the ports that it draws, also while nobody listens on them

Seen: process.orders_at_most_once_killed_proof aborted in a whole ctest beside seven soaks: a daemon that is started again cannot listen, "Address already in use".

Cause: a port was tried once, when it was drawn. While its daemon was down, another test's process could draw and take it. They began 7919 ports apart per process id, modulo 22000: ids that differ by 25 begin 25 ports apart (7919 * 25 = 9 * 22000 - 25), and this test draws more than that. Ruled out: ports of outgoing connections, which begin at 32768.

tests/support/port_blocks_test: a block is nobody else's, each port comes once, a test's ports lie in blocks that it holds.

--- a/tests/process/entry_innocent_request_proof_test.cpp
+++ b/tests/process/entry_innocent_request_proof_test.cpp
@@ -25,8 +25,7 @@
     {
         constexpr int count = 9;
         for (int i = 0; i < count; ++i) {
-            this->callers.emplace_back(
-                [&cluster, i] { cluster.look_up(0, absl::StrCat("lookup-", i)); });
+            this->callers.emplace_back([&cluster, i] { cluster.look_up(0, absl::StrCat("lookup-", i)); });
         }
     }
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -5,6 +5,7 @@
 #include "common/hash.hpp"
 #include "fake_model.hpp"
 #include "support/certificates.hpp"
+#include "support/port_blocks.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -57,24 +58,31 @@
     return free;
 }
 
+// Processes begin at different blocks, so that few of them meet.
+port_block take_any_block()
+{
+    const int first = static_cast<int>(getpid() % port_block::block_count);
+    for (int i = 0; i < port_block::block_count; ++i) {
+        if (auto taken = port_block::take((first + i) % port_block::block_count)) {
+            return std::move(*taken);
+        }
+    }
+    throw std::runtime_error("no free ports");
+}
+
 } // namespace
 
-// Ports that the kernel gives to outgoing connections would be taken while a daemon restarts, so these lie
-// below them. Each process starts elsewhere and never hands out a port twice.
 std::uint16_t free_port()
 {
-    constexpr int first_port = 10'000;
-    constexpr int port_count = 22'000;
-    constexpr int step_between_processes = 7919;
-    static int next = static_cast<int>(std::int64_t{getpid()} * step_between_processes % port_count);
-    for (int tried = 0; tried < port_count; ++tried) {
-        const auto port = static_cast<std::uint16_t>(first_port + next);
-        next = (next + 1) % port_count;
-        if (can_listen(port)) {
-            return port;
+    static std::vector<port_block> blocks;
+    for (;;) {
+        const auto port = blocks.empty() ? std::nullopt : blocks.back().next_port();
+        if (!port) {
+            blocks.push_back(take_any_block());
+        } else if (can_listen(*port)) {
+            return *port;
         }
     }
-    throw std::runtime_error("no free port");
 }
 
 http_result call(const endpoint& to, http_request request)
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -19,7 +19,7 @@
 inline constexpr const char* operator_token = "operator-secret";
 inline constexpr std::int64_t model_layers = 12;
 
-//! A loopback port that was free a moment ago.
+//! A loopback port that no other process of the tests takes.
 std::uint16_t free_port();
 
 //! Sends one HTTP request and waits for the answer.
--- /dev/null
+++ b/tests/support/port_blocks_test.cpp
@@ -0,0 +1,50 @@
+#include "support/port_blocks.hpp"
+
+#include "support/cluster.hpp"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr int some_block = port_block::block_count - 1;
+
+} // namespace
+
+TEST_CASE("a block of ports that one has taken is nobody else's until it is given back")
+{
+    std::optional<port_block> mine = port_block::take(some_block);
+    REQUIRE(mine);
+    CHECK_FALSE(port_block::take(some_block));
+    port_block moved = std::move(*mine);
+    mine.reset();
+    CHECK_FALSE(port_block::take(some_block));
+    {
+        const port_block given_back = std::move(moved);
+    }
+    CHECK(port_block::take(some_block));
+}
+
+TEST_CASE("a block gives each of its ports once")
+{
+    std::optional<port_block> block = port_block::take(some_block);
+    REQUIRE(block);
+    std::set<std::uint16_t> ports;
+    while (const auto port = block->next_port()) {
+        ports.insert(*port);
+    }
+    CHECK(ports.size() == port_block::ports_in_block);
+    CHECK(*ports.rbegin() - *ports.begin() == port_block::ports_in_block - 1);
+}
+
+TEST_CASE("the ports of a test are of blocks that it holds")
+{
+    std::set<std::uint16_t> ports;
+    for (int i = 0; i < port_block::ports_in_block * 2; ++i) {
+        const std::uint16_t port = free_port();
+        CHECK(ports.insert(port).second);
+        CHECK_FALSE(port_block::take((port - port_block::first_port) / port_block::ports_in_block));
+    }
+}
