--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -97,8 +97,8 @@
 suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
                              time_point now);
 //! For how long the request is not to be sent to any target; zero when it may be. One that has ended
-//! enough targets at one place to be condemned, counting `unconfirmed` deaths, waits until all that speaks for it is
-//! known.
+//! enough targets at one place to be condemned, counting `unconfirmed` deaths, waits until all that speaks
+//! for it is known.
 milliseconds held_for(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
                       time_point now);
 //! The time until the request's suspicion lapses; zero for one that is no suspect.
