Recent answers are kept by the fingerprint's own type, and a finish says whether it clears a suspect

recent_answers took plain integers, as the type stood in suspects.hpp, which includes it; request_fingerprint has a header of its own now. crash_guard looked a suspect up to learn whether note_finished would change it, and note_finished looked it up again; it returns that now. Behaviour as before.

--- a/src/entry/suspects/crash_guard.cpp
+++ b/src/entry/suspects/crash_guard.cpp
@@ -70,10 +70,7 @@
 {
     this->deaths.clear(request);
     shared_suspects& known = this->context.suspects;
-    const auto found = known.table.suspects.find(request);
-    const bool is_news = found != known.table.suspects.end() && !found->second.finished;
-    note_finished(known.table, request, event_loop::now());
-    if (!is_news) {
+    if (!note_finished(known.table, request, event_loop::now())) {
         return;
     }
     this->untold.erase(request);
--- a/src/request/recent_answers.cpp
+++ b/src/request/recent_answers.cpp
@@ -8,9 +8,9 @@
 
 void forget_first(recent_answers& answers)
 {
-    const auto [fingerprint, at] = answers.order.front();
+    const auto [request, at] = answers.order.front();
     answers.order.pop_front();
-    const auto found = answers.last.find(fingerprint);
+    const auto found = answers.last.find(request);
     if (found != answers.last.end() && found->second == at) {
         answers.last.erase(found);
     }
@@ -18,23 +18,23 @@
 
 } // namespace
 
-void note_answered(recent_answers& answers, std::int64_t fingerprint, time_point now)
+void note_answered(recent_answers& answers, request_fingerprint request, time_point now)
 {
-    const auto [found, is_new] = answers.last.try_emplace(fingerprint, now);
+    const auto [found, is_new] = answers.last.try_emplace(request, now);
     if (!is_new && now - found->second < note_interval) {
         return;
     }
     found->second = now;
-    answers.order.emplace_back(fingerprint, now);
+    answers.order.emplace_back(request, now);
     while (answers.order.size() > answers.max_requests ||
            now - answers.order.front().second >= answers.remembered) {
         forget_first(answers);
     }
 }
 
-bool was_answered(const recent_answers& answers, std::int64_t fingerprint, time_point now)
+bool was_answered(const recent_answers& answers, request_fingerprint request, time_point now)
 {
-    const auto found = answers.last.find(fingerprint);
+    const auto found = answers.last.find(request);
     return found != answers.last.end() && now - found->second < answers.remembered;
 }
 
--- a/src/request/suspects.cpp
+++ b/src/request/suspects.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace dandelionstep {
 namespace {
@@ -65,7 +66,7 @@
 
 std::size_t deaths_to_condemn(const suspect_table& table, request_fingerprint request, time_point now)
 {
-    const bool was_sound = was_answered(table.answered, request.value, now);
+    const bool was_sound = was_answered(table.answered, request, now);
     return was_sound ? table.limits.answered_condemned_at : table.limits.condemned_at;
 }
 
@@ -160,12 +161,11 @@
     expire(table, now);
 }
 
-void note_finished(suspect_table& table, request_fingerprint request, time_point now)
+bool note_finished(suspect_table& table, request_fingerprint request, time_point now)
 {
-    note_answered(table.answered, request.value, now);
-    if (const auto found = table.suspects.find(request); found != table.suspects.end()) {
-        found->second.finished = true;
-    }
+    note_answered(table.answered, request, now);
+    const auto found = table.suspects.find(request);
+    return found != table.suspects.end() && !std::exchange(found->second.finished, true);
 }
 
 suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
--- a/src/request/suspects.hpp
+++ b/src/request/suspects.hpp
@@ -4,6 +4,7 @@
 #include "common/ids.hpp"
 #include "common/strong.hpp"
 #include "request/recent_answers.hpp"
+#include "request/request_fingerprint.hpp"
 
 #include <cstdint>
 #include <map>
@@ -14,8 +15,6 @@
 
 namespace dandelionstep {
 
-//! Names what a request asks, whoever asks it and however often.
-using request_fingerprint = strong_count<struct request_fingerprint_unit>;
 //! Names one target's incarnation that died while it ran a request.
 using takedown_id = strong_count<struct takedown_unit>;
 
@@ -90,8 +89,8 @@
 //! Records that a target's incarnation died with the request aboard.
 void note_takedown(suspect_table& table, request_fingerprint request, takedown_id target, crash_place place,
                    time_point now);
-//! Records that a request was answered whole.
-void note_finished(suspect_table& table, request_fingerprint request, time_point now);
+//! Records that a request was answered whole; true if that clears a suspect.
+bool note_finished(suspect_table& table, request_fingerprint request, time_point now);
 
 //! How the request is to be treated; `unconfirmed` counts deaths that are not confirmed yet.
 suspect_standing standing_of(const suspect_table& table, request_fingerprint request, std::size_t unconfirmed,
--- a/tests/request/recent_answers_test.cpp
+++ b/tests/request/recent_answers_test.cpp
@@ -7,19 +7,21 @@
 namespace {
 
 constexpr time_point start{10'000'000};
+constexpr request_fingerprint first{1};
+constexpr request_fingerprint second{2};
 
 } // namespace
 
 TEST_CASE("an answer is remembered for its time, counted from the last one")
 {
     recent_answers answers;
-    CHECK_FALSE(was_answered(answers, 1, start));
-    note_answered(answers, 1, start);
+    CHECK_FALSE(was_answered(answers, first, start));
+    note_answered(answers, first, start);
     const milliseconds half = answers.remembered / 2;
-    note_answered(answers, 1, start + half);
-    CHECK(was_answered(answers, 1, start + answers.remembered));
-    CHECK_FALSE(was_answered(answers, 1, start + half + answers.remembered));
-    CHECK_FALSE(was_answered(answers, 2, start));
+    note_answered(answers, first, start + half);
+    CHECK(was_answered(answers, first, start + answers.remembered));
+    CHECK_FALSE(was_answered(answers, first, start + half + answers.remembered));
+    CHECK_FALSE(was_answered(answers, second, start));
 }
 
 TEST_CASE("the oldest answers are forgotten above the bound")
@@ -27,18 +29,18 @@
     recent_answers answers;
     answers.max_requests = 3;
     for (std::int64_t i = 1; i <= 5; ++i) {
-        note_answered(answers, i, start + milliseconds{i});
+        note_answered(answers, request_fingerprint{i}, start + milliseconds{i});
     }
     CHECK(answers.last.size() == 3);
-    CHECK_FALSE(was_answered(answers, 2, start));
-    CHECK(was_answered(answers, 3, start));
+    CHECK_FALSE(was_answered(answers, second, start));
+    CHECK(was_answered(answers, request_fingerprint{3}, start));
 }
 
 TEST_CASE("a request that is answered all the time takes no more room than its time needs")
 {
     recent_answers answers;
     for (std::int64_t ms = 0; ms < answers.remembered.count * 3; ms += 10) {
-        note_answered(answers, 1, start + milliseconds{ms});
+        note_answered(answers, first, start + milliseconds{ms});
     }
     CHECK(answers.last.size() == 1);
     CHECK(answers.order.size() <= 61);
@@ -47,8 +49,8 @@
 TEST_CASE("what is long past leaves the memory with the next answer")
 {
     recent_answers answers;
-    note_answered(answers, 1, start);
-    note_answered(answers, 2, start + answers.remembered);
+    note_answered(answers, first, start);
+    note_answered(answers, second, start + answers.remembered);
     CHECK(answers.last.size() == 1);
     CHECK(answers.order.size() == 1);
 }
