A follower reads the rows in one place

look and try_store each guarded against a source that changed meanwhile, in the same lines; look_at_rows does it for both. Behaviour as before.

--- a/src/entry/peers/peer_follower.cpp
+++ b/src/entry/peers/peer_follower.cpp
@@ -98,15 +98,20 @@
     this->look();
 }
 
-void peer_follower::look()
+void peer_follower::look_at_rows(std::function<void(bool could_read)> done)
 {
-    const std::int64_t began_in = this->turn;
     this->is_busy = true;
-    this->rows.look([this, began_in](bool could_read) {
-        if (began_in != this->turn) {
-            return;
+    this->rows.look([this, began_in = this->turn, done = std::move(done)](bool could_read) {
+        if (began_in == this->turn) {
+            this->is_busy = false;
+            done(could_read);
         }
-        this->is_busy = false;
+    });
+}
+
+void peer_follower::look()
+{
+    this->look_at_rows([this](bool could_read) {
         if (!could_read) {
             this->after(failed_look_pause(++this->failed_looks, this->draw()), &peer_follower::look);
             return;
--- a/src/entry/peers/peer_follower.hpp
+++ b/src/entry/peers/peer_follower.hpp
@@ -70,6 +70,8 @@
     };
 
     void search(std::string_view reason, bool is_hurried);
+    //! Reads the rows of the daemons; `done` is not called when the source has changed meanwhile.
+    void look_at_rows(std::function<void(bool could_read)> done);
     void look();
     void decide(const search_decision& decision);
     void read_store(std::string_view reason);
--- a/src/entry/peers/peer_line.cpp
+++ b/src/entry/peers/peer_line.cpp
@@ -86,13 +86,7 @@
 
 void peer_follower::try_store()
 {
-    const std::int64_t began_in = this->turn;
-    this->is_busy = true;
-    this->rows.look([this, began_in](bool could_read) {
-        if (began_in != this->turn) {
-            return;
-        }
-        this->is_busy = false;
+    this->look_at_rows([this](bool could_read) {
         if (!could_read) {
             this->step();
             return;
