Tests ask the cluster which engine holds the first layer

Two tests read the report in the same way; entry_cluster::holds_first_layer does. port_blocks includes what declares offsetof. Assertions as before.

--- a/tests/process/entry_crashing_request_proof_test.cpp
+++ b/tests/process/entry_crashing_request_proof_test.cpp
@@ -48,8 +48,7 @@
 std::vector<std::string> one_first_engine(entry_cluster& cluster)
 {
     for (const std::string& id : cluster.replica_ids()) {
-        const json layers = cluster.report(id).value("Layers", json::object());
-        if (integer_or(layers, "From", -1) == 0 && integer_or(layers, "To", 0) > 0) {
+        if (cluster.holds_first_layer(id)) {
             return {id};
         }
     }
--- a/tests/process/entry_target_notices_proof_test.cpp
+++ b/tests/process/entry_target_notices_proof_test.cpp
@@ -97,10 +97,8 @@
 // The one of the engines that holds the first layer.
 std::string first_engine(entry_cluster& cluster, const std::vector<std::string>& engines)
 {
-    const auto found = std::ranges::find_if(engines, [&](const std::string& id) {
-        const json layers = cluster.report(id).value("Layers", json::object());
-        return integer_or(layers, "From", -1) == 0 && integer_or(layers, "To", 0) > 0;
-    });
+    const auto found =
+        std::ranges::find_if(engines, [&](const std::string& id) { return cluster.holds_first_layer(id); });
     REQUIRE(found != engines.end());
     return *found;
 }
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -297,6 +297,12 @@
     return parse_json(get(this->address_of(id), "/report").body).value_or(json::object());
 }
 
+bool entry_cluster::holds_first_layer(const std::string& id)
+{
+    const json layers = this->report(id).value("Layers", json::object());
+    return integer_or(layers, "From", -1) == 0 && integer_or(layers, "To", 0) > 0;
+}
+
 bool entry_cluster::await_layers()
 {
     return eventually(
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -106,6 +106,8 @@
     json ledger(const std::string& id);
     //! What an engine reports of itself; empty when it doesn't answer.
     json report(const std::string& id);
+    //! Whether it is an engine at which streams enter.
+    bool holds_first_layer(const std::string& id);
     //! How often all replicas together ran an attempt.
     std::int64_t runs_of(const std::string& attempt);
     //! Sets fault switches of "store" or a replica.
--- a/tests/support/port_blocks.cpp
+++ b/tests/support/port_blocks.cpp
@@ -3,7 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <cstring>
+#include <cstddef>
 #include <string>
 #include <sys/socket.h>
 #include <sys/un.h>
