process.entry_odd_entries_proof counts the lines of the killed process as well

Cause: the test kills daemon1, whose output is kept for each process alone. Where daemon1 was the one that read the store, the line was written by its first process, and its successor reads on behind the row. Change: the output of the killed process is kept before its successor starts and counted with the others. Each process that logged the row has logged it once, as before; that the killed one has written anything is a check of its own.

--- a/tests/process/entry_odd_entries_proof_test.cpp
+++ b/tests/process/entry_odd_entries_proof_test.cpp
@@ -154,7 +154,9 @@
         cluster.write_encoded_row("another", "servers", "odd", "%%%");
         std::this_thread::sleep_for(std::chrono::milliseconds(250));
     }
-    cluster.processes.at("daemon1").kill();
+    cluster.processes.at("daemon1").signal(SIGKILL);
+    std::vector<std::string> outputs{cluster.output_of(1)};
+    CHECK_FALSE(outputs.front().empty());
     cluster.start_daemon(1);
     CHECK(eventually([&] { return cluster.is_ready(1); }, {5'000}));
     cluster.set_faults("i-o1", {{"draining", true}});
@@ -165,11 +167,14 @@
         callers.check_served(absl::StrCat("after", i));
     }
     CHECK(cluster.ledger("i-o1")["runs"].size() == before);
-    // Those that read the store have logged it once, however often it was written.
-    std::size_t all_lines = 0;
     for (std::size_t i = 0; i < daemons; ++i) {
         cluster.processes.at(absl::StrCat("daemon", i)).signal(SIGTERM);
-        const std::string lines = lines_with(cluster.output_of(i), "event=target_unreadable target=odd ");
+        outputs.push_back(cluster.output_of(i));
+    }
+    // Each process that read the store has logged it once, however often it was written.
+    std::size_t all_lines = 0;
+    for (const std::string& output : outputs) {
+        const std::string lines = lines_with(output, "event=target_unreadable target=odd ");
         const auto count = static_cast<std::size_t>(std::ranges::count(lines, '\n'));
         CHECK(count <= 1);
         all_lines += count;
