The test of port blocks takes blocks that no other test takes

Cause: it took a fixed block out of those that other tests draw from at the same time, so that a run beside the other tests could find it taken. Change: four blocks behind the drawn ones, of which each run of this test takes a free one.

--- a/tests/support/port_blocks.hpp
+++ b/tests/support/port_blocks.hpp
@@ -11,7 +11,9 @@
     //! Below the ports that the kernel gives to outgoing connections.
     static constexpr int first_port = 10'000;
     static constexpr int ports_in_block = 100;
-    static constexpr int block_count = 220;
+    static constexpr int block_count = 216;
+    //! Blocks behind those, which only a test that names one takes.
+    static constexpr int named_block_count = 4;
 
     //! Nothing when another process or object has the block.
     static std::optional<port_block> take(int number);
--- a/tests/support/port_blocks_test.cpp
+++ b/tests/support/port_blocks_test.cpp
@@ -12,12 +12,23 @@
 
 namespace {
 
-constexpr int some_block = port_block::block_count - 1;
+// One that no other run of this test holds.
+int find_named_block()
+{
+    for (int i = 0; i < port_block::named_block_count; ++i) {
+        if (port_block::take(port_block::block_count + i)) {
+            return port_block::block_count + i;
+        }
+    }
+    FAIL("all blocks are taken that only this test takes");
+    return -1;
+}
 
 } // namespace
 
 TEST_CASE("a block of ports that one has taken is nobody else's until it is given back")
 {
+    const int some_block = find_named_block();
     std::optional<port_block> mine = port_block::take(some_block);
     REQUIRE(mine);
     CHECK_FALSE(port_block::take(some_block));
@@ -32,7 +43,7 @@
 
 TEST_CASE("a block gives each of its ports once")
 {
-    std::optional<port_block> block = port_block::take(some_block);
+    std::optional<port_block> block = port_block::take(find_named_block());
     REQUIRE(block);
     std::set<std::uint16_t> ports;
     while (const auto port = block->next_port()) {
