Timers that are late run behind the sockets that are ready

What callers saw: after a standstill of the process an answer that had come was given up, and a request that had come was refused. Cause: a turn of the loop takes a limited number of ready sockets (32 at first), then all timers that are due. What a timer gives up may wait in a socket that the turn has not reached. Ruled out: reading all sockets in one turn, which libevent doubles from turn to turn by itself.

--- a/src/adapters/event_loop.hpp
+++ b/src/adapters/event_loop.hpp
@@ -38,7 +38,8 @@
     //! The civil time, for records that other machines read.
     [[nodiscard]] static wall_time wall_now();
 
-    //! Runs the callback once after the delay, or some milliseconds before its end.
+    //! Runs the callback once after the delay, or some milliseconds before its end. Callbacks that are late,
+    //! as after a standstill, run behind the sockets that are ready.
     [[nodiscard]] timer run_after(milliseconds delay, callback run);
     //! Runs the callback once when `now` has reached the time, never before.
     [[nodiscard]] timer run_at(time_point due, callback run);
