--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -1,6 +1,5 @@
 #include "adapters/internal/caller_connection.hpp"
 
-#include "absl/strings/str_cat.h"
 #include "adapters/http_text.hpp"
 #include "adapters/socket_options.hpp"
 
@@ -12,7 +11,6 @@
 
 // Bytes taken from a connection whose request is being answered; the rest waits in the kernel.
 constexpr std::size_t max_early_bytes = std::size_t{64} * 1024;
-constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr int status_bad_request = 400;
@@ -50,7 +48,7 @@
     set_socket_options(socket);
     this->raw = bufferevent_socket_new(port.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(this->raw, on_read, on_write, on_event, this);
-    evbuffer_add_cb(bufferevent_get_output(this->raw), on_output, port.unread.get());
+    this->output_watch = evbuffer_add_cb(bufferevent_get_output(this->raw), on_output, port.unread.get());
     bufferevent_enable(this->raw, EV_READ | EV_WRITE);
 }
 
@@ -99,8 +97,7 @@
             this->refuse(status_bad_request);
         } else if (this->body_too_large) {
             this->refuse(status_body_too_large);
-        } else if (!this->reader.head_done() &&
-                   this->reader.head_bytes() > this->owner->bounds.max_header_bytes) {
+        } else if (!this->reader.head_done() && this->reader.head_bytes() > this->owner->bounds.max_header_bytes) {
             this->refuse(status_head_too_large);
         } else if (read.state == http_reader::progress::complete) {
             this->dispatch();
@@ -139,9 +136,7 @@
     // Callers may send on until an answer has told them of the end.
     if (!this->keep) {
         this->closing = true;
-        if (evbuffer_get_length(bufferevent_get_output(this->raw)) == 0) {
-            this->end(false);
-        }
+        this->on_written();
         return;
     }
     bufferevent_setwatermark(this->raw, EV_READ, 0, 0);
@@ -154,129 +149,15 @@
     }
 }
 
-bool caller_connection::is_idle() const
+bool caller_connection::is_between_requests() const
 {
     return !this->current && !this->closing && !this->reader.inside_message() &&
            evbuffer_get_length(bufferevent_get_input(this->raw)) == 0;
 }
 
-void caller_connection::on_written()
-{
-    this->last_activity = event_loop::now();
-    if (this->closing && evbuffer_get_length(bufferevent_get_output(this->raw)) == 0) {
-        this->end(false);
-    }
-}
-
-void caller_connection::report_unanswered() const
-{
-    const std::size_t waiting = evbuffer_get_length(bufferevent_get_input(this->raw));
-    const bool is_read = waiting > 0 || (!this->current && this->reader.inside_message());
-    if (this->keep && is_read && this->owner->on_unanswered) {
-        this->owner->on_unanswered(waiting);
-    }
-}
-
-void caller_connection::end(bool gone)
-{
-    const auto found = this->owner->open.find(this);
-    if (found == this->owner->open.end()) {
-        return;
-    }
-    const std::shared_ptr<caller_connection> kept = std::move(found->second);
-    this->owner->open.erase(found);
-    if (!gone) {
-        this->report_unanswered();
-    }
-    const std::shared_ptr<caller_exchange> cut = std::move(this->current);
-    bufferevent_disable(this->raw, EV_READ | EV_WRITE);
-    bufferevent_setcb(this->raw, nullptr, nullptr, nullptr, nullptr);
-    evbuffer* output = bufferevent_get_output(this->raw);
-    evbuffer_remove_cb(output, on_output, this->owner->unread.get());
-    this->owner->unread->held -= std::min(this->owner->unread->held, evbuffer_get_length(output));
-    this->owner->loop.post([kept] { bufferevent_free(kept->raw); });
-    if (cut) {
-        cut->connection = nullptr;
-        const std::function<void()> notify = std::move(cut->on_gone);
-        if (gone && notify) {
-            notify();
-        }
-    }
-}
-
-void caller_connection::check_timeouts(time_point now)
-{
-    if (this->current) {
-        return;
-    }
-    const milliseconds quiet = now - this->last_activity;
-    if (this->closing || !this->reader.inside_message()) {
-        if (quiet > this->owner->bounds.idle_timeout) {
-            this->end(true);
-        }
-        return;
-    }
-    const bool head_is_late = !this->reader.head_done() && this->reading &&
-                              now - this->reading->began > this->owner->bounds.header_timeout;
-    if (head_is_late || quiet > this->owner->bounds.idle_timeout) {
-        this->refuse(status_request_timeout);
-    }
-}
-
-void caller_exchange::answer(int status, const http_headers& headers, std::string_view text)
-{
-    if (this->gone()) {
-        return;
-    }
-    http_headers all = headers;
-    if (!this->connection->keep || this->connection->owner->draining) {
-        this->connection->keep = false;
-        all.emplace_back("Connection", "close");
-    }
-    if (this->connection->write(response_text(status, all, text))) {
-        this->connection->answered();
-    }
-}
-
-void caller_exchange::start(int status, const http_headers& headers)
-{
-    if (this->gone() || this->is_started) {
-        return;
-    }
-    this->is_started = true;
-    http_headers all = headers;
-    if (!this->connection->keep || this->connection->owner->draining) {
-        this->connection->keep = false;
-        all.emplace_back("Connection", "close");
-    }
-    all.emplace_back("Transfer-Encoding", "chunked");
-    this->connection->write(response_head(status, all));
-}
-
-void caller_exchange::write(std::string_view part)
+bool caller_connection::has_unsent_answer() const
 {
-    if (this->gone() || part.empty()) {
-        return;
-    }
-    this->connection->write(
-        absl::StrCat(absl::Hex(part.size()), "\r\n", absl::string_view(part.data(), part.size()), "\r\n"));
-}
-
-void caller_exchange::finish()
-{
-    if (this->gone()) {
-        return;
-    }
-    if (this->connection->write("0\r\n\r\n")) {
-        this->connection->answered();
-    }
-}
-
-void caller_exchange::abort()
-{
-    if (!this->gone()) {
-        this->connection->end(false);
-    }
+    return evbuffer_get_length(bufferevent_get_output(this->raw)) > 0;
 }
 
 } // namespace dandelionstep
--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -99,13 +99,13 @@
     std::vector<caller_connection*> due;
     int later = 0;
     for (const auto& [connection, owned] : this->self->open) {
-        if (!connection->is_idle()) {
+        if (!connection->is_between_requests()) {
             continue;
         }
-        if (now - connection->last_activity >= quiet) {
-            due.push_back(connection);
-        } else {
+        if (now - connection->last_activity < quiet) {
             ++later;
+        } else {
+            due.push_back(connection);
         }
     }
     for (caller_connection* connection : due) {
@@ -118,9 +118,8 @@
 {
     int count = 0;
     for (const auto& [connection, owned] : this->self->open) {
-        const bool writing = evbuffer_get_length(bufferevent_get_output(connection->raw)) > 0;
-        const bool is_asking = !connection->closing && !connection->is_idle();
-        count += is_asking || writing ? 1 : 0;
+        const bool is_asking = !connection->closing && !connection->is_between_requests();
+        count += is_asking || connection->has_unsent_answer() ? 1 : 0;
     }
     return count;
 }
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -3,6 +3,7 @@
 #include "adapters/caller_port.hpp"
 #include "common/gathered_text.hpp"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -16,6 +17,7 @@
 struct caller_connection {
     caller_port::state* owner = nullptr;
     bufferevent* raw = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
     http_reader reader;
     std::shared_ptr<caller_exchange> current;
     std::shared_ptr<caller_exchange> reading;
@@ -40,8 +42,10 @@
     void refuse(int status);
     void dispatch();
     void answered();
-    //! Whether it waits for a request of which no byte has come.
-    [[nodiscard]] bool is_idle() const;
+    //! Whether it waits for a request of which no byte was read.
+    [[nodiscard]] bool is_between_requests() const;
+    //! Whether bytes of an answer have not been handed to the system.
+    [[nodiscard]] bool has_unsent_answer() const;
     void report_unanswered() const;
     void end(bool gone);
     void check_timeouts(time_point now);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "adapters/caller_port.hpp"
 #include "adapters/log.hpp"
+#include "entry/caller_reports.hpp"
 #include "entry/context/entry_context.hpp"
 #include "entry/peers/peer_follower.hpp"
 #include "entry/peers/peer_port.hpp"
@@ -57,7 +58,7 @@
                               {"data_centre", this->context.settings.data_centre.value},
                               {"process", static_cast<std::int64_t>(getpid())}});
         this->report_overlong();
-        this->report_cut_callers();
+        report_callers(this->context, this->callers);
         this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
         this->watch.on_first_known = [this] { this->relay.take_early(); };
         this->rows.on_rows = [this](const stored_rows& read) {
@@ -101,22 +102,6 @@
         });
     }
 
-    void report_cut_callers()
-    {
-        this->callers.on_unanswered([this](std::size_t bytes) {
-            ++this->context.metrics.callers_cut_unanswered;
-            if (may_log(this->context.logs, log_weight::failure, event_loop::now())) {
-                log_event("closed_unanswered", {{"bytes", static_cast<std::int64_t>(bytes)}});
-            }
-        });
-        this->callers.on_unread([this](std::size_t bytes) {
-            ++this->context.metrics.callers_cut_unread;
-            if (may_log(this->context.logs, log_weight::failure, event_loop::now())) {
-                log_event("caller_does_not_read", {{"bytes", static_cast<std::int64_t>(bytes)}});
-            }
-        });
-    }
-
     absl::Status listen()
     {
         const entry_settings& settings = this->context.settings;
