--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -110,6 +110,7 @@
 // Answers a request that could not be read; what follows on the connection has no known beginning.
 void caller_connection::refuse(int status)
 {
+    this->report_unreadable(status);
     this->reading.reset();
     this->keep = false;
     this->closing = true;
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -28,6 +28,23 @@
     }
 }
 
+void caller_connection::report_timeout(milliseconds quiet) const
+{
+    if (this->owner->on_timeout) {
+        this->owner->on_timeout({quiet, this->owner->bounds.idle_timeout,
+                                 evbuffer_get_length(bufferevent_get_output(this->raw)),
+                                 evbuffer_get_length(bufferevent_get_input(this->raw))});
+    }
+}
+
+void caller_connection::report_unreadable(int status) const
+{
+    if (this->owner->on_unreadable && this->reading) {
+        this->owner->on_unreadable({status, this->reader.head_bytes(), this->reading->body.size(),
+                                    event_loop::now() - this->reading->began});
+    }
+}
+
 void caller_connection::end(bool gone)
 {
     const auto found = this->owner->open.find(this);
@@ -71,6 +88,7 @@
     if (is_inside) {
         this->refuse(status_request_timeout);
     } else {
+        this->report_timeout(quiet);
         this->end(true);
     }
 }
--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -88,6 +88,16 @@
     this->self->on_unanswered = std::move(run);
 }
 
+void caller_port::on_timeout(timeout_callback run)
+{
+    this->self->on_timeout = std::move(run);
+}
+
+void caller_port::on_unreadable(unreadable_callback run)
+{
+    this->self->on_unreadable = std::move(run);
+}
+
 void caller_port::close_after_answers()
 {
     this->self->draining = true;
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -49,12 +49,34 @@
     bool is_started = false;
 };
 
+//! A connection that a timeout ended.
+struct timed_out_connection {
+    //! Since when nothing moved, and for how long nothing may.
+    milliseconds quiet;
+    milliseconds timeout;
+    //! Bytes of an answer that the caller had not taken.
+    std::size_t unsent_bytes = 0;
+    //! Bytes of a request that had been read.
+    std::size_t unread_bytes = 0;
+};
+
+//! A request that was refused before it was read to its end.
+struct unreadable_request {
+    int status = 0;
+    std::size_t head_bytes = 0;
+    std::size_t body_bytes = 0;
+    //! Since its first byte was read.
+    milliseconds age;
+};
+
 //! The port at which callers' requests arrive over HTTP/1.1.
 class caller_port {
 public:
     using handler = std::function<void(const std::shared_ptr<caller_exchange>&)>;
     //! Told the bytes that waited for a caller whose connection was ended for them.
     using unread_callback = std::function<void(std::size_t bytes)>;
+    using timeout_callback = std::function<void(const timed_out_connection&)>;
+    using unreadable_callback = std::function<void(const unreadable_request&)>;
 
     //! `unread` bounds the bytes of all answers together that wait for callers who do not read.
     caller_port(event_loop& loop, std::shared_ptr<byte_budget> unread, handler handle);
@@ -70,6 +92,8 @@
     void on_unread(unread_callback run);
     //! Told the bytes that were read behind an answer which did not announce the end of its connection.
     void on_unanswered(unread_callback run);
+    void on_timeout(timeout_callback run);
+    void on_unreadable(unreadable_callback run);
     //! From now on every answer announces the end of its connection, and ends it.
     void close_after_answers();
     //! Closes connections that have waited for a request for so long; returns how many wait since a later
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -47,6 +47,8 @@
     //! Whether bytes of an answer have not been handed to the system.
     [[nodiscard]] bool has_unsent_answer() const;
     void report_unanswered() const;
+    void report_timeout(milliseconds quiet) const;
+    void report_unreadable(int status) const;
     void end(bool gone);
     void check_timeouts(time_point now);
 };
@@ -57,6 +59,8 @@
     std::shared_ptr<byte_budget> unread;
     unread_callback on_unread;
     unread_callback on_unanswered;
+    timeout_callback on_timeout;
+    unreadable_callback on_unreadable;
     handler handle;
     caller_bounds bounds;
     evconnlistener* listener = nullptr;
--- a/src/entry/caller_reports.hpp
+++ b/src/entry/caller_reports.hpp
@@ -5,7 +5,8 @@
 
 namespace dandelionstep {
 
-//! Counts, and within bounds logs, the callers' connections that the port ends. The port must not outlive the context.
+//! Counts, and within bounds logs, the callers' connections that the port ends and the requests that it
+//! refuses. The port must not outlive the context.
 void report_callers(entry_context& context, caller_port& callers);
 
 } // namespace dandelionstep
--- a/src/entry/context/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -57,6 +57,9 @@
     append_counts(text, "dandelionstep_entry_answers_skipped_total", "evidence", metrics.answers_skipped);
     append_count(text, "dandelionstep_entry_callers_cut_unread_total", metrics.callers_cut_unread);
     append_count(text, "dandelionstep_entry_callers_cut_unanswered_total", metrics.callers_cut_unanswered);
+    append_counts(text, "dandelionstep_entry_callers_timed_out_total", "owed", metrics.callers_timed_out);
+    append_counts(text, "dandelionstep_entry_requests_unreadable_total", "status",
+                  metrics.requests_unreadable);
     append_counts(text, "dandelionstep_entry_store_calls_total", "reason", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
     for (const auto& [name, value] : metrics.gauges) {
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -36,6 +36,10 @@
     std::int64_t callers_cut_unread = 0;
     //! Connections that this daemon closed, unannounced, behind which bytes of a request were unanswered.
     std::int64_t callers_cut_unanswered = 0;
+    //! Connections that a timeout ended, by what was owed on them.
+    std::map<std::string, std::int64_t> callers_timed_out;
+    //! Requests that were refused before they were read to their end, by status.
+    std::map<std::string, std::int64_t> requests_unreadable;
     //! Calls to the store by what they were made for, then by result.
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
--- a/src/entry/registry/known_state.cpp
+++ b/src/entry/registry/known_state.cpp
@@ -98,11 +98,15 @@
     if (parsed->version <= known) {
         return false;
     }
-    log_event("config_applied", {{"version", parsed->version.value},
-                                 {"before", known.value},
-                                 {"from", origin},
-                                 {"hosts", static_cast<std::int64_t>(parsed->routes.size())},
-                                 {"keys", static_cast<std::int64_t>(parsed->keys.size())}});
+    log_event("config_applied",
+              {{"version", parsed->version.value},
+               {"before", known.value},
+               {"from", origin},
+               {"hosts", static_cast<std::int64_t>(parsed->routes.size())},
+               {"keys", static_cast<std::int64_t>(parsed->keys.size())},
+               {"idle_timeout_ms", parsed->bounds.idle_timeout},
+               {"header_timeout_ms", parsed->bounds.header_timeout},
+               {"max_body_bytes", static_cast<std::int64_t>(parsed->bounds.max_body_bytes)}});
     context.config = std::make_shared<const entry_config>(*std::move(parsed));
     context.config_text = text;
     if (context.on_change) {
