An answer that its caller still reads is not cut by an idle timeout or a planned stop

Cause: "no open request" was taken for "nothing owed to the caller": the idle time ran while the answer waited in the buffer, and its clock moved only once the buffer was empty. The planned stop's close_idle did not look at the buffer at all. Change: bytes that leave count as activity; once the time is over, bytes that the caller has acknowledged since do too; the next request's wait begins when the answer has arrived; a planned stop does not end a connection whose answer was not delivered. Evidence: adapters.caller_timeouts and adapters.caller_ends failed before. A caller that takes nothing is cut as before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <event2/buffer.h>
+#include <utility>
 
 namespace dandelionstep {
 namespace {
@@ -18,9 +19,7 @@
 
 void on_output(evbuffer* /*output*/, const evbuffer_cb_info* change, void* argument)
 {
-    auto* unread = static_cast<byte_budget*>(argument);
-    unread->held += change->n_added;
-    unread->held -= std::min(unread->held, change->n_deleted);
+    static_cast<caller_connection*>(argument)->on_output_changed(change->n_added, change->n_deleted);
 }
 
 void on_read(bufferevent* /*raw*/, void* argument)
@@ -49,7 +48,7 @@
     set_socket_options(socket);
     this->raw = bufferevent_socket_new(port.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(this->raw, on_read, on_write, on_event, this);
-    this->output_watch = evbuffer_add_cb(bufferevent_get_output(this->raw), on_output, port.unread.get());
+    this->output_watch = evbuffer_add_cb(bufferevent_get_output(this->raw), on_output, this);
     bufferevent_enable(this->raw, EV_READ | EV_WRITE);
 }
 
@@ -162,10 +161,33 @@
     return evbuffer_get_length(bufferevent_get_output(this->raw)) > 0;
 }
 
+std::size_t caller_connection::undelivered_bytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->raw)) +
+           unacknowledged_bytes(bufferevent_getfd(this->raw));
+}
+
 // A turn of the loop reads a limited number of sockets before the timers run.
 bool caller_connection::has_unread_request() const
 {
     return !this->closing && has_unread_bytes(bufferevent_getfd(this->raw));
 }
 
+// The system takes bytes in large pieces, so that a caller may read for a while before the buffer shrinks.
+bool caller_connection::is_read_by_caller()
+{
+    const std::size_t left = this->undelivered_bytes();
+    return std::exchange(this->left_to_read, left) != left;
+}
+
+void caller_connection::on_output_changed(std::size_t added, std::size_t taken)
+{
+    byte_budget& unread = *this->owner->unread;
+    unread.held += added;
+    unread.held -= std::min(unread.held, taken);
+    if (taken > 0) {
+        this->last_activity = event_loop::now();
+    }
+}
+
 } // namespace dandelionstep
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -13,7 +13,6 @@
 
 void caller_connection::on_written()
 {
-    this->last_activity = event_loop::now();
     if (this->closing && !this->has_unsent_answer()) {
         this->end(false);
     }
@@ -85,7 +84,9 @@
     if ((!is_quiet && !head_is_late) || this->has_unread_request()) {
         return;
     }
-    if (is_inside) {
+    if (is_quiet && this->is_read_by_caller()) {
+        this->last_activity = now;
+    } else if (is_inside) {
         this->refuse(status_request_timeout);
     } else {
         this->report_timeout(quiet);
--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -112,7 +112,8 @@
         if (!connection->is_between_requests()) {
             continue;
         }
-        if (now - connection->last_activity < quiet || connection->has_unread_request()) {
+        if (now - connection->last_activity < quiet || connection->has_unread_request() ||
+            connection->undelivered_bytes() > 0) {
             ++later;
         } else {
             due.push_back(connection);
@@ -130,7 +131,7 @@
     for (const auto& [connection, owned] : this->self->open) {
         const bool is_asking =
             !connection->closing && (!connection->is_between_requests() || connection->has_unread_request());
-        count += is_asking || connection->has_unsent_answer() ? 1 : 0;
+        count += is_asking || connection->undelivered_bytes() > 0 ? 1 : 0;
     }
     return count;
 }
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -96,8 +96,8 @@
     void on_unreadable(unreadable_callback run);
     //! From now on every answer announces the end of its connection, and ends it.
     void close_after_answers();
-    //! Closes connections that have waited for a request for so long; returns how many wait since a later
-    //! time.
+    //! Closes connections that have waited for a request for so long and owe their callers nothing; returns
+    //! how many others wait for one.
     int close_idle(milliseconds quiet = {0});
     //! Requests that are waiting, read or answered now.
     [[nodiscard]] int unfinished() const;
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -21,7 +21,10 @@
     http_reader reader;
     std::shared_ptr<caller_exchange> current;
     std::shared_ptr<caller_exchange> reading;
+    //! When bytes last moved in either direction.
     time_point last_activity;
+    //! Bytes of answers that had not reached the caller when that was last looked at.
+    std::size_t left_to_read = 0;
     bool keep = true;
     bool closing = false;
     bool body_too_large = false;
@@ -42,10 +45,15 @@
     void refuse(int status);
     void dispatch();
     void answered();
+    void on_output_changed(std::size_t added, std::size_t taken);
+    //! Whether the caller has taken some of its answer since this was last asked.
+    bool is_read_by_caller();
     //! Whether it waits for a request of which no byte was read.
     [[nodiscard]] bool is_between_requests() const;
     //! Whether bytes of a request wait in the system to be read.
     [[nodiscard]] bool has_unread_request() const;
+    //! Bytes of answers, here or in the system, that the caller has not acknowledged.
+    [[nodiscard]] std::size_t undelivered_bytes() const;
     //! Whether bytes of an answer have not been handed to the system.
     [[nodiscard]] bool has_unsent_answer() const;
     void report_unanswered() const;
--- a/src/adapters/socket_state.hpp
+++ b/src/adapters/socket_state.hpp
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <cstddef>
 #include <event2/util.h>
 
 namespace dandelionstep {
 
+//! Bytes that were written to the socket and that the peer has not acknowledged; 0 when the system can't
+//! tell.
+std::size_t unacknowledged_bytes(evutil_socket_t socket);
+
 //! Whether bytes of the peer wait in the system to be read.
 bool has_unread_bytes(evutil_socket_t socket);
 
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -82,3 +82,35 @@
     served.run_for({20});
     CHECK(caller.read(most_bytes).ends_with("one"));
 }
+
+TEST_CASE("a kept connection is not ended as idle while its caller still reads the last answer")
+{
+    served_port served;
+    served.set_idle_timeout({400});
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    std::size_t received = 0;
+    while (received < long_answer_bytes && !caller.has_ended()) {
+        constexpr std::size_t step_bytes = std::size_t{128} * 1024;
+        served.run_for({50});
+        received += caller.read(step_bytes).size();
+    }
+    served.run_for({100});
+    caller.write(plain_request);
+    run_until(served.loop, [&] { return served.taken.size() == 2; }, {500});
+    CHECK(served.taken.size() == 2);
+}
+
+TEST_CASE("a planned stop does not end an idle connection whose caller has not read its answer")
+{
+    served_port served;
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(most_bytes, 'a'));
+    served.run_for({300});
+    CHECK(served.port.close_idle({200}) == 1);
+    CHECK(served.port.unfinished() == 1);
+    CHECK(served.read(caller, most_bytes).size() >= most_bytes);
+    CHECK(run_until(served.loop, [&] { return served.port.unfinished() == 0; }, {1'000}));
+}
--- /dev/null
+++ b/tests/adapters/caller_timeouts_test.cpp
@@ -0,0 +1,86 @@
+#include "absl/strings/str_cat.h"
+#include "adapters/caller_port.hpp"
+
+#include "support/blocking_caller.hpp"
+#include "support/served_port.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+// More than the system's buffers on both sides hold.
+constexpr std::size_t long_answer_bytes = std::size_t{12} * 1024 * 1024;
+constexpr std::size_t step_bytes = std::size_t{256} * 1024;
+constexpr std::string_view plain_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr std::string_view last_request = "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+// Reads on, a part at a time and without a pause, until the connection ends or brings nothing more.
+std::string read_slowly(served_port& served, blocking_caller& caller, std::size_t all)
+{
+    constexpr milliseconds pause{50};
+    std::string received;
+    while (received.size() < all && !caller.has_ended()) {
+        served.run_for(pause);
+        received += caller.read(step_bytes);
+    }
+    return received;
+}
+
+} // namespace
+
+TEST_CASE("an answer that its caller still reads is not cut by an idle timeout that is lowered meanwhile")
+{
+    for (const std::string_view request : {plain_request, last_request}) {
+        CAPTURE(request);
+        served_port served;
+        served.set_idle_timeout({60'000});
+        blocking_caller caller(served.at);
+        caller.write(request);
+        served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+        served.set_idle_timeout({300});
+        CHECK(read_slowly(served, caller, long_answer_bytes).size() >= long_answer_bytes);
+    }
+}
+
+TEST_CASE("an answer that takes its caller longer than the idle timeout is not cut while it is read")
+{
+    served_port served;
+    served.set_idle_timeout({300});
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    CHECK(read_slowly(served, caller, long_answer_bytes).size() >= long_answer_bytes);
+}
+
+TEST_CASE("a caller that takes nothing of its answer within the idle timeout is cut off")
+{
+    served_port served;
+    std::vector<timed_out_connection> told;
+    served.port.on_timeout([&told](const timed_out_connection& ended) { told.push_back(ended); });
+    served.set_idle_timeout({300});
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    REQUIRE(run_until(served.loop, [&] { return served.port.connections() == 0; }, {3'000}));
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].unsent_bytes > 0);
+}
+
+TEST_CASE("an answer that its caller still reads is not cut by a planned stop")
+{
+    served_port served;
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    const std::shared_ptr<caller_exchange> exchange = served.take();
+    exchange->start(200, {});
+    served.port.close_after_answers();
+    exchange->write(std::string(long_answer_bytes, 'a'));
+    exchange->finish();
+    served.run_for({400});
+    served.port.close_idle({200});
+    CHECK(read_slowly(served, caller, long_answer_bytes).size() >= long_answer_bytes);
+}
