Bounds that a configuration lowers do not end what began under the older ones

What callers saw: a request that was arriving was refused (408, 413, 431), and a kept connection was closed earlier than its caller could know. Cause: a port had one set of bounds, which a new configuration replaced for all connections at once. Change: a connection keeps the bounds of the request that it reads, or of its wait for the next one; a new configuration raises them at once and lowers them from the next request on. Evidence: adapters.caller_timeouts failed before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -44,6 +44,7 @@
 void caller_connection::open(caller_port::state& port, evutil_socket_t socket)
 {
     this->owner = &port;
+    this->bounds = port.bounds;
     this->last_activity = event_loop::now();
     set_socket_options(socket);
     this->raw = bufferevent_socket_new(port.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
@@ -54,7 +55,7 @@
 
 void caller_connection::take_body(std::string_view part)
 {
-    if (this->reading->body.size() + part.size() > this->owner->bounds.max_body_bytes) {
+    if (this->reading->body.size() + part.size() > this->bounds.max_body_bytes) {
         this->body_too_large = true;
         return;
     }
@@ -88,6 +89,7 @@
         if (!this->reading) {
             this->reading = std::make_shared<caller_exchange>();
             this->reading->began = this->last_activity;
+            this->bounds = this->owner->bounds;
         }
         const std::size_t size = evbuffer_get_length(input);
         const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
@@ -97,7 +99,7 @@
             this->refuse(status_bad_request);
         } else if (this->body_too_large) {
             this->refuse(status_body_too_large);
-        } else if (!this->reader.head_done() && this->reader.head_bytes() > this->owner->bounds.max_header_bytes) {
+        } else if (!this->reader.head_done() && this->reader.head_bytes() > this->bounds.max_header_bytes) {
             this->refuse(status_head_too_large);
         } else if (read.state == http_reader::progress::complete) {
             this->dispatch();
@@ -134,6 +136,7 @@
     this->current->on_gone = nullptr;
     this->current.reset();
     this->last_activity = event_loop::now();
+    this->bounds = this->owner->bounds;
     // Callers may send on until an answer has told them of the end.
     if (!this->keep) {
         this->closing = true;
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -30,7 +30,7 @@
 void caller_connection::report_timeout(milliseconds quiet) const
 {
     if (this->owner->on_timeout) {
-        this->owner->on_timeout({quiet, this->owner->bounds.idle_timeout,
+        this->owner->on_timeout({quiet, this->bounds.idle_timeout,
                                  evbuffer_get_length(bufferevent_get_output(this->raw)),
                                  evbuffer_get_length(bufferevent_get_input(this->raw))});
     }
@@ -77,10 +77,10 @@
         return;
     }
     const milliseconds quiet = now - this->last_activity;
-    const bool is_quiet = quiet > this->owner->bounds.idle_timeout;
+    const bool is_quiet = quiet > this->bounds.idle_timeout;
     const bool is_inside = !this->closing && this->reader.inside_message();
     const bool head_is_late = is_inside && !this->reader.head_done() && this->reading &&
-                              now - this->reading->began > this->owner->bounds.header_timeout;
+                              now - this->reading->began > this->bounds.header_timeout;
     if ((!is_quiet && !head_is_late) || this->has_unread_request()) {
         return;
     }
--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -76,6 +76,9 @@
 void caller_port::set_bounds(const caller_bounds& bounds)
 {
     this->self->bounds = bounds;
+    for (const auto& [connection, owned] : this->self->open) {
+        connection->bounds = larger_of(connection->bounds, bounds);
+    }
 }
 
 void caller_port::on_unread(unread_callback run)
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -87,7 +87,8 @@
     caller_port& operator=(caller_port&&) = delete;
 
     absl::Status listen(const endpoint& at);
-    //! The bounds for all connections from now on.
+    //! The bounds from now on. Those that are lower than before do not apply to what has begun: a request
+    //! that is being read, and the wait for the next one on a connection.
     void set_bounds(const caller_bounds& bounds);
     void on_unread(unread_callback run);
     //! Told the bytes that were read behind an answer which did not announce the end of its connection.
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -21,6 +21,8 @@
     http_reader reader;
     std::shared_ptr<caller_exchange> current;
     std::shared_ptr<caller_exchange> reading;
+    //! Those of the request that is being read, or of the wait for the next one.
+    caller_bounds bounds;
     //! When bytes last moved in either direction.
     time_point last_activity;
     //! Bytes of answers that had not reached the caller when that was last looked at.
--- a/src/route/entry_config.cpp
+++ b/src/route/entry_config.cpp
@@ -1,5 +1,7 @@
 #include "route/entry_config.hpp"
 
+#include <algorithm>
+
 namespace dandelionstep {
 namespace {
 
@@ -62,4 +64,12 @@
     return found == profile.kinds.end() ? nullptr : &found->second;
 }
 
+caller_bounds larger_of(const caller_bounds& a, const caller_bounds& b)
+{
+    return {.max_header_bytes = std::max(a.max_header_bytes, b.max_header_bytes),
+            .max_body_bytes = std::max(a.max_body_bytes, b.max_body_bytes),
+            .header_timeout = std::max(a.header_timeout, b.header_timeout),
+            .idle_timeout = std::max(a.idle_timeout, b.idle_timeout)};
+}
+
 } // namespace dandelionstep
--- a/src/route/entry_config.hpp
+++ b/src/route/entry_config.hpp
@@ -103,6 +103,9 @@
     milliseconds idle_timeout{15'000};
 };
 
+//! Of each bound the one that allows more.
+caller_bounds larger_of(const caller_bounds& a, const caller_bounds& b);
+
 //! The organisation that an API key belongs to.
 struct key_owner {
     organisation_id organisation;
--- a/tests/adapters/caller_timeouts_test.cpp
+++ b/tests/adapters/caller_timeouts_test.cpp
@@ -84,3 +84,67 @@
     served.port.close_idle({200});
     CHECK(read_slowly(served, caller, long_answer_bytes).size() >= long_answer_bytes);
 }
+
+TEST_CASE("a connection may be used again for as long as the bound under which it became idle")
+{
+    served_port served;
+    served.set_idle_timeout({2'000});
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, "one");
+    served.set_idle_timeout({200});
+    served.run_for({900});
+    caller.write(plain_request);
+    served.take()->answer(200, {}, "two");
+    served.run_for({20});
+    CHECK(caller.read(step_bytes).ends_with("two"));
+    // From here on the lower bound holds.
+    CHECK(run_until(served.loop, [&] { return served.port.connections() == 0; }, {1'000}));
+}
+
+TEST_CASE("a request that is arriving is not refused for bounds that are lowered meanwhile")
+{
+    struct lowered_case {
+        std::string what;
+        caller_bounds lowered;
+    };
+    const std::vector<lowered_case> table{
+        {"the time for its head", {.header_timeout = {50}}},
+        {"the time between its parts", {.idle_timeout = {50}}},
+        {"the size of its head", {.max_header_bytes = 20}},
+        {"the size of its body", {.max_body_bytes = 10}},
+    };
+    for (const lowered_case& one : table) {
+        CAPTURE(one.what);
+        for (const std::string_view begun :
+             {std::string_view("POST /a HTTP/1.1\r\nHost: x\r\n"),
+              std::string_view("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n01234")}) {
+            CAPTURE(begun);
+            served_port served;
+            served.port.set_bounds({});
+            blocking_caller caller(served.at);
+            caller.write(begun);
+            served.run_for({30});
+            served.port.set_bounds(one.lowered);
+            served.run_for({400});
+            const bool is_in_head = begun.ends_with("x\r\n");
+            caller.write(is_in_head ? "Content-Length: 20\r\n\r\n01234567890123456789" : "567890123456789");
+            run_until(served.loop, [&] { return !served.taken.empty(); }, {1'000});
+            REQUIRE(served.taken.size() == 1);
+            CHECK(served.taken[0]->body == "01234567890123456789");
+        }
+    }
+}
+
+TEST_CASE("a bound that is raised holds at once for a request that is arriving")
+{
+    served_port served;
+    served.set_idle_timeout({600});
+    blocking_caller caller(served.at);
+    caller.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n0");
+    served.run_for({30});
+    served.set_idle_timeout({60'000});
+    served.run_for({1'200});
+    caller.write("1");
+    CHECK(served.take()->body == "01");
+}
