A refusal is not overtaken by a reset while its caller still sends

What callers saw: a reset in place of 400, 408, 413 or 431, so neither an answer nor a refusal; and an answer dropped for bytes that its caller sent behind the end that it had been told of. Cause: the socket was closed with bytes of the request unread, or with more to come. The system then resets the connection and drops what it has not delivered. Change: such a connection ends its own direction and discards what still comes, until the caller ends it, for 2 s without bytes or the idle timeout in all. Evidence: adapters.caller_ends failed before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -78,6 +78,10 @@
 
 void caller_connection::on_readable()
 {
+    if (this->lingers_since) {
+        this->discard_input();
+        return;
+    }
     if (this->closing || this->current) {
         // The next request waits until this one is answered.
         bufferevent_setwatermark(this->raw, EV_READ, 0, max_early_bytes);
@@ -116,6 +120,7 @@
     this->reading.reset();
     this->keep = false;
     this->closing = true;
+    this->was_refused = true;
     this->write(response_text(status, {{"Connection", "close"}}, ""));
 }
 
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -1,23 +1,54 @@
 #include "adapters/internal/caller_connection.hpp"
 
+#include "adapters/http_text.hpp"
+#include "adapters/socket_state.hpp"
+
 #include <algorithm>
 #include <event2/buffer.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace dandelionstep {
 namespace {
 
+// For the next bytes of a request that was refused.
+constexpr milliseconds linger_time{2'000};
 constexpr int status_request_timeout = 408;
 
 } // namespace
 
 void caller_connection::on_written()
 {
-    if (this->closing && !this->has_unsent_answer()) {
+    if (!this->closing || this->lingers_since || this->has_unsent_answer()) {
+        return;
+    }
+    const bool has_unread = evbuffer_get_length(bufferevent_get_input(this->raw)) > 0 ||
+                            has_unread_bytes(bufferevent_getfd(this->raw));
+    if (this->was_refused || has_unread || this->undelivered_bytes() > 0) {
+        this->linger();
+    } else {
         this->end(false);
     }
 }
 
+// The system resets a connection that has bytes unread when it is closed, or that gets some afterwards, and
+// drops what it has not delivered.
+void caller_connection::linger()
+{
+    this->report_unanswered();
+    this->lingers_since = event_loop::now();
+    shutdown(bufferevent_getfd(this->raw), SHUT_WR);
+    bufferevent_setwatermark(this->raw, EV_READ, 0, 0);
+    this->discard_input();
+}
+
+void caller_connection::discard_input()
+{
+    evbuffer* input = bufferevent_get_input(this->raw);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    this->last_activity = event_loop::now();
+}
+
 void caller_connection::report_unanswered() const
 {
     const std::size_t waiting = evbuffer_get_length(bufferevent_get_input(this->raw));
@@ -52,7 +83,7 @@
     }
     const std::shared_ptr<caller_connection> kept = std::move(found->second);
     this->owner->open.erase(found);
-    if (!gone) {
+    if (!gone && !this->lingers_since) {
         this->report_unanswered();
     }
     const std::shared_ptr<caller_exchange> cut = std::move(this->current);
@@ -77,6 +108,12 @@
         return;
     }
     const milliseconds quiet = now - this->last_activity;
+    if (this->lingers_since) {
+        if (quiet > linger_time || now - *this->lingers_since > this->bounds.idle_timeout) {
+            this->end(true);
+        }
+        return;
+    }
     const bool is_quiet = quiet > this->bounds.idle_timeout;
     const bool is_inside = !this->closing && this->reader.inside_message();
     const bool head_is_late = is_inside && !this->reader.head_done() && this->reading &&
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -8,6 +8,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -30,6 +31,10 @@
     bool keep = true;
     bool closing = false;
     bool body_too_large = false;
+    //! Whether the rest of a refused request may still come.
+    bool was_refused = false;
+    //! Since when it has nothing more to say and only drops what its caller still sends.
+    std::optional<time_point> lingers_since;
 
     caller_connection()
         : reader(http_reader::kind::requests,
@@ -47,6 +52,8 @@
     void refuse(int status);
     void dispatch();
     void answered();
+    void linger();
+    void discard_input();
     void on_output_changed(std::size_t added, std::size_t taken);
     //! Whether the caller has taken some of its answer since this was last asked.
     bool is_read_by_caller();
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -83,6 +83,35 @@
     CHECK(caller.read(most_bytes).ends_with("one"));
 }
 
+TEST_CASE("a refusal reaches a caller that is still sending its request")
+{
+    served_port served;
+    served.port.set_bounds({.max_body_bytes = 1'000});
+    blocking_caller caller(served.at);
+    caller.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\n");
+    constexpr int parts = 80;
+    for (int i = 0; i < parts; ++i) {
+        caller.write(std::string(100'000, 'a'));
+        served.run_for({2});
+    }
+    CHECK(caller.read(most_bytes).starts_with("HTTP/1.1 413"));
+    CHECK_FALSE(caller.was_reset());
+}
+
+TEST_CASE("a connection whose refused caller sends on without end is closed")
+{
+    served_port served;
+    served.port.set_bounds({.max_body_bytes = 1'000, .idle_timeout = {600}});
+    blocking_caller caller(served.at);
+    caller.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 800000000\r\n\r\n");
+    CHECK(run_until(served.loop,
+                    [&] {
+                        caller.write(std::string(1'000, 'a'));
+                        return served.port.connections() == 0 && caller.has_ended();
+                    },
+                    {4'000}));
+}
+
 TEST_CASE("a kept connection is not ended as idle while its caller still reads the last answer")
 {
     served_port served;
@@ -102,6 +131,21 @@
     CHECK(served.taken.size() == 2);
 }
 
+TEST_CASE(
+    "an answer that its caller has not read is not dropped for a request behind the end that it told of")
+{
+    served_port served;
+    served.port.close_after_answers();
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(most_bytes, 'a'));
+    served.run_for({200});
+    caller.write(plain_request);
+    served.run_for({50});
+    const std::string received = served.read_to_end(caller);
+    CHECK(received.size() >= most_bytes);
+}
+
 TEST_CASE("a planned stop does not end an idle connection whose caller has not read its answer")
 {
     served_port served;
