A request behind an answer that ended its connection is not served

What callers saw: nothing; a target served a request whose caller could get no answer any more. Cause: the loop over pipelined requests went on after the connection had been ended for an answer that found no room. Evidence: adapters.caller_ends failed before (three served, two expected).

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -89,7 +89,7 @@
     }
     this->last_activity = event_loop::now();
     evbuffer* input = bufferevent_get_input(this->raw);
-    while (!this->closing && !this->current && evbuffer_get_length(input) > 0) {
+    while (!this->has_ended && !this->closing && !this->current && evbuffer_get_length(input) > 0) {
         if (!this->reading) {
             this->reading = std::make_shared<caller_exchange>();
             this->reading->began = this->last_activity;
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -30,6 +30,7 @@
     std::size_t left_to_read = 0;
     bool keep = true;
     bool closing = false;
+    bool has_ended = false;
     bool body_too_large = false;
     //! Whether the rest of a refused request may still come.
     bool was_refused = false;
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -112,6 +112,24 @@
                     {4'000}));
 }
 
+TEST_CASE("a request behind an answer that ended its connection is not served")
+{
+    event_loop loop;
+    const auto unread = std::make_shared<byte_budget>(byte_budget{served_port::usual_unread_bytes, 0});
+    int served = 0;
+    caller_port port(loop, unread, [&served](const std::shared_ptr<caller_exchange>& exchange) {
+        ++served;
+        exchange->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    });
+    const endpoint at{"127.0.0.1", free_port()};
+    REQUIRE(port.listen(at).ok());
+    blocking_caller caller(at);
+    const std::string one(plain_request);
+    caller.write(one + one + one);
+    run_until(loop, [] { return false; }, {200});
+    CHECK(served == 2);
+}
+
 TEST_CASE("a kept connection is not ended as idle while its caller still reads the last answer")
 {
     served_port served;
