A caller that pauses while it reads is cut by the idle timeout alone

What callers saw: a reset after 4 s without reading, whatever idle timeout is set. Cause: the system's limit for unacknowledged bytes, which is to find cut links, counts for a window that the caller keeps full too. Change: once a caller's window is found full, that limit is taken off its connection; the idle timeout bounds the pause. Keep-alive probes still find cut links. Evidence: adapters.caller_pauses failed before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -76,6 +76,22 @@
     return true;
 }
 
+// To the system a caller that pauses behind a full window looks like one that is cut off, also when the
+// window has been open since. The idle timeout bounds a pause.
+void caller_connection::allow_pauses()
+{
+    const evutil_socket_t socket = bufferevent_getfd(this->raw);
+    if (this->may_pause || !this->was_written) {
+        return;
+    }
+    if (is_window_full(socket)) {
+        this->may_pause = true;
+        set_unacknowledged_limit(socket, no_limit);
+    } else {
+        this->was_written = unacknowledged_bytes(socket) > 0;
+    }
+}
+
 void caller_connection::on_readable()
 {
     if (this->lingers_since) {
@@ -192,6 +208,7 @@
 {
     byte_budget& unread = *this->owner->unread;
     unread.held += added;
+    this->was_written = this->was_written || added > 0;
     unread.held -= std::min(unread.held, taken);
     if (taken > 0) {
         this->last_activity = event_loop::now();
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -105,6 +105,7 @@
 
 void caller_connection::check_timeouts(time_point now)
 {
+    this->allow_pauses();
     if (this->current) {
         return;
     }
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -32,6 +32,10 @@
     bool closing = false;
     bool has_ended = false;
     bool body_too_large = false;
+    //! Whether bytes were written that may not have been acknowledged.
+    bool was_written = false;
+    //! Whether only the idle timeout bounds how long its caller reads nothing.
+    bool may_pause = false;
     //! Whether the rest of a refused request may still come.
     bool was_refused = false;
     //! Since when it has nothing more to say and only drops what its caller still sends.
@@ -67,6 +71,7 @@
     //! Whether bytes of an answer have not been handed to the system.
     [[nodiscard]] bool has_unsent_answer() const;
     void report_unanswered() const;
+    void allow_pauses();
     void report_timeout(milliseconds quiet) const;
     void report_unreadable(int status) const;
     void end(bool gone);
--- a/src/adapters/socket_options.cpp
+++ b/src/adapters/socket_options.cpp
@@ -11,8 +11,6 @@
 namespace dandelionstep {
 namespace {
 
-// Links deliver within milliseconds; a peer that acknowledges nothing for so long is cut off or dead.
-constexpr int unacknowledged_limit_ms = 4000;
 constexpr int probe_after_seconds = 3;
 constexpr int probe_interval_seconds = 1;
 constexpr int probe_count = 3;
@@ -33,7 +31,12 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_after_seconds);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_seconds);
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+    set_unacknowledged_limit(socket, unacknowledged_limit);
+}
+
+void set_unacknowledged_limit(evutil_socket_t socket, milliseconds limit)
+{
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count));
 }
 
 } // namespace dandelionstep
--- a/src/adapters/socket_state.cpp
+++ b/src/adapters/socket_state.cpp
@@ -1,6 +1,8 @@
 #include "adapters/socket_state.hpp"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -15,6 +17,14 @@
     return static_cast<std::size_t>(bytes);
 }
 
+bool is_window_full(evutil_socket_t socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_unacked == 0 &&
+           unacknowledged_bytes(socket) > 0;
+}
+
 bool has_unread_bytes(evutil_socket_t socket)
 {
     char first = 0;
--- a/src/adapters/socket_state.hpp
+++ b/src/adapters/socket_state.hpp
@@ -9,6 +9,9 @@
 //! tell.
 std::size_t unacknowledged_bytes(evutil_socket_t socket);
 
+//! Whether bytes wait for the peer to make room for them, and none is on its way.
+bool is_window_full(evutil_socket_t socket);
+
 //! Whether bytes of the peer wait in the system to be read.
 bool has_unread_bytes(evutil_socket_t socket);
 
