A caller whose answer finds no room is told so

What callers saw: their connection closed although the request had run. Cause: an answer that exceeds the bytes that may wait for callers was taken for a caller that does not read. A caller that has read everything so far met it too, when others hold the room. Change: an answer that has not begun is replaced by a 502, which promises nothing; answers up to 4 KB always have room. Evidence: adapters.caller_ends failed before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -13,8 +13,11 @@
 
 // Bytes taken from a connection whose request is being answered; the rest waits in the kernel.
 constexpr std::size_t max_early_bytes = std::size_t{64} * 1024;
+// An answer up to this size has room beside the budget.
+constexpr std::size_t short_answer_bytes = std::size_t{4} * 1024;
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_no_room = 502;
 constexpr int status_bad_request = 400;
 
 void on_output(evbuffer* /*output*/, const evbuffer_cb_info* change, void* argument)
@@ -62,13 +65,23 @@
     this->reading->body.append(part);
 }
 
-bool caller_connection::write(std::string_view bytes)
+bool caller_connection::has_room(std::size_t bytes) const
 {
     const std::size_t waiting = evbuffer_get_length(bufferevent_get_output(this->raw));
-    if (!may_grow(*this->owner->unread, waiting, bytes.size())) {
-        if (this->owner->on_unread) {
-            this->owner->on_unread(waiting);
-        }
+    return waiting + bytes <= short_answer_bytes || may_grow(*this->owner->unread, waiting, bytes);
+}
+
+void caller_connection::report_unread() const
+{
+    if (this->owner->on_unread) {
+        this->owner->on_unread(evbuffer_get_length(bufferevent_get_output(this->raw)));
+    }
+}
+
+bool caller_connection::write(std::string_view bytes)
+{
+    if (!this->has_room(bytes.size())) {
+        this->report_unread();
         this->end(true);
         return false;
     }
@@ -129,6 +142,16 @@
     }
 }
 
+void caller_connection::answer_without_room()
+{
+    this->report_unread();
+    this->keep = false;
+    const std::string refusal =
+        response_text(status_no_room, {{"Connection", "close"}}, "no room for the answer\n");
+    bufferevent_write(this->raw, refusal.data(), refusal.size());
+    this->answered();
+}
+
 // Answers a request that could not be read; what follows on the connection has no known beginning.
 void caller_connection::refuse(int status)
 {
--- a/src/adapters/caller_exchange.cpp
+++ b/src/adapters/caller_exchange.cpp
@@ -14,7 +14,12 @@
         this->connection->keep = false;
         all.emplace_back("Connection", "close");
     }
-    if (this->connection->write(response_text(status, all, text))) {
+    const std::string whole = response_text(status, all, text);
+    if (!this->is_started && !this->connection->has_room(whole.size())) {
+        this->connection->answer_without_room();
+        return;
+    }
+    if (this->connection->write(whole)) {
         this->connection->answered();
     }
 }
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -52,6 +52,9 @@
     void take_body(std::string_view part);
     //! False, and the connection has ended, when that would be more than may wait for callers to read it.
     bool write(std::string_view bytes);
+    [[nodiscard]] bool has_room(std::size_t bytes) const;
+    //! Answers a request whose answer may not wait for its caller to read it.
+    void answer_without_room();
     void on_readable();
     void on_written();
     void refuse(int status);
@@ -72,6 +75,7 @@
     [[nodiscard]] bool has_unsent_answer() const;
     void report_unanswered() const;
     void allow_pauses();
+    void report_unread() const;
     void report_timeout(milliseconds quiet) const;
     void report_unreadable(int status) const;
     void end(bool gone);
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -112,6 +112,20 @@
                     {4'000}));
 }
 
+TEST_CASE("a caller whose answer has no room is told so")
+{
+    served_port served;
+    std::size_t told = 0;
+    served.port.on_unread([&told](std::size_t /*bytes*/) { ++told; });
+    served.unread->held = served.unread->most;
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    served.run_for({20});
+    CHECK(caller.read(most_bytes).starts_with("HTTP/1.1 502"));
+    CHECK(told == 1);
+}
+
 TEST_CASE("a request behind an answer that ended its connection is not served")
 {
     event_loop loop;
@@ -149,6 +163,25 @@
     CHECK(served.taken.size() == 2);
 }
 
+TEST_CASE(
+    "a caller whose answer has no room behind one that it has not read is told so, and it is counted once")
+{
+    served_port served;
+    std::size_t told = 0;
+    served.port.on_unread([&told](std::size_t /*bytes*/) { ++told; });
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    caller.write(plain_request);
+    const std::shared_ptr<caller_exchange> second = served.take();
+    served.unread->held = served.unread->most;
+    second->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    const std::string received = served.read_to_end(caller);
+    CHECK(received.size() > long_answer_bytes);
+    CHECK(received.find("HTTP/1.1 502") != std::string::npos);
+    CHECK(told == 1);
+}
+
 TEST_CASE(
     "an answer that its caller has not read is not dropped for a request behind the end that it told of")
 {
