A caller that has ended its own direction gets the rest of a ready answer

What callers saw: an answer that was ready, cut at the caller's half-close. Cause: the end of the input ended the connection, also with an answer in the buffer. Change: the connection then only writes on. Evidence: adapters.caller_ends failed before.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -37,8 +37,11 @@
 
 void on_event(bufferevent* /*raw*/, short what, void* argument)
 {
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        static_cast<caller_connection*>(argument)->end(true);
+    auto* connection = static_cast<caller_connection*>(argument);
+    if ((what & BEV_EVENT_ERROR) != 0) {
+        connection->end(true);
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+        connection->on_end_of_input();
     }
 }
 
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -49,6 +49,17 @@
     this->last_activity = event_loop::now();
 }
 
+void caller_connection::on_end_of_input()
+{
+    if (!this->current && this->has_unsent_answer()) {
+        this->keep = false;
+        this->closing = true;
+        bufferevent_disable(this->raw, EV_READ);
+        return;
+    }
+    this->end(true);
+}
+
 void caller_connection::report_unanswered() const
 {
     const std::size_t waiting = evbuffer_get_length(bufferevent_get_input(this->raw));
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -57,6 +57,8 @@
     void answer_without_room();
     void on_readable();
     void on_written();
+    //! The caller sends nothing more; what it asked for before is still delivered.
+    void on_end_of_input();
     void refuse(int status);
     void dispatch();
     void answered();
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -144,6 +144,17 @@
     CHECK(served == 2);
 }
 
+TEST_CASE("a caller that has ended its own direction gets the whole of a ready answer")
+{
+    served_port served;
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes, 'a'));
+    caller.end_writing();
+    const std::string received = served.read_to_end(caller);
+    CHECK(received.size() >= long_answer_bytes);
+}
+
 TEST_CASE("a kept connection is not ended as idle while its caller still reads the last answer")
 {
     served_port served;
