A daemon that knows no configuration yet refuses nothing for good

What callers saw: a 413 for a body that the configuration allows, from a daemon that had just started. Cause: built-in bounds were in force until the first configuration, and their refusals said so for good. Change: these bounds are marked as preliminary; what is over them gets a 503 with Retry-After. A request that is being read when the configuration comes is held to that one's bounds.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -16,6 +16,9 @@
 // An answer up to this size has room beside the budget.
 constexpr std::size_t short_answer_bytes = std::size_t{4} * 1024;
 constexpr int status_body_too_large = 413;
+constexpr int status_unavailable = 503;
+// In seconds. Another daemon takes the request at once, and this one knows its configuration soon.
+constexpr const char* retry_after_start = "0.100";
 constexpr int status_head_too_large = 431;
 constexpr int status_no_room = 502;
 constexpr int status_bad_request = 400;
@@ -134,9 +137,9 @@
         if (read.state == http_reader::progress::malformed) {
             this->refuse(status_bad_request);
         } else if (this->body_too_large) {
-            this->refuse(status_body_too_large);
+            this->refuse_beyond_bounds(status_body_too_large);
         } else if (!this->reader.head_done() && this->reader.head_bytes() > this->bounds.max_header_bytes) {
-            this->refuse(status_head_too_large);
+            this->refuse_beyond_bounds(status_head_too_large);
         } else if (read.state == http_reader::progress::complete) {
             this->dispatch();
         } else {
@@ -156,14 +159,24 @@
 }
 
 // Answers a request that could not be read; what follows on the connection has no known beginning.
-void caller_connection::refuse(int status)
+void caller_connection::refuse(int status, http_headers headers)
 {
     this->report_unreadable(status);
     this->reading.reset();
     this->keep = false;
     this->closing = true;
     this->was_refused = true;
-    this->write(response_text(status, {{"Connection", "close"}}, ""));
+    headers.emplace_back("Connection", "close");
+    this->write(response_text(status, headers, ""));
+}
+
+void caller_connection::refuse_beyond_bounds(int status)
+{
+    if (this->bounds.are_preliminary) {
+        this->refuse(status_unavailable, {{"Retry-After", retry_after_start}});
+    } else {
+        this->refuse(status);
+    }
 }
 
 void caller_connection::dispatch()
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -137,7 +137,7 @@
     if (is_quiet && this->is_read_by_caller()) {
         this->last_activity = now;
     } else if (is_inside) {
-        this->refuse(status_request_timeout);
+        this->refuse_beyond_bounds(status_request_timeout);
     } else {
         this->report_timeout(quiet);
         this->end(true);
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -59,7 +59,9 @@
     void on_written();
     //! The caller sends nothing more; what it asked for before is still delivered.
     void on_end_of_input();
-    void refuse(int status);
+    void refuse(int status, http_headers headers = {});
+    //! Refuses a request that is over a bound: for good only if the bound comes from a configuration.
+    void refuse_beyond_bounds(int status);
     void dispatch();
     void answered();
     void linger();
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -59,6 +59,7 @@
                               {"process", static_cast<std::int64_t>(getpid())}});
         this->report_overlong();
         report_callers(this->context, this->callers);
+        this->callers.set_bounds({.are_preliminary = true});
         this->watch.on_config = [this] { this->callers.set_bounds(this->context.config->bounds); };
         this->watch.on_first_known = [this] { this->relay.take_early(); };
         this->rows.on_rows = [this](const stored_rows& read) {
--- a/src/route/entry_config.cpp
+++ b/src/route/entry_config.cpp
@@ -69,7 +69,8 @@
     return {.max_header_bytes = std::max(a.max_header_bytes, b.max_header_bytes),
             .max_body_bytes = std::max(a.max_body_bytes, b.max_body_bytes),
             .header_timeout = std::max(a.header_timeout, b.header_timeout),
-            .idle_timeout = std::max(a.idle_timeout, b.idle_timeout)};
+            .idle_timeout = std::max(a.idle_timeout, b.idle_timeout),
+            .are_preliminary = a.are_preliminary && b.are_preliminary};
 }
 
 } // namespace dandelionstep
--- a/src/route/entry_config.hpp
+++ b/src/route/entry_config.hpp
@@ -101,9 +101,11 @@
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
     milliseconds header_timeout{3'000};
     milliseconds idle_timeout{15'000};
+    //! Whether they hold until a configuration is known, which may allow more.
+    bool are_preliminary = false;
 };
 
-//! Of each bound the one that allows more.
+//! Of each bound the one that allows more; preliminary only if both are.
 caller_bounds larger_of(const caller_bounds& a, const caller_bounds& b);
 
 //! The organisation that an API key belongs to.
--- a/tests/adapters/caller_port_test.cpp
+++ b/tests/adapters/caller_port_test.cpp
@@ -92,6 +92,38 @@
     }
 }
 
+TEST_CASE("requests beyond bounds that hold until a configuration is known are not refused for good")
+{
+    const std::string long_body = "POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" + std::string(3'000, 'a');
+    for (const std::string& bytes : {"GET / HTTP/1.1\r\nX: " + std::string(2'000, 'a'), long_body,
+                                     std::string("GET / HTTP/1.1\r\nX: y")}) {
+        CAPTURE(bytes);
+        served_port served;
+        served.port.set_bounds({.max_header_bytes = 1'000,
+                                .max_body_bytes = 2'000,
+                                .header_timeout = {100},
+                                .idle_timeout = {60'000},
+                                .are_preliminary = true});
+        const auto caller = connect_raw(served.loop, served.at);
+        caller->write(bytes);
+        REQUIRE(run_until(served.loop, [&] { return caller->closed; }));
+        CHECK(caller->received.starts_with("HTTP/1.1 503"));
+        CHECK(caller->received.find("Retry-After: 0.100") != std::string::npos);
+    }
+}
+
+TEST_CASE("a request that arrives while the configuration becomes known is within its bounds")
+{
+    served_port served;
+    served.port.set_bounds({.max_body_bytes = 2'000, .are_preliminary = true});
+    const auto caller = connect_raw(served.loop, served.at);
+    caller->write("POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" + std::string(1'000, 'a'));
+    served.run_for({50});
+    served.port.set_bounds({.max_body_bytes = 4'000});
+    caller->write(std::string(2'000, 'a'));
+    CHECK(served.take()->body.size() == 3'000);
+}
+
 TEST_CASE("an idle connection is closed after the idle time and not before")
 {
     served_port served;
--- a/tests/process/entry_whole_path_test.cpp
+++ b/tests/process/entry_whole_path_test.cpp
@@ -29,6 +29,9 @@
     REQUIRE(eventually([&] { return cluster.look_up(0, "a").status == 503; }));
     CHECK_FALSE(cluster.is_ready(0));
     CHECK_FALSE(find_header(cluster.look_up(0, "b").headers, "Retry-After").empty());
+    const caller_answer long_order = cluster.order(0, "c", std::string(6'000'000, 'x'));
+    CHECK(long_order.status == 503);
+    CHECK_FALSE(find_header(long_order.headers, "Retry-After").empty());
 }
 
 TEST_CASE("streams, orders and lookups are served whole")
