Requests that wait or are being read at the limit of a planned stop are refused

Cause: the stop's limit answered what had been passed on and ended the rest with the process. Change: both get a 503 with Retry-After, which is true, as they ran nowhere. Evidence: process.entry_late_requests_proof failed before. Requests on kept connections were answered before, too.

--- a/src/adapters/caller_port.cpp
+++ b/src/adapters/caller_port.cpp
@@ -128,6 +128,19 @@
     return later;
 }
 
+void caller_port::refuse_partial(int status, const http_headers& headers)
+{
+    std::vector<caller_connection*> due;
+    for (const auto& [connection, owned] : this->self->open) {
+        if (!connection->current && !connection->closing && connection->reader.inside_message()) {
+            due.push_back(connection);
+        }
+    }
+    for (caller_connection* connection : due) {
+        connection->refuse(status, headers);
+    }
+}
+
 int caller_port::unfinished() const
 {
     int count = 0;
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -100,6 +100,8 @@
     //! Closes connections that have waited for a request for so long and owe their callers nothing; returns
     //! how many others wait for one.
     int close_idle(milliseconds quiet = {0});
+    //! Refuses the requests of which only a part has come.
+    void refuse_partial(int status, const http_headers& headers);
     //! Requests that are waiting, read or answered now.
     [[nodiscard]] int unfinished() const;
     //! Whole requests whose answers have not ended.
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -37,6 +37,9 @@
     // instead would come back much later. How long a request may still wait for it.
     [[nodiscard]] milliseconds left_to_wait() const
     {
+        if (this->context.stop && this->context.stop->gave_up) {
+            return milliseconds{0};
+        }
         const milliseconds passed = event_loop::now() - this->started_at;
         if (passed < usual_first_read) {
             return usual_first_read - passed;
@@ -48,6 +51,7 @@
     void keep_early(const std::shared_ptr<caller_exchange>& caller, milliseconds longest)
     {
         this->early.push_back(caller);
+        caller->on_time_up = [this] { this->take_early(); };
         if (this->early.size() == 1) {
             this->early_timer = this->context.loop.run_after(longest, [this] { this->take_early(); });
         }
--- a/src/entry/stop_runner.cpp
+++ b/src/entry/stop_runner.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds next_request_time{200};
 // The margin holds several steps.
 constexpr milliseconds step_interval{50};
+constexpr int status_unavailable = 503;
 
 } // namespace
 
@@ -67,6 +68,8 @@
             one->on_time_up();
         }
     }
+    // Another daemon takes them at once.
+    this->callers.refuse_partial(status_unavailable, {{"Retry-After", "0.050"}});
 }
 
 } // namespace dandelionstep
