--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "adapters/certificate.hpp"
+#include "adapters/socket_state.hpp"
 
 #include <cstring>
 #include <event2/buffer.h>
@@ -150,6 +151,8 @@
     handler handle;
     int connections = 0;
     int unfinished = 0;
+    //! What the HTTP library does when a connection ends or times out.
+    bufferevent_event_cb library_event = nullptr;
 
     // Ties one request to its reply until the last byte of the answer has left.
     struct held_reply {
@@ -164,11 +167,34 @@
             return EVHTP_RES_ERROR;
         }
         ++server->connections;
+        server->watch_timeouts(connection->bev);
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(on_connection_end),
                                   server);
         return EVHTP_RES_OK;
     }
 
+    void watch_timeouts(bufferevent* connection)
+    {
+        bufferevent_data_cb on_read = nullptr;
+        bufferevent_data_cb on_write = nullptr;
+        void* argument = nullptr;
+        bufferevent_getcb(connection, &on_read, &on_write, &this->library_event, &argument);
+        bufferevent_setcb(connection, on_read, on_write, on_event, argument);
+    }
+
+    // After a standstill a timeout may come before the bytes that wait in the system.
+    static void on_event(bufferevent* connection, short what, void* argument)
+    {
+        const auto* library = static_cast<evhtp_connection_t*>(argument);
+        const auto* server = static_cast<state*>(library->htp->defaults.post_accept_cbarg);
+        const bool is_late = what == (BEV_EVENT_TIMEOUT | BEV_EVENT_READING);
+        if (is_late && has_unread_bytes(bufferevent_getfd(connection))) {
+            bufferevent_enable(connection, EV_READ);
+            return;
+        }
+        server->library_event(connection, what, argument);
+    }
+
     static evhtp_res on_connection_end(evhtp_connection_t* /*connection*/, void* argument)
     {
         --static_cast<state*>(argument)->connections;
