A response whose status is none, or that has no body by its status, is read as such

Cause: a status below 100 was passed over as an interim answer, so that the bytes behind it passed for the answer; a 204 or 304 and interim answers that tell a length took the bytes of the next answer as a body. Change: a status below 100 makes a response malformed; 1xx, 204 and 304 have no body, whatever they tell. Ruled out: heads that are cut; at each ninth byte none passed for whole (process.entry_cut_answers_proof).

--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -6,7 +6,10 @@
 namespace dandelionstep {
 namespace {
 
+constexpr int first_status = 100;
 constexpr int first_final_status = 200;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 constexpr std::size_t max_response_headers = 256;
 constexpr int max_interim_responses = 16;
 
@@ -22,6 +25,12 @@
     });
 }
 
+// Whatever length its head tells.
+bool has_no_body(int status)
+{
+    return status < first_final_status || status == status_no_content || status == status_not_modified;
+}
+
 } // namespace
 
 struct http_reader::state {
@@ -92,6 +101,9 @@
 
     static int on_headers_complete(http_parser* parser)
     {
+        constexpr int go_on = 0;
+        constexpr int skip_body = 1;
+        constexpr int fail = -1;
         state& self = of(parser);
         self.head_complete = true;
         self.head.status = static_cast<int>(parser->status_code);
@@ -99,11 +111,14 @@
         if (self.reads == kind::requests) {
             self.head.method = http_method_str(static_cast<http_method>(parser->method));
         }
+        if (self.reads == kind::responses && self.head.status < first_status) {
+            return fail;
+        }
         // Interim responses precede the response itself.
         if (self.reads == kind::requests || self.head.status >= first_final_status) {
             self.handle.on_head(self.head);
         }
-        return 0;
+        return self.reads == kind::responses && has_no_body(self.head.status) ? skip_body : go_on;
     }
 
     static int on_body(http_parser* parser, const char* text, std::size_t size)
--- a/tests/adapters/http_reader_test.cpp
+++ b/tests/adapters/http_reader_test.cpp
@@ -128,3 +128,79 @@
     CHECK(read.complete);
     CHECK(read.head.status == 204);
 }
+
+TEST_CASE("heads of other responses before the answer take no part in it")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string before :
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+          "HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"}) {
+        for (const std::size_t part : {std::size_t{1}, std::size_t{7}, std::size_t{1'000}}) {
+            CAPTURE(before);
+            CAPTURE(part);
+            const read_message read = read_in_parts(http_reader::kind::responses, before + answer, part);
+            CHECK(read.complete);
+            CHECK(read.head.status == 200);
+            CHECK(read.body == "ok");
+        }
+    }
+}
+
+TEST_CASE("the end of the connection behind an interim response or inside its head ends no message")
+{
+    for (const std::string bytes :
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 103 Early Hints\r\nLink: a", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nA: b\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\r", "HTT", "\r\n"}) {
+        CAPTURE(bytes);
+        bool has_head = false;
+        http_reader reader(http_reader::kind::responses,
+                           {[&](http_head&) { has_head = true; }, [](std::string_view) {}});
+        CHECK(reader.feed(bytes).state == http_reader::progress::needs_more);
+        CHECK_FALSE(reader.end_of_input());
+        CHECK_FALSE(has_head);
+    }
+}
+
+TEST_CASE("a response that has no body by its status does not wait for the length that it tells")
+{
+    for (const std::string bytes : {"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+                                    "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+                                    "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                    "HTTP/1.1 304 Not Modified\r\n\r\n"}) {
+        CAPTURE(bytes);
+        const read_message read =
+            read_in_parts(http_reader::kind::responses, bytes + "HTTP/1.1 200 OK\r\n", 1'000);
+        CHECK(read.complete);
+        CHECK(read.head.keep_alive);
+        CHECK(read.body.empty());
+        CHECK(read.taken == bytes.size());
+    }
+}
+
+TEST_CASE("a response whose status is none is malformed, and not passed over as interim")
+{
+    for (const std::string status : {"0", "20", "99", "099", "000"}) {
+        CAPTURE(status);
+        const std::string bytes = "HTTP/1.1 " + status + " Odd\r\n\r\nHTTP/1.1 200 OK\r\n\r\n";
+        const read_message read = read_in_parts(http_reader::kind::responses, bytes, 1'000);
+        CHECK(read.malformed);
+        CHECK(read.body.empty());
+    }
+}
+
+TEST_CASE("a header line without a colon, and a length that is none, make a response malformed")
+{
+    for (const std::string bytes :
+         {"HTTP/1.1 200 OK\r\nContent-Length\r\n\r\nok", "HTTP/1.1 200 OK\r\nA: b\r\nContent-Le\r\n\r\n",
+          "HTTP/1.1 200 OK\r\n: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2 2\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+        CAPTURE(bytes);
+        CHECK(read_in_parts(http_reader::kind::responses, bytes, 1'000).malformed);
+    }
+}
