dandelionstepd bounds all bodies that it gathers together

One body was bounded, all of them together were not, nor were heads. Change: a budget for the bodies of all answers and a bound for heads; what exceeds them is given up and logged.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_client.hpp"
 
+#include "adapters/log.hpp"
+
 #include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -14,6 +16,7 @@
 
 constexpr std::size_t max_idle_connections_per_endpoint = 64;
 constexpr std::int64_t max_answer_bytes = 64LL * 1024 * 1024;
+constexpr std::int64_t max_head_bytes = 64LL * 1024;
 // libevent's own timeout is only a backstop: it must not fire before an exchange's own timer.
 constexpr int connection_timeout_seconds = 600;
 
@@ -68,16 +71,22 @@
     part_callback part;
     done_callback done;
     http_result result;
+    gathered_text body;
     bool cancelled = false;
+
+    explicit exchange(const std::shared_ptr<byte_budget>& bodies) : body(bodies) {}
 };
 
 struct http_client::pool {
     event_loop& loop;
+    std::shared_ptr<byte_budget> bodies;
     std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle;
     std::unordered_map<const exchange*, std::shared_ptr<exchange>> running;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    explicit pool(event_loop& loop_in) : loop(loop_in) {}
+    pool(event_loop& loop_in, std::shared_ptr<byte_budget> bodies_in)
+        : loop(loop_in), bodies(std::move(bodies_in))
+    {}
 
     std::unique_ptr<http_connection> connect(const endpoint& to)
     {
@@ -87,6 +96,7 @@
         evhttp_connection_set_timeout(connection->raw, connection_timeout_seconds);
         evhttp_connection_set_retries(connection->raw, 0);
         evhttp_connection_set_max_body_size(connection->raw, max_answer_bytes);
+        evhttp_connection_set_max_headers_size(connection->raw, max_head_bytes);
         evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw));
         evbuffer_add_cb(output, on_output, connection.get());
         return connection;
@@ -152,6 +162,7 @@
             this->give_back(*kept);
             const done_callback done = std::move(kept->done);
             if (done) {
+                kept->result.body = kept->body.take();
                 done(kept->result);
             }
         });
@@ -175,8 +186,37 @@
         constexpr int first_error_status = 300;
         if (self->part && status < first_error_status) {
             self->part(text);
-        } else {
-            self->result.body += text;
+        } else if (!self->body.append(text)) {
+            self->owner->give_up_overlong(*self);
+        }
+    }
+
+    // From the loop's queue, as libevent is inside the request's callback.
+    void give_up_overlong(exchange& overlong)
+    {
+        log_overlong(overlong);
+        overlong.cancelled = true;
+        this->loop.post([this, kept = this->running.at(&overlong), watch = std::weak_ptr(this->alive)] {
+            if (!watch.expired()) {
+                this->abort(*kept);
+                this->finish(*kept, http_failure::broken);
+            }
+        });
+    }
+
+    static void log_overlong(const exchange& overlong)
+    {
+        log_event("response_overlong", {{"from", to_string(overlong.to)},
+                                        {"bytes", static_cast<std::int64_t>(overlong.body.size())}});
+    }
+
+    static void on_error(evhttp_request_error error, void* argument)
+    {
+        if (error == EVREQ_HTTP_DATA_TOO_LONG) {
+            log_overlong(*static_cast<const exchange*>(argument));
+        } else if (error == EVREQ_HTTP_INVALID_HEADER) {
+            log_event("response_head_unusable",
+                      {{"from", to_string(static_cast<const exchange*>(argument)->to)}});
         }
     }
 
@@ -198,23 +238,25 @@
         for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
             self->result.headers.emplace_back(header->key, header->value);
         }
-        self->result.body += take_text(evhttp_request_get_input_buffer(raw));
-        self->owner->finish(*self, http_failure::none);
+        const bool is_whole = self->body.append(take_text(evhttp_request_get_input_buffer(raw)));
+        if (!is_whole) {
+            log_overlong(*self);
+        }
+        self->owner->finish(*self, is_whole ? http_failure::none : http_failure::broken);
     }
 
     std::shared_ptr<exchange> start(const endpoint& to, http_request& request, part_callback part,
                                     done_callback done)
     {
-        auto self = std::make_shared<exchange>();
+        auto self = std::make_shared<exchange>(this->bodies);
         self->owner = this;
         self->to = to;
         self->part = std::move(part);
         self->done = std::move(done);
         self->connection = this->take(to, request.new_connection);
         self->raw = evhttp_request_new(on_complete, self.get());
-        if (self->part) {
-            evhttp_request_set_chunked_cb(self->raw, on_chunk);
-        }
+        evhttp_request_set_error_cb(self->raw, on_error);
+        evhttp_request_set_chunked_cb(self->raw, on_chunk);
         evkeyvalq* headers = evhttp_request_get_output_headers(self->raw);
         evhttp_add_header(headers, "Host", to.address.c_str());
         for (const auto& [key, value] : request.headers) {
@@ -241,7 +283,9 @@
     }
 };
 
-http_client::http_client(event_loop& loop) : connections(std::make_unique<pool>(loop)) {}
+http_client::http_client(event_loop& loop, std::shared_ptr<byte_budget> bodies)
+    : connections(std::make_unique<pool>(loop, std::move(bodies)))
+{}
 
 http_client::~http_client()
 {
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/event_loop.hpp"
 #include "adapters/received_request.hpp"
+#include "common/gathered_text.hpp"
 #include "target/endpoint.hpp"
 
 #include <functional>
@@ -43,6 +44,9 @@
     [[nodiscard]] std::string header(std::string_view name) const;
 };
 
+//! For the bodies of all answers together; one alone may be 64 MiB long.
+inline constexpr std::size_t usual_body_budget = std::size_t{320} * 1024 * 1024;
+
 //! Sends HTTP requests over kept connections; all callbacks run on the loop, never from within a call.
 class http_client {
 public:
@@ -54,7 +58,9 @@
     //! Names a running exchange; does not keep it alive.
     using handle = std::weak_ptr<exchange>;
 
-    explicit http_client(event_loop& loop);
+    explicit http_client(event_loop& loop,
+                         std::shared_ptr<byte_budget> bodies = std::make_shared<byte_budget>(byte_budget{
+                             usual_body_budget, 0}));
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/common/gathered_text.cpp
+++ b/src/common/gathered_text.cpp
@@ -24,7 +24,7 @@
 
 bool gathered_text::append(std::string_view part)
 {
-    if (!may_grow(*this->budget, this->size, part.size())) {
+    if (!may_grow(*this->budget, this->bytes, part.size())) {
         return false;
     }
     if (!this->pieces.empty() && this->pieces.back().size() + part.size() <= piece_bytes) {
@@ -32,7 +32,7 @@
     } else {
         this->pieces.emplace_back(part);
     }
-    this->size += part.size();
+    this->bytes += part.size();
     this->budget->held += part.size();
     return true;
 }
@@ -40,7 +40,7 @@
 std::string gathered_text::text() const
 {
     std::string whole;
-    whole.reserve(this->size);
+    whole.reserve(this->bytes);
     for (const std::string& piece : this->pieces) {
         whole += piece;
     }
@@ -56,7 +56,7 @@
 
 void gathered_text::release()
 {
-    this->budget->held -= std::exchange(this->size, 0);
+    this->budget->held -= std::exchange(this->bytes, 0);
     this->pieces.clear();
 }
 
--- a/src/common/gathered_text.hpp
+++ b/src/common/gathered_text.hpp
@@ -29,6 +29,7 @@
 
     //! False, and nothing is added, when the text would grow beyond what it may hold.
     bool append(std::string_view part);
+    [[nodiscard]] std::size_t size() const { return this->bytes; }
     //! All of it in one piece.
     [[nodiscard]] std::string text() const;
     //! Hands the text over and is empty afterwards.
@@ -40,7 +41,7 @@
     std::shared_ptr<byte_budget> budget;
     //! A single growing text would take up to twice its size, and a third time that while it grows.
     std::vector<std::string> pieces;
-    std::size_t size = 0;
+    std::size_t bytes = 0;
 };
 
 } // namespace dandelionstep
