Heads of answers count against the memory for all answers

Evidence: process.entry_endless_answers_proof ("heads that come without end") and adapters.channel_pool failed before.

--- a/src/adapters/channel_pool.cpp
+++ b/src/adapters/channel_pool.cpp
@@ -68,6 +68,8 @@
     bool skipping = false;
     bool is_overlong = false;
     std::size_t response_bytes = 0;
+    //! Bytes of the response's head that are held of the budget.
+    std::size_t head_bytes = 0;
 
     exchange()
         : reader(http_reader::kind::responses, {[this](http_head& read) { this->take_head(read); },
@@ -105,6 +107,7 @@
 
 struct channel_pool::state {
     event_loop& loop;
+    std::shared_ptr<byte_budget> answers;
     std::unordered_map<exchange*, std::shared_ptr<exchange>> running;
     std::map<endpoint, std::vector<std::shared_ptr<exchange>>> idle;
     channel_counts counts;
@@ -112,7 +115,9 @@
     event_loop::timer sweep;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    explicit state(event_loop& loop_in) : loop(loop_in) {}
+    state(event_loop& loop_in, std::shared_ptr<byte_budget> answers_in)
+        : loop(loop_in), answers(std::move(answers_in))
+    {}
 
     static void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
     {
@@ -199,9 +204,33 @@
         return kept.next_use == connection_use::used && kept.idle_since >= from;
     }
 
+    // False when all answers together leave no room for the head.
+    bool hold_head(exchange& self) const
+    {
+        if (!this->answers) {
+            return true;
+        }
+        const std::size_t size = self.reader.head_bytes();
+        this->release_head(self);
+        if (!may_grow(*this->answers, 0, size)) {
+            return false;
+        }
+        this->answers->held += size;
+        self.head_bytes = size;
+        return true;
+    }
+
+    void release_head(exchange& self) const
+    {
+        if (this->answers) {
+            this->answers->held -= std::exchange(self.head_bytes, 0);
+        }
+    }
+
     // libevent may still be inside the connection's callbacks.
     void discard(std::shared_ptr<exchange> doomed)
     {
+        this->release_head(*doomed);
         doomed->active = false;
         bufferevent_disable(doomed->raw, EV_READ | EV_WRITE);
         bufferevent_setcb(doomed->raw, nullptr, nullptr, nullptr, nullptr);
@@ -223,6 +252,7 @@
     {
         ended->active = false;
         ended->connect_timer = {};
+        this->release_head(*ended);
         const auto on_end = std::move(ended->callbacks.on_end);
         ended->callbacks = {};
         if (on_end) {
@@ -248,7 +278,8 @@
             }
             evbuffer_drain(input, result.taken);
             self.response_bytes += result.taken;
-            self.is_overlong = self.is_overlong || result.state == http_reader::progress::overlong;
+            self.is_overlong =
+                self.is_overlong || result.state == http_reader::progress::overlong || !this->hold_head(self);
             if (self.is_overlong) {
                 this->note_overlong(self);
                 this->fail(self);
@@ -381,7 +412,8 @@
     }
 };
 
-channel_pool::channel_pool(event_loop& loop) : self(std::make_unique<state>(loop))
+channel_pool::channel_pool(event_loop& loop, std::shared_ptr<byte_budget> answers)
+    : self(std::make_unique<state>(loop, std::move(answers)))
 {
     this->self->sweep = loop.run_every(sweep_interval, [this] { this->self->close_expired(); });
 }
--- a/src/adapters/channel_pool.hpp
+++ b/src/adapters/channel_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/event_loop.hpp"
 #include "adapters/http_reader.hpp"
+#include "common/gathered_text.hpp"
 #include "target/endpoint.hpp"
 
 #include <cstdint>
@@ -72,7 +73,8 @@
 public:
     class exchange;
 
-    explicit channel_pool(event_loop& loop);
+    //! `answers` bounds the heads of all responses together; nothing does when it is null.
+    explicit channel_pool(event_loop& loop, std::shared_ptr<byte_budget> answers = nullptr);
     ~channel_pool();
     channel_pool(const channel_pool&) = delete;
     channel_pool& operator=(const channel_pool&) = delete;
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -114,7 +114,8 @@
     entry_context(event_loop& loop_in, const entry_dialect& dialect_in, entry_settings settings_in)
         : loop(loop_in), dialect(dialect_in), settings(std::move(settings_in)),
           answer_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))),
-          unread_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))), channels(loop_in),
+          unread_bytes(std::make_shared<byte_budget>(answer_budget(this->settings))),
+          channels(loop_in, this->answer_bytes),
           slack_from(this->settings.is_first_start ? time_point{0}
                                                    : event_loop::now() + this->settings.retry_window),
           random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -3,6 +3,7 @@
 
 #include "support/scripted_peer.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <optional>
 #include <thread>
@@ -437,3 +438,35 @@
     CHECK(exchange_once(loop, pool, server.address()).body == "ok");
     CHECK(server.accepted() == 1);
 }
+
+TEST_CASE("heads that grow at the same time stay within the budget and leave room for short ones")
+{
+    constexpr int asked = 20;
+    const auto budget = std::make_shared<byte_budget>(byte_budget{std::size_t{128} * 1024, 0});
+    const std::string long_line = "A: " + std::string(std::size_t{20} * 1024, 'x') + "\r\n";
+    event_loop loop;
+    int requests = 0;
+    scripted_server server(loop, [&](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write(++requests <= asked ? "HTTP/1.1 200 OK\r\n" + long_line : plain_answer);
+        }
+    });
+    channel_pool pool(loop, budget);
+    std::vector<observed> seen(asked);
+    std::vector<std::weak_ptr<channel_pool::exchange>> sent;
+    sent.reserve(asked);
+    for (observed& one : seen) {
+        sent.push_back(pool.send(server.address(), plain_request, {}, watch(one)));
+    }
+    const auto ended = [&] { return std::ranges::count(seen, 1, &observed::ends); };
+    REQUIRE(run_until(loop, [&] { return requests == asked && ended() > 0; }));
+    run_until(loop, [] { return false; }, {100});
+    CHECK(budget->held > 0);
+    CHECK(budget->held < budget->most);
+    CHECK(ended() < asked);
+    CHECK(exchange_once(loop, pool, server.address()).end == exchange_end::complete);
+    for (const auto& one : sent) {
+        pool.cancel(one);
+    }
+    CHECK(budget->held == 0);
+}
--- a/tests/process/entry_endless_answers_proof_test.cpp
+++ b/tests/process/entry_endless_answers_proof_test.cpp
@@ -1,6 +1,7 @@
 #include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
+#include "support/scripted_cluster.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -129,3 +130,43 @@
     }
     CHECK(peak_memory_kb(cluster.processes.at("daemon0")) < most_memory_kb);
 }
+
+TEST_CASE("heads that come without end from many targets at once take little memory")
+{
+    constexpr std::size_t asked = 600;
+    // Just under what the parser takes of one head.
+    constexpr std::size_t head_bytes = std::size_t{78} * 1024;
+    scripted_cluster cluster(3);
+    REQUIRE(cluster.become_ready());
+    std::vector<raw_connection*> held;
+    cluster.handle = [&](const arrival& request) {
+        if (!request.head.header("Dandelionstep-Attempt-Id").starts_with("endless")) {
+            request.from->write(signed_answer_to(request, 200, "ok"));
+            return;
+        }
+        request.from->write("HTTP/1.1 200 OK\r\n");
+        held.push_back(request.from);
+    };
+    std::vector<std::shared_ptr<raw_connection>> open;
+    for (std::size_t i = 0; i < asked; ++i) {
+        open.push_back(cluster.connect());
+        open.back()->write(request_bytes("POST", "/order/x", name_of_caller("endless", i), "", "a"));
+    }
+    cluster.await([&] { return held.size() >= asked; }, {1'000});
+    CHECK(held.size() > asked / 2);
+    std::size_t sent = 0;
+    for (; sent < head_bytes; sent += 1'024) {
+        for (raw_connection* one : held) {
+            one->write("A: " + std::string(1'019, 'x') + "\r\n");
+        }
+        cluster.await([] { return false; }, {5});
+    }
+    CHECK(cluster.ask(request_bytes("GET", "/look/x", "short")).status == 200);
+    CHECK(cluster.daemons().gauge_of(0, "responses_overlong") > 0);
+    CHECK(cluster.daemons().gauge_of(0, "answer_bytes_held") > 0);
+    MESSAGE(peak_memory_kb(cluster.daemons().processes.at("daemon0")), " kB, ", held.size(), " heads");
+    CHECK(peak_memory_kb(cluster.daemons().processes.at("daemon0")) < most_memory_kb);
+    CHECK(cluster.await(
+        [&] { return std::ranges::all_of(open, [](const auto& one) { return !one->received.empty(); }); }));
+    CHECK(cluster.daemons().gauge_of(0, "answer_bytes_held") == 0);
+}
