A request is not sent once its deadline has passed or its caller has left

Cause: a request that waits for a new connection is written when that is made, however late; after a standstill connections are made before the timers and ends that would give it up have run; the written bytes waited for one more turn of the loop; and bytes that the system held were still delivered after the request had been cancelled. A kept connection whose end lay unread was used. Change: the pool asks right before it writes and withdraws the request (not a failure of the target); it writes past the buffer; a cancelled request's bytes are dropped; a kept connection is asked whether its end has come. A request that ran nowhere is told so.

--- a/src/adapters/caller_exchange.cpp
+++ b/src/adapters/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "absl/strings/str_cat.h"
 #include "adapters/http_text.hpp"
 #include "adapters/internal/caller_connection.hpp"
+#include "adapters/socket_state.hpp"
 
 namespace dandelionstep {
 
@@ -58,6 +59,11 @@
     }
 }
 
+bool caller_exchange::has_left() const
+{
+    return this->gone() || has_peer_ended(bufferevent_getfd(this->connection->raw));
+}
+
 void caller_exchange::abort()
 {
     if (!this->gone()) {
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -40,6 +40,8 @@
 
     [[nodiscard]] bool started() const { return this->is_started; }
     [[nodiscard]] bool gone() const { return this->connection == nullptr; }
+    //! Whether the caller has ended its connection, also when the loop has not read that yet.
+    [[nodiscard]] bool has_left() const;
 
 private:
     friend class caller_port;
--- a/src/adapters/channel_pool.cpp
+++ b/src/adapters/channel_pool.cpp
@@ -2,12 +2,14 @@
 
 #include "absl/strings/numbers.h"
 #include "adapters/socket_options.hpp"
+#include "adapters/socket_state.hpp"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <map>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -53,6 +55,8 @@
     bufferevent* raw = nullptr;
     http_reader reader;
     exchange_callbacks callbacks;
+    //! The request, until the connection is made.
+    std::string waiting;
     //! Set while the connection is made for its own sake.
     std::function<void(connect_result)> checked;
     http_head head;
@@ -141,6 +145,8 @@
             set_socket_options(bufferevent_getfd(self->raw));
             if (self->checked) {
                 self->owner->end_check(*self, connect_result::reached);
+            } else if (self->active) {
+                self->owner->send_waiting(*self);
             }
             return;
         }
@@ -191,7 +197,9 @@
             std::shared_ptr<exchange> taken = std::move(*at);
             at = kept.erase(at);
             const milliseconds quiet = now - taken->idle_since;
-            if (quiet < taken->idle_timeout - idle_margin && quiet <= options.most_idle) {
+            // After a standstill the loop has not read yet what came meanwhile, the end among it.
+            if (quiet < taken->idle_timeout - idle_margin && quiet <= options.most_idle &&
+                is_open_and_silent(bufferevent_getfd(taken->raw))) {
                 return taken;
             }
             this->discard(std::move(taken));
@@ -227,6 +235,48 @@
         }
     }
 
+    // Past the buffer, which is written only in the loop's next turn. What the system doesn't take now
+    // follows through it, as do errors.
+    static void write_request(exchange& self, std::string_view bytes)
+    {
+        const ssize_t sent =
+            ::send(bufferevent_getfd(self.raw), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0) {
+            self.bytes_sent = true;
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        if (!bytes.empty()) {
+            bufferevent_write(self.raw, bytes.data(), bytes.size());
+        }
+    }
+
+    void send_waiting(exchange& self)
+    {
+        const std::string bytes = std::exchange(self.waiting, {});
+        if (!self.callbacks.may_send || self.callbacks.may_send()) {
+            write_request(self, bytes);
+            return;
+        }
+        const std::shared_ptr<exchange> kept = this->remove(self);
+        if (!kept) {
+            return;
+        }
+        kept->next_use = kept->use;
+        if (!this->keep_idle(kept, default_idle_timeout)) {
+            this->discard(kept);
+        }
+        this->finish(kept, exchange_end::withdrawn);
+    }
+
+    // The system would deliver them after the end of the connection.
+    static void drop_unsent(const exchange& self)
+    {
+        const evutil_socket_t socket = bufferevent_getfd(self.raw);
+        if (evbuffer_get_length(bufferevent_get_output(self.raw)) > 0 || unacknowledged_bytes(socket) > 0) {
+            reset_when_closed(socket);
+        }
+    }
+
     // libevent may still be inside the connection's callbacks.
     void discard(std::shared_ptr<exchange> doomed)
     {
@@ -443,7 +493,6 @@
     used->is_overlong = false;
     used->response_bytes = 0;
     this->self->running.emplace(used.get(), used);
-    bufferevent_write(used->raw, bytes.data(), bytes.size());
     const auto fail_later = [owner = this->self.get(), watched = std::weak_ptr(used),
                              alive = std::weak_ptr(this->self->alive)] {
         const std::shared_ptr<exchange> kept = watched.lock();
@@ -451,9 +500,14 @@
             owner->fail(*kept);
         }
     };
-    if (is_new && !this->self->start_connecting(*used)) {
+    if (!is_new) {
+        state::write_request(*used, bytes);
+        return used;
+    }
+    used->waiting = std::move(bytes);
+    if (!this->self->start_connecting(*used)) {
         this->self->loop.post(fail_later);
-    } else if (is_new) {
+    } else {
         used->connect_timer = this->self->loop.run_after(options.connect_timeout, fail_later);
     }
     return used;
@@ -480,11 +534,18 @@
     }
 }
 
+bool channel_pool::was_sent(const std::weak_ptr<exchange>& running)
+{
+    const std::shared_ptr<exchange> kept = running.lock();
+    return kept && kept->active && kept->bytes_sent;
+}
+
 void channel_pool::cancel(const std::weak_ptr<exchange>& running)
 {
     const std::shared_ptr<exchange> kept = running.lock();
     if (kept && kept->active && this->self->remove(*kept)) {
         kept->connect_timer = {};
+        state::drop_unsent(*kept);
         this->self->discard(kept);
         // The callbacks may be running, so they are released from the loop's queue.
         this->self->loop.post([kept] { kept->callbacks = {}; });
--- a/src/adapters/channel_pool.hpp
+++ b/src/adapters/channel_pool.hpp
@@ -16,9 +16,10 @@
 
 //! How an exchange with a target ended.
 enum class exchange_end {
-    complete, //!< A whole response was received.
-    not_sent, //!< No byte of the request left this process.
-    broken,   //!< The connection ended, or the bytes were no response; the request may have arrived.
+    complete,  //!< A whole response was received.
+    not_sent,  //!< No byte of the request left this process.
+    withdrawn, //!< The same, as it was not to be sent any more when its connection was made.
+    broken,    //!< The connection ended, or the bytes were no response; the request may have arrived.
 };
 
 //! What a connection carried before the exchange that is on it.
@@ -40,6 +41,8 @@
 
 //! What happens to one request that was sent. Callbacks run on the loop, never from within send or cancel.
 struct exchange_callbacks {
+    //! Asked right before the bytes of a request are sent that had to wait for a new connection.
+    std::function<bool()> may_send;
     //! Whether the response belongs to this request; the others are skipped.
     std::function<bool(const http_head&, connection_use)> is_own;
     std::function<void(const http_head&)> on_head;
@@ -81,13 +84,15 @@
     channel_pool(channel_pool&&) = delete;
     channel_pool& operator=(channel_pool&&) = delete;
 
-    //! Sends the bytes of one request.
+    //! Sends the bytes of one request: over an idle connection at once, else as soon as a new one is made.
     std::weak_ptr<exchange> send(const endpoint& to, std::string bytes, const send_options& options,
                                  exchange_callbacks callbacks);
     //! Makes a new connection without a request, which is kept for later ones. `done` is called once, never
     //! from within.
     void check(const endpoint& to, milliseconds timeout, std::function<void(connect_result)> done);
-    //! Ends the exchange and its connection; no callback follows.
+    //! Whether bytes of the request have left this process; false once the exchange is over.
+    [[nodiscard]] static bool was_sent(const std::weak_ptr<exchange>& running);
+    //! Ends the exchange and its connection; no callback follows. Bytes that have not left are dropped.
     void cancel(const std::weak_ptr<exchange>& running);
     //! Closes the idle connections to an address, whose owner may have changed.
     void forget(const endpoint& to);
--- a/src/adapters/socket_options.cpp
+++ b/src/adapters/socket_options.cpp
@@ -39,4 +39,12 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count));
 }
 
+void reset_when_closed(evutil_socket_t socket)
+{
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once)) != 0) {
+        log_event("socket_option_failed", {{"option", SO_LINGER}, {"reason", std::strerror(errno)}});
+    }
+}
+
 } // namespace dandelionstep
--- a/src/adapters/socket_options.hpp
+++ b/src/adapters/socket_options.hpp
@@ -19,4 +19,7 @@
 //! Another limit for bytes that stay unacknowledged; it counts too while the peer is there and reads nothing.
 void set_unacknowledged_limit(evutil_socket_t socket, milliseconds limit);
 
+//! Makes the end of the connection drop the bytes that have not left.
+void reset_when_closed(evutil_socket_t socket);
+
 } // namespace dandelionstep
--- a/src/adapters/socket_state.cpp
+++ b/src/adapters/socket_state.cpp
@@ -1,8 +1,10 @@
 #include "adapters/socket_state.hpp"
 
+#include <cerrno>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -31,4 +33,17 @@
     return recv(socket, &first, sizeof(first), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool has_peer_ended(evutil_socket_t socket)
+{
+    pollfd asked{.fd = socket, .events = POLLRDHUP, .revents = 0};
+    return poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool is_open_and_silent(evutil_socket_t socket)
+{
+    char first = 0;
+    return recv(socket, &first, sizeof(first), MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace dandelionstep
--- a/src/entry/calls/call_outcome.cpp
+++ b/src/entry/calls/call_outcome.cpp
@@ -27,6 +27,11 @@
         return;
     }
     this->release(ended);
+    if (end == exchange_end::withdrawn) {
+        --this->sent_count;
+        this->end_unwanted();
+        return;
+    }
     const time_point now = event_loop::now();
     target_condition& condition = this->context.conditions[ended.target.id];
     if (end == exchange_end::not_sent) {
@@ -184,7 +189,7 @@
     const time_point now = event_loop::now();
     for (const std::shared_ptr<attempt>& open : this->attempts) {
         if (!open->ended) {
-            this->maybe_ran = true;
+            this->maybe_ran = this->maybe_ran || channel_pool::was_sent(open->exchange);
             note_failure(this->context.conditions[open->target.id], target_failure::silent, now);
             this->log_failed(*open, "silent");
             this->context.channels.forget(open->target.address);
--- a/src/entry/calls/call_runner.cpp
+++ b/src/entry/calls/call_runner.cpp
@@ -49,6 +49,10 @@
 
 void call_carrier::send_next()
 {
+    if (!this->is_wanted()) {
+        this->end_unwanted();
+        return;
+    }
     target_query query;
     query.service = this->request.service;
     query.entry = this->context.settings.data_centre;
@@ -131,6 +135,10 @@
 {
     const std::weak_ptr<call_carrier> watched = this->weak_from_this();
     exchange_callbacks callbacks;
+    callbacks.may_send = [watched] {
+        const auto self = watched.lock();
+        return self && !self->finished && self->is_wanted();
+    };
     callbacks.is_own = [watched, sent](const http_head& head, connection_use use) {
         const auto self = watched.lock();
         if (!self) {
@@ -222,6 +230,21 @@
     }
 }
 
+bool call_carrier::is_wanted() const
+{
+    return dandelionstep::is_wanted(this->request, answer_margin);
+}
+
+void call_carrier::end_unwanted()
+{
+    if (this->request.caller->has_left()) {
+        this->caller_gone();
+        this->request.caller->abort();
+    } else {
+        this->deadline_passed();
+    }
+}
+
 void call_carrier::end_attempts()
 {
     this->finished = true;
--- a/src/entry/calls/internal/call_carrier.hpp
+++ b/src/entry/calls/internal/call_carrier.hpp
@@ -48,6 +48,9 @@
     void log_failed(const attempt& failed, std::string_view how);
     void release(attempt& ended);
     void caller_gone();
+    //! Asked right before each send.
+    [[nodiscard]] bool is_wanted() const;
+    void end_unwanted();
     void end_attempts();
     [[nodiscard]] bool is_idempotent() const { return this->request.route->kind == route_kind::idempotent; }
 
--- a/src/entry/requests/accepted_request.cpp
+++ b/src/entry/requests/accepted_request.cpp
@@ -44,6 +44,11 @@
     return true;
 }
 
+bool is_wanted(const accepted_request& request, milliseconds answer_margin)
+{
+    return event_loop::now() < request.deadline - answer_margin && !request.caller->has_left();
+}
+
 bool is_repeatable(const accepted_request& request)
 {
     const entry_route& route = *request.route;
--- a/src/entry/requests/accepted_request.hpp
+++ b/src/entry/requests/accepted_request.hpp
@@ -39,6 +39,10 @@
 bool take_another_send(entry_context& context, const accepted_request& request, int sent_count,
                        const char* reason);
 
+//! Whether its caller still waits and has time for an answer that takes `answer_margin`; asked right before
+//! each send, as timers and ends of connections are noticed late after a standstill.
+bool is_wanted(const accepted_request& request, milliseconds answer_margin);
+
 //! Whether it may run more than once.
 bool is_repeatable(const accepted_request& request);
 
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -48,6 +48,8 @@
     void pass_on(std::string_view bytes);
     void attempt_ended(const attempt_pointer& attempt, exchange_end end, bool reused);
     void current_ended(exchange_end end, bool reused);
+    //! Asked right before each send.
+    [[nodiscard]] bool is_wanted() const;
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
     [[nodiscard]] std::int64_t tokens_read() const;
@@ -71,6 +73,7 @@
     void fail(int status, std::string_view reason);
     void time_up();
     void caller_gone();
+    void end_unwanted();
     void end();
 
     // stream_path_change.cpp
--- a/src/entry/streams/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -69,6 +69,7 @@
     occupy_path(context, attempt->path, tokens_of(request.facts));
     note_send(context, attempt->path.front().id);
     exchange_callbacks exchange;
+    exchange.may_send = std::move(callbacks.may_send);
     exchange.is_own = [&context, attempt, awaited = awaited_by(request)](const http_head& head,
                                                                          connection_use use) {
         const answer_check check = check_answer(context, awaited, head, use);
--- a/src/entry/streams/stream_attempt.hpp
+++ b/src/entry/streams/stream_attempt.hpp
@@ -49,6 +49,8 @@
 
 //! What happens to an attempt; nothing is called once it was ended from here.
 struct stream_attempt_callbacks {
+    //! Whether the request may still be sent once a connection is made.
+    std::function<bool()> may_send;
     std::function<void(const std::shared_ptr<stream_attempt>&)> on_head;
     //! False when the stream brings what no stream may.
     std::function<bool(const std::shared_ptr<stream_attempt>&, std::string_view part)> on_body;
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
 constexpr int first_redirect = 300;
 // Refused sends ran nowhere, so they don't count as attempts; this bounds them.
 constexpr int max_refusals = 3;
@@ -185,6 +187,18 @@
                                  {"fingerprint", this->request.fingerprint.value}});
 }
 
+void stream_carrier::end_unwanted()
+{
+    if (!this->request.caller->has_left()) {
+        const bool may_run =
+            this->maybe_ran || (this->current && channel_pool::was_sent(this->current->exchange));
+        this->fail(may_run ? status_gateway_timeout : status_unavailable, "deadline");
+        return;
+    }
+    this->caller_gone();
+    this->request.caller->abort();
+}
+
 void stream_carrier::end()
 {
     this->finished = true;
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -182,7 +182,7 @@
 // until the new one is accepted, so that a refusal costs the caller nothing.
 void stream_carrier::begin_succession(const char* reason, bool holds)
 {
-    if (this->successor || !this->is_repeatable()) {
+    if (this->successor || !this->is_repeatable() || !this->is_wanted()) {
         return;
     }
     const time_point now = event_loop::now();
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -50,6 +50,11 @@
     this->send_next();
 }
 
+bool stream_carrier::is_wanted() const
+{
+    return dandelionstep::is_wanted(this->request, answer_margin);
+}
+
 // What an engine that joins the path now has to read: the prompt and the answer so far.
 std::int64_t stream_carrier::tokens_read() const
 {
@@ -75,6 +80,10 @@
 
 void stream_carrier::send_next()
 {
+    if (!this->is_wanted()) {
+        this->end_unwanted();
+        return;
+    }
     // A stream whose caller has events already, or comes back with some, moves.
     const bool moves = this->splitter.last_id.has_value() || this->sent_count > 0;
     const std::vector<hop> chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
@@ -140,6 +149,10 @@
     note_prefill(this->context, path, this->tokens_read());
     const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
     stream_attempt_callbacks callbacks;
+    callbacks.may_send = [watched] {
+        const auto self = watched.lock();
+        return self && !self->finished && self->is_wanted();
+    };
     callbacks.on_head = [watched](const attempt_pointer& attempt) {
         if (const auto self = watched.lock()) {
             self->take_head(attempt);
@@ -244,7 +257,11 @@
     if (this->finished) {
         return;
     }
-    if (attempt == this->successor) {
+    if (end == exchange_end::withdrawn) {
+        --this->sent_count;
+        end_attempt(this->context, this->request, *attempt);
+        this->end_unwanted();
+    } else if (attempt == this->successor) {
         this->successor_ended(end);
     } else if (attempt == this->current) {
         this->current_ended(end, reused);
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/channel_pool.hpp"
 
 #include "support/scripted_peer.hpp"
+#include "support/waiting_target.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -285,6 +286,79 @@
     CHECK(pool.open_connections() == 0);
 }
 
+TEST_CASE("a request that is not to be sent any more when its connection is made is not sent")
+{
+    event_loop loop;
+    std::string received;
+    scripted_server server(loop, [&](raw_connection& connection) {
+        received += connection.received;
+        if (has_whole_request(connection)) {
+            connection.write(plain_answer);
+        }
+    });
+    channel_pool pool(loop);
+    observed seen;
+    exchange_callbacks callbacks = watch(seen);
+    callbacks.may_send = [] { return false; };
+    pool.send(server.address(), plain_request, {}, std::move(callbacks));
+    REQUIRE(run_until(loop, [&] { return seen.ends > 0; }));
+    run_until(loop, [] { return false; }, {30});
+    CHECK(seen.end == exchange_end::withdrawn);
+    CHECK(received.empty());
+    const observed next = exchange_once(loop, pool, server.address());
+    CHECK(next.body == "ok");
+    CHECK(next.reused);
+    CHECK(seen.ends == 1);
+}
+
+TEST_CASE("bytes of a cancelled request that wait in the system do not leave")
+{
+    constexpr int buffer_bytes = 4'096;
+    constexpr std::size_t body_bytes = 200'000;
+    event_loop loop;
+    waiting_target target(8, buffer_bytes);
+    channel_pool pool(loop);
+    observed seen;
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+        std::string(body_bytes, 'y');
+    const auto running = pool.send(target.address(), request, {}, watch(seen));
+    run_until(loop, [] { return false; }, {50});
+    REQUIRE(target.take_connections() == 1);
+    pool.cancel(running);
+    run_until(loop, [] { return false; }, {50});
+    std::string received;
+    CHECK(run_until(loop,
+                    [&] {
+                        received += target.take_bytes();
+                        return target.was_reset();
+                    },
+                    {500}));
+    CHECK(received.size() < request.size());
+    CHECK(seen.ends == 0);
+}
+
+TEST_CASE("a request does not go over a kept connection whose end was not read yet")
+{
+    event_loop loop;
+    waiting_target target(8);
+    channel_pool pool(loop);
+    for (int i = 0; i < 2; ++i) {
+        observed seen;
+        pool.send(target.address(), plain_request, {}, watch(seen));
+        REQUIRE(run_until(loop, [&] {
+            target.take_connections();
+            if (!target.take_bytes().empty()) {
+                target.write(plain_answer);
+            }
+            return seen.ends > 0;
+        }));
+        CHECK(seen.end == exchange_end::complete);
+        CHECK_FALSE(seen.reused);
+        target.end_connections();
+    }
+}
+
 TEST_CASE("an exchange may be cancelled while its response is being read")
 {
     event_loop loop;
--- a/tests/process/entry_request_rules_proof_test.cpp
+++ b/tests/process/entry_request_rules_proof_test.cpp
@@ -241,6 +241,27 @@
     }
 }
 
+TEST_CASE("a request that may run once reaches one target, also on a route that allows several attempts")
+{
+    scripted_cluster cluster(4);
+    REQUIRE(cluster.become_ready([](json& config) { config["Routes"][1]["MaxAttempts"] = 3; }));
+    for (const bool has_begun : {false, true}) {
+        CAPTURE(has_begun);
+        cluster.handle = [has_begun](const arrival& request) {
+            if (has_begun) {
+                request.from->write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut");
+            }
+            request.from->reset();
+        };
+        for (int i = 0; i < 8; ++i) {
+            const std::string attempt = absl::StrCat(has_begun ? "begun-" : "once-", i);
+            const raw_answer answer = cluster.ask(request_bytes("POST", "/order/x", attempt, "", "x"));
+            CHECK(answer.status == 502);
+            CHECK(cluster.arrivals_of(attempt) == 1);
+        }
+    }
+}
+
 // The load that it answers: every target fails, and each request would be sent twice.
 TEST_CASE("repeats stay within the share of the requests that is allowed for them")
 {
