Failures to connect to silent engines do not cut a stream that can go on

What callers saw: a stream cut as unreachable after 1.1 s of 12, while all engines were silent for a second. Cause: three failures to connect gave a stream up, whether it had begun or not. Change: a stream that ran and may be resumed waits for a path as it does when its engines have ended. Evidence: process.entry_silent_attempts_proof failed before.

--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -11,7 +11,8 @@
 constexpr int first_redirect = 300;
 // Refused sends ran nowhere, so they don't count as attempts; this bounds them.
 constexpr int max_refusals = 3;
-// Failures to connect prove that nothing ran, so they don't count as attempts; this bounds them.
+// Failures to connect prove that nothing ran, so they don't count as attempts; after so many a request that
+// ran nowhere is refused, and any other pauses between them.
 constexpr int max_unconnected = 3;
 // An engine that is short of room gets some back as answers end.
 constexpr milliseconds pause_after_refusal{300};
@@ -150,6 +151,8 @@
     end_attempt(this->context, this->request, *this->current);
     if (++this->unconnected_count <= max_unconnected) {
         this->send_next();
+    } else if (this->maybe_ran && this->is_repeatable()) {
+        this->wait_for_path();
     } else {
         this->give_up("unreachable", layers_return(this->context, this->service));
     }
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -101,8 +101,8 @@
     this->current = this->send_along(chosen);
 }
 
-// The engines of a stream that ran have ended. Its layers are being loaded elsewhere, and until then its
-// caller would find no path either.
+// The engines of a stream that ran have ended or can't be reached. Its layers are being loaded elsewhere or
+// the engines are silent for a moment, and until then its caller would find no path either.
 void stream_carrier::wait_for_path()
 {
     this->excluded.clear();
--- /dev/null
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -0,0 +1,235 @@
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "common/json.hpp"
+#include "support/scripted_cluster.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <functional>
+#include <memory>
+#include <netinet/in.h>
+#include <set>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace dandelionstep;
+using namespace dandelionstep::testing;
+
+namespace {
+
+constexpr int last_event = 4;
+constexpr milliseconds silence{1'400};
+constexpr milliseconds enough_for_probes{600};
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id) {
+        absl::StrAppend(&text, "id: ", id, "\ndata: part ", id, "\n\n");
+    }
+    return text;
+}
+
+std::string chunk(const std::string& text)
+{
+    return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
+}
+
+void begin_answer(const arrival& request)
+{
+    request.from->write(
+        absl::StrCat("HTTP/1.1 200 OK\r\nDandelionstep-Server-Signature: s.1\r\n",
+                     "Dandelionstep-Attempt-Id: ", request.head.header("Dandelionstep-Attempt-Id"),
+                     "\r\nContent-Type: text/event-stream\r\n", "Transfer-Encoding: chunked\r\n\r\n"));
+}
+
+void write_events(const arrival& request, int first, int last)
+{
+    request.from->write(chunk(events(first, last)));
+}
+
+void end_answer(const arrival& request)
+{
+    request.from->write("0\r\n\r\n");
+}
+
+void answer_from(int first, const arrival& request)
+{
+    begin_answer(request);
+    write_events(request, first, last_event);
+    end_answer(request);
+}
+
+bool is_whole(const std::vector<raw_answer>& answers)
+{
+    return answers.size() == 1 && answers.front().whole && answers.front().status == 200 &&
+           answers.front().body == events(1, last_event);
+}
+
+// Fills the queue of connections that wait to be accepted: until the listener accepts, new ones get no
+// answer.
+class full_queue {
+public:
+    explicit full_queue(const endpoint& of)
+    {
+        // More than the listener's backlog.
+        constexpr int waiting = 100;
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(of.port);
+        inet_pton(AF_INET, of.address.c_str(), &to.sin_addr);
+        for (int i = 0; i < waiting; ++i) {
+            const int waits = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            const int made = connect(waits, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+            REQUIRE((made == 0 || errno == EINPROGRESS));
+            this->sockets.push_back(waits);
+        }
+    }
+    ~full_queue()
+    {
+        for (const int waits : this->sockets) {
+            close(waits);
+        }
+    }
+    full_queue(const full_queue&) = delete;
+    full_queue& operator=(const full_queue&) = delete;
+    full_queue(full_queue&&) = delete;
+    full_queue& operator=(full_queue&&) = delete;
+
+private:
+    std::vector<int> sockets;
+};
+
+// Engines whose streams a test answers itself.
+class silent_engines {
+public:
+    explicit silent_engines(std::size_t count_in) : cluster(count_in), count(count_in)
+    {
+        this->cluster.handle = [this](const arrival& request) {
+            if (absl::StartsWith(request.head.target, "/ask/")) {
+                this->streams.push_back(request);
+                if (this->on_stream) {
+                    this->on_stream(request);
+                }
+            } else if (this->dead.contains(request.target)) {
+                request.from->reset();
+            } else if (!this->silent.contains(request.target)) {
+                this->calls.push_back(request);
+                // Each request goes over a connection of its own.
+                request.from->write(signed_answer(200, this->report, "Connection: close\r\n"));
+            }
+        };
+    }
+
+    bool become_ready(const std::vector<registration>& entries, const std::function<void(json&)>& change = {})
+    {
+        const bool is_ready = this->cluster.become_ready([&change](json& config) {
+            config["Services"][0]["Engine"]["Kinds"][0]["Megabytes"] = 60'000.0;
+            if (change) {
+                change(config);
+            }
+        });
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            this->cluster.enter(i, entries[i]);
+        }
+        return is_ready && this->cluster.await([&] {
+            return this->cluster.daemons().gauge_of(0, "targets") ==
+                   static_cast<std::int64_t>(this->count + entries.size());
+        });
+    }
+
+    std::shared_ptr<raw_connection> ask(const std::string& attempt, const std::string& body = "question")
+    {
+        std::shared_ptr<raw_connection> caller = this->cluster.connect();
+        caller->write(request_bytes("POST", "/ask/x", attempt,
+                                    "Dandelionstep-Token-Counts: 100,40\r\n"
+                                    "Dandelionstep-Deadline-Remaining: 12000\r\n",
+                                    body));
+        return caller;
+    }
+
+    bool await_streams(std::size_t number)
+    {
+        return this->cluster.await([&] { return this->streams.size() >= number; });
+    }
+
+    bool await_end(const raw_connection& caller)
+    {
+        return this->cluster.await(
+            [&caller] { return caller.closed || !scripted_cluster::answers_on(caller).empty(); }, {12'000});
+    }
+
+    void run_for(milliseconds time)
+    {
+        this->cluster.await([] { return false; }, time);
+    }
+
+    scripted_cluster cluster;
+    std::vector<arrival> streams;
+    std::vector<arrival> calls;
+    std::string report = "{}";
+    //! Engines that answer no calls.
+    std::set<std::size_t> silent;
+    //! Engines that break each call off.
+    std::set<std::size_t> dead;
+    std::function<void(const arrival&)> on_stream;
+
+private:
+    std::size_t count;
+};
+
+registration engine(std::size_t number, std::int64_t first = 0, std::int64_t end = entry_layers)
+{
+    return {.id = absl::StrCat("i-x", number),
+            .service = "assistant",
+            .kind = "small",
+            .first_layer = first,
+            .end_layer = end};
+}
+
+std::vector<registration> whole_engines(std::size_t count)
+{
+    std::vector<registration> entries;
+    for (std::size_t i = 0; i < count; ++i) {
+        entries.push_back(engine(i));
+    }
+    return entries;
+}
+
+} // namespace
+
+TEST_CASE("a stream that loses its engine while all others are out of reach for a second is not cut")
+{
+    constexpr std::size_t count = 5;
+    silent_engines engines(count);
+    REQUIRE(engines.become_ready(whole_engines(count)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    begin_answer(engines.streams[0]);
+    write_events(engines.streams[0], 1, 2);
+    REQUIRE(engines.cluster.await([&] { return absl::StrContains(caller->received, "part 2"); }));
+    engines.on_stream = [](const arrival& request) { answer_from(3, request); };
+    // The daemon finds out only when the queues are full.
+    child_process& daemon = engines.cluster.daemons().processes.at("daemon0");
+    daemon.signal(SIGSTOP);
+    engines.streams[0].from->reset();
+    engines.run_for({20});
+    {
+        std::vector<std::unique_ptr<full_queue>> queues;
+        for (std::size_t i = 0; i < count; ++i) {
+            queues.push_back(std::make_unique<full_queue>(engines.cluster.address_of(i)));
+        }
+        daemon.signal(SIGCONT);
+        std::this_thread::sleep_for(std::chrono::milliseconds(silence.count));
+    }
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+    CHECK(engines.streams.size() == 2);
+}
