A stream is held for deaths of its engines only once these are known

What callers saw: a stream cut as one that ends targets, while a silent engine, or one that broke off, was alive (two faults). Cause: a silence or a break counted as a death before the check of it was over. Change: the stream stays where it is, or pauses, until the check is over.

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -8,6 +8,7 @@
 #include "request/event_splitter.hpp"
 #include "request/stall_policy.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,6 +41,8 @@
     // stream_runner.cpp
     void send_next();
     void wait_for_path();
+    //! Goes on after a pause, unless the stream has ended by then.
+    void pause(std::function<void(stream_carrier&)> go_on);
     void wait_or_give_up(const char* reason, std::optional<milliseconds> expected);
     attempt_pointer send_along(const std::vector<hop>& path);
     void take_head(const attempt_pointer& attempt);
@@ -77,6 +80,7 @@
     void end();
 
     // stream_path_change.cpp
+    void wait_while_held();
     void replace_engine(const target_id& lost, bool leaves);
     void order_path(const path_change& change);
     void path_refused(const http_answer& answer, const path_change& refused);
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -172,6 +172,12 @@
 void stream_carrier::resume(const char* reason)
 {
     end_attempt(this->context, this->request, *this->current);
+    if (this->is_repeatable() && this->is_held() &&
+        this->tools.guard.is_checking(this->request.fingerprint)) {
+        // A target that broke off may be alive, and only a dead one tells of the request.
+        this->pause([reason](stream_carrier& self) { self.resume(reason); });
+        return;
+    }
     if (!this->may_resume(reason)) {
         this->fail(status_bad_gateway, reason);
         return;
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -34,6 +34,16 @@
            this->current->is_stream;
 }
 
+// A silent engine may be alive: the stream stays where it is until that is known.
+void stream_carrier::wait_while_held()
+{
+    if (this->tools.guard.is_checking(this->request.fingerprint)) {
+        this->next_change_at = event_loop::now() + pause_without_path;
+    } else {
+        this->fail(status_bad_gateway, "ends_targets");
+    }
+}
+
 // Finds another engine for the lost one's layers, or another path altogether.
 void stream_carrier::replace_engine(const target_id& lost, bool leaves)
 {
@@ -46,7 +56,7 @@
         this->consider_death(*part);
     }
     if (!leaves && this->is_held()) {
-        this->fail(status_bad_gateway, "ends_targets");
+        this->wait_while_held();
         return;
     }
     if (!this->can_change_path(lost)) {
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -106,11 +106,16 @@
 void stream_carrier::wait_for_path()
 {
     this->excluded.clear();
+    this->pause([](stream_carrier& self) { self.send_next(); });
+}
+
+void stream_carrier::pause(std::function<void(stream_carrier&)> go_on)
+{
     const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
-    this->send_timer = this->context.loop.run_after(pause_without_path, [watched] {
+    this->send_timer = this->context.loop.run_after(pause_without_path, [watched, go_on = std::move(go_on)] {
         const auto self = watched.lock();
         if (self && !self->finished) {
-            self->send_next();
+            go_on(*self);
         }
     });
 }
--- a/src/entry/suspects/crash_guard.hpp
+++ b/src/entry/suspects/crash_guard.hpp
@@ -20,6 +20,11 @@
     void note_ran_well(request_fingerprint request);
     //! For how long the request must not be sent to a target; zero when it may.
     [[nodiscard]] milliseconds held_for(request_fingerprint request) const;
+    //! Whether it is not known yet if a target that the request lost has died.
+    [[nodiscard]] bool is_checking(request_fingerprint request) const
+    {
+        return this->deaths.unconfirmed(request) > 0;
+    }
 
 private:
     void take_death(const possible_death& death);
--- a/tests/process/entry_silent_attempts_proof_test.cpp
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -203,6 +203,34 @@
     return entries;
 }
 
+// Two engines die under the question, and a third one gets it next.
+void let_two_die(silent_engines& engines)
+{
+    const auto caller = engines.ask("s1");
+    std::vector<event_loop::timer> ends;
+    engines.on_stream = [&](const arrival& request) {
+        registration next = engine(request.target);
+        next.started = 2;
+        engines.cluster.enter(request.target, next);
+        ends.push_back(engines.cluster.loop.run_after({300}, [from = request.from] { from->reset(); }));
+    };
+    REQUIRE(engines.await_end(*caller));
+    REQUIRE(engines.streams.size() == 2);
+    engines.on_stream = nullptr;
+    // Engines that failed rest for a while.
+    engines.run_for({2'500});
+}
+
+// The third of three engines has the question, and two have died under it.
+std::shared_ptr<raw_connection> ask_after_two_died(silent_engines& engines)
+{
+    REQUIRE(engines.become_ready(whole_engines(3)));
+    let_two_die(engines);
+    std::shared_ptr<raw_connection> caller = engines.ask("s2");
+    REQUIRE(engines.await_streams(3));
+    return caller;
+}
+
 } // namespace
 
 TEST_CASE("a stream that loses its engine while all others are out of reach for a second is not cut")
@@ -233,3 +261,29 @@
     CHECK(is_whole(scripted_cluster::answers_on(*caller)));
     CHECK(engines.streams.size() == 2);
 }
+
+TEST_CASE("a stream under which engines died is not cut while it is checked whether a silent one has died")
+{
+    silent_engines engines(3);
+    const auto caller = ask_after_two_died(engines);
+    const arrival held = engines.streams[2];
+    begin_answer(held);
+    engines.silent = {0, 1, 2};
+    engines.run_for(silence);
+    engines.silent.clear();
+    write_events(held, 1, last_event);
+    end_answer(held);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
+
+TEST_CASE("a stream under which engines died goes on when one that broke off is found alive")
+{
+    silent_engines engines(3);
+    const auto caller = ask_after_two_died(engines);
+    engines.on_stream = [](const arrival& request) { answer_from(1, request); };
+    engines.streams[2].from->reset();
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+    CHECK(engines.streams.size() == 4);
+}
