--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -19,7 +19,7 @@
 //! Carries one streaming request until its caller has the whole answer. Its sources: stream_runner.cpp sends
 //! and passes events on; stream_end.cpp judges answers and ends; stream_repair.cpp watches for engines that
 //! die, leave or are silent and sends the request anew; stream_path_change.cpp replaces engines of a running
-//! path.
+//! path; stream_wishes.cpp says which paths it may take.
 class stream_carrier : public std::enable_shared_from_this<stream_carrier> {
 public:
     stream_carrier(entry_context& context, request_tools& tools, accepted_request request);
@@ -53,9 +53,11 @@
     void current_ended(exchange_end end, bool reused);
     //! Asked right before each send.
     [[nodiscard]] bool is_wanted() const;
+
+    // stream_wishes.cpp
+    [[nodiscard]] std::int64_t tokens_read() const;
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
-    [[nodiscard]] std::int64_t tokens_read() const;
 
     // stream_end.cpp
     void answered();
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -55,29 +55,6 @@
     return dandelionstep::is_wanted(this->request, answer_margin);
 }
 
-// What an engine that joins the path now has to read: the prompt and the answer so far.
-std::int64_t stream_carrier::tokens_read() const
-{
-    const auto steps = static_cast<std::int64_t>(this->service.engine->steps_per_event);
-    return this->request.facts.prompt_tokens.value + this->splitter.last_id.value_or(0) * steps;
-}
-
-path_wish stream_carrier::wish() const
-{
-    path_wish wish;
-    wish.service = &this->service;
-    wish.excluded = this->excluded;
-    wish.gap_objective = this->request.route->gap_objective;
-    return wish;
-}
-
-path_wish stream_carrier::move_wish() const
-{
-    path_wish moved = this->wish();
-    moved.moved_tokens = std::max<std::int64_t>(1, this->tokens_read());
-    return moved;
-}
-
 void stream_carrier::send_next()
 {
     if (!this->is_wanted()) {
