A silent engine does not get its own stream once more

What callers saw: a stream cut once its attempts were used up. Cause: after a silence the stream was sent on along the best path, which could begin with the same engine. Change: such a path begins elsewhere. Evidence: process.entry_silent_attempts_proof failed before.

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -58,6 +58,7 @@
     [[nodiscard]] std::int64_t tokens_read() const;
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
+    [[nodiscard]] path_wish elsewhere_wish() const;
 
     // stream_end.cpp
     void answered();
@@ -94,7 +95,7 @@
     void ask_engine(time_point now);
     void take_report(const std::optional<engine_report>& report);
     void give_path_up(time_point now);
-    void begin_succession(const char* reason, bool holds);
+    void begin_succession(const char* reason, const path_wish& wish, bool holds);
     void succeed();
     void take_successor();
     void drop_successor();
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -62,7 +62,7 @@
     if (!this->can_change_path(lost)) {
         // Before the first event nothing is gained by leaving an engine that still works.
         if (!leaves || this->current->is_stream) {
-            this->begin_succession(leaves ? "engine_leaves" : "dead_engine", leaves);
+            this->begin_succession(leaves ? "engine_leaves" : "dead_engine", this->move_wish(), leaves);
         }
         return;
     }
@@ -134,7 +134,7 @@
     if (is_named && this->can_change_path(refused.lost)) {
         this->replace_engine(refused.lost, false);
     } else {
-        this->begin_succession("path_change_failed", false);
+        this->begin_succession("path_change_failed", this->move_wish(), false);
     }
 }
 
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -175,19 +175,19 @@
                                     {"target", this->current->path.front().id.value},
                                     {"ms", this->silence(now)}});
     }
-    this->begin_succession("silence", false);
+    this->begin_succession("silence", this->elsewhere_wish(), false);
 }
 
 // Sends the request once more, to go on after the last event that was passed on. The current attempt stays
 // until the new one is accepted, so that a refusal costs the caller nothing.
-void stream_carrier::begin_succession(const char* reason, bool holds)
+void stream_carrier::begin_succession(const char* reason, const path_wish& wish, bool holds)
 {
     if (this->successor || !this->is_repeatable() || !this->is_wanted()) {
         return;
     }
     const time_point now = event_loop::now();
     this->next_change_at = now + pause_without_path;
-    const std::vector<hop> chosen = choose_path(this->context, this->move_wish());
+    const std::vector<hop> chosen = choose_path(this->context, wish);
     if (chosen.empty() || !this->may_resume(reason)) {
         return;
     }
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -27,4 +27,12 @@
     return moved;
 }
 
+// An engine that has the request already would spend one of its attempts for nothing.
+path_wish stream_carrier::elsewhere_wish() const
+{
+    path_wish elsewhere = this->move_wish();
+    elsewhere.excluded.insert(this->current->path.front().id);
+    return elsewhere;
+}
+
 } // namespace dandelionstep::internal
--- a/tests/process/entry_silent_attempts_proof_test.cpp
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -287,3 +287,21 @@
     CHECK(is_whole(scripted_cluster::answers_on(*caller)));
     CHECK(engines.streams.size() == 4);
 }
+
+TEST_CASE("a silence of the only engine uses up no attempt, and the engine gets the stream once")
+{
+    silent_engines engines(1);
+    REQUIRE(engines.become_ready(whole_engines(1)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    begin_answer(engines.streams[0]);
+    write_events(engines.streams[0], 1, 1);
+    engines.run_for(silence);
+    CHECK(engines.streams.size() == 1);
+    write_events(engines.streams[0], 2, 2);
+    REQUIRE(engines.cluster.await([&] { return absl::StrContains(caller->received, "part 2"); }));
+    engines.on_stream = [](const arrival& request) { answer_from(3, request); };
+    engines.streams[0].from->reset();
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
