A stream takes an engine back that it left as silent, when no other is left

What callers saw: a stream cut though its engine was well again. Cause: an engine that was left was excluded for the rest of the stream. Change: where no other path is found, engines that were left as silent are asked again. Evidence: process.entry_silent_attempts_proof failed before.

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -59,6 +59,8 @@
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
     [[nodiscard]] path_wish elsewhere_wish() const;
+    [[nodiscard]] path_wish last_wish(const target_id& left) const;
+    void take_back(const std::vector<hop>& path);
 
     // stream_end.cpp
     void answered();
@@ -132,6 +134,8 @@
     bool holds_events = false;
     time_point succession_began{0};
     std::set<target_id> excluded;
+    //! Those of them that were left because they were silent.
+    std::set<target_id> left_silent;
     //! When the request was first sent to each address.
     std::map<endpoint, time_point> first_sent;
     //! The path as it was when an engine of it may have died, if no event has come since.
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -52,6 +52,9 @@
     }
     const auto part = std::ranges::find(this->current->path, lost, &hop::id);
     const bool is_new_loss = this->excluded.insert(lost).second;
+    if (!leaves) {
+        this->left_silent.insert(lost);
+    }
     if (is_new_loss && !leaves && part != this->current->path.end()) {
         this->consider_death(*part);
     }
@@ -66,8 +69,11 @@
         }
         return;
     }
-    const std::vector<hop> repaired =
-        repair_path(this->context, this->move_wish(), this->current->path, lost);
+    std::vector<hop> repaired = repair_path(this->context, this->move_wish(), this->current->path, lost);
+    if (repaired.empty()) {
+        repaired = repair_path(this->context, this->last_wish(lost), this->current->path, lost);
+        this->take_back(repaired);
+    }
     const time_point now = event_loop::now();
     if (repaired.empty()) {
         this->next_change_at = now + pause_without_path;
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -187,7 +187,11 @@
     }
     const time_point now = event_loop::now();
     this->next_change_at = now + pause_without_path;
-    const std::vector<hop> chosen = choose_path(this->context, wish);
+    std::vector<hop> chosen = choose_path(this->context, wish);
+    if (chosen.empty()) {
+        chosen = choose_path(this->context, this->last_wish(this->current->path.front().id));
+        this->take_back(chosen);
+    }
     if (chosen.empty() || !this->may_resume(reason)) {
         return;
     }
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -35,4 +35,24 @@
     return elsewhere;
 }
 
+// An engine that was left as silent is better than none, and is usable again once it answers.
+path_wish stream_carrier::last_wish(const target_id& left) const
+{
+    path_wish last = this->move_wish();
+    for (const target_id& silent : this->left_silent) {
+        last.excluded.erase(silent);
+    }
+    last.excluded.insert(left);
+    return last;
+}
+
+// What an engine of the path does from here on is judged anew.
+void stream_carrier::take_back(const std::vector<hop>& path)
+{
+    for (const hop& part : path) {
+        this->excluded.erase(part.id);
+        this->left_silent.erase(part.id);
+    }
+}
+
 } // namespace dandelionstep::internal
--- a/tests/process/entry_silent_attempts_proof_test.cpp
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -305,3 +305,38 @@
     REQUIRE(engines.await_end(*caller));
     CHECK(is_whole(scripted_cluster::answers_on(*caller)));
 }
+
+TEST_CASE("a stream takes back an engine that was silent when the one in its place has died")
+{
+    silent_engines engines(3);
+    REQUIRE(engines.become_ready({engine(0, 0, 4), engine(1, 4, 8), engine(2, 4, 8)}));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    const arrival stream = engines.streams[0];
+    begin_answer(stream);
+    write_events(stream, 1, 1);
+    const std::string path = stream.head.header("Dandelionstep-Hop-Count");
+    const auto is_in = [&](const std::string& text, std::size_t target) {
+        return absl::StrContains(text, to_string(engines.cluster.address_of(target)) + "=");
+    };
+    const std::size_t later = is_in(path, 1) ? 1 : 2;
+    const std::size_t other = 3 - later;
+    const auto was_ordered = [&](std::size_t target) {
+        return std::ranges::any_of(engines.calls, [&](const arrival& call) {
+            return absl::StrContains(call.body, to_string(engines.cluster.address_of(target)) + "=");
+        });
+    };
+    engines.silent = {later};
+    REQUIRE(engines.cluster.await([&] { return was_ordered(other); }));
+    write_events(stream, 2, 2);
+    engines.run_for(enough_for_probes);
+    // The first one answers again, and the second one is gone.
+    engines.silent = {other};
+    engines.report = absl::StrCat(R"({"Stalled":[{"Identifier":"s1","Address":")",
+                                  to_string(engines.cluster.address_of(other)), R"("}]})");
+    engines.calls.clear();
+    write_events(stream, 3, 3);
+    engines.cluster.await([&] { return was_ordered(later); });
+    CHECK(was_ordered(later));
+    CHECK_FALSE(caller->closed);
+}
