A stream's answer begins with its first event

Cause: the head was passed on when it came; a break before the first event could then be told by a cut only. Change: the head waits for the first event. Until then another engine's answer, or a refusal, takes its place. Evidence: process.entry_stream_attempts_proof failed before (cut, now 502).

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -49,6 +49,7 @@
     void take_stream(const attempt_pointer& attempt);
     bool take_body(const attempt_pointer& attempt, std::string_view part);
     void pass_on(std::string_view bytes);
+    void begin_answer();
     void attempt_ended(const attempt_pointer& attempt, exchange_end end, bool reused);
     void current_ended(exchange_end end, bool reused);
     //! Asked right before each send.
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -71,6 +71,7 @@
     for (const hop& part : this->current->path) {
         note_response(this->context.conditions[part.id], {0}, now);
     }
+    this->begin_answer();
     // What follows the last whole event belongs to the answer as well.
     this->request.caller->write(this->splitter.pending);
     const target_id first = this->current->path.front().id;
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -186,11 +186,18 @@
     attempt->goes_on = this->begun.has_value();
     this->splitter.events_only = attempt->goes_on || form.media_type == event_stream_type;
     this->splitter.needs_ids = attempt->goes_on && this->progress.has_events;
-    if (!this->request.caller->started()) {
-        this->begun = form;
-        this->request.caller->start(attempt->head.status,
-                                    this->context.dialect.answer_headers(attempt->head.headers));
+}
+
+// With the first event and not before, so that the caller of an attempt that fails without one still gets
+// another attempt's answer, or a refusal.
+void stream_carrier::begin_answer()
+{
+    if (this->begun) {
+        return;
     }
+    const http_head& head = this->current->head;
+    this->begun = form_of(head);
+    this->request.caller->start(head.status, this->context.dialect.answer_headers(head.headers));
 }
 
 bool stream_carrier::take_body(const attempt_pointer& attempt, std::string_view part)
@@ -231,6 +238,7 @@
     this->progress.has_events = true;
     this->current->has_events = true;
     this->progress.last_event_at = now;
+    this->begin_answer();
     this->request.caller->write(events);
 }
 
--- a/tests/process/entry_stream_attempts_proof_test.cpp
+++ b/tests/process/entry_stream_attempts_proof_test.cpp
@@ -42,6 +42,28 @@
     });
 }
 
+// The head of a stream's answer, whose events are still to come.
+std::string stream_head()
+{
+    std::string head = signed_answer(200, "", "Content-Type: text/event-stream\r\n");
+    const std::string length = "Content-Length: 0";
+    head.replace(head.find(length), length.size(), "Transfer-Encoding: chunked");
+    return head;
+}
+
+// Breaks a stream off between its answer's head and the first event.
+scripted_cluster::handler break_off_after_head()
+{
+    return [](const arrival& request) {
+        if (request.head.header("Dandelionstep-Attempt-Id") != stream) {
+            request.from->write(signed_answer(200, "{}"));
+            return;
+        }
+        request.from->write(stream_head());
+        request.from->close();
+    };
+}
+
 } // namespace
 
 TEST_CASE("an engine that fails a stream after that was sent to another one counts among its attempts")
@@ -70,3 +92,17 @@
     CHECK(cluster.arrivals_of(stream) == 2);
     CHECK(scripted_cluster::answers_on(*caller).size() == 1);
 }
+
+TEST_CASE("a stream whose engines break off before its first event gets a refusal and is not cut")
+{
+    scripted_cluster cluster(engine_count);
+    cluster.handle = break_off_after_head();
+    REQUIRE(start_engines(cluster));
+    const raw_answer answer = cluster.ask(request_bytes("POST", "/ask/x", stream,
+                                                        "Dandelionstep-Token-Counts: 100,40\r\n"
+                                                        "Dandelionstep-Deadline-Remaining: 10000\r\n",
+                                                        "question"));
+    CHECK(cluster.arrivals_of(stream) >= 1);
+    CHECK(answer.whole);
+    CHECK(answer.status == 502);
+}
