A silent first engine that has yet to begin a stream does not get it twice

Cause: as a later engine of the path was found silent first, the stream was sent along a new path with the same first engine. When that went on it began both, gave up the first for the second, and the daemon had cancelled the second for the first. Change: such a path begins elsewhere, unless the engine has begun the stream or has reported since. Evidence: process.entry_silent_attempts_proof failed before.

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -60,6 +60,7 @@
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
     [[nodiscard]] path_wish elsewhere_wish() const;
+    [[nodiscard]] path_wish succession_wish() const;
     [[nodiscard]] path_wish last_wish(const target_id& left) const;
     void take_back(const std::vector<hop>& path);
 
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -65,7 +65,7 @@
     if (!this->can_change_path(lost)) {
         // Before the first event nothing is gained by leaving an engine that still works.
         if (!leaves || this->current->is_stream) {
-            this->begin_succession(leaves ? "engine_leaves" : "dead_engine", this->move_wish(), leaves);
+            this->begin_succession(leaves ? "engine_leaves" : "dead_engine", this->succession_wish(), leaves);
         }
         return;
     }
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -35,6 +35,15 @@
     return elsewhere;
 }
 
+// A first engine that has yet to begin the stream may be silent as well, and would get the same request twice
+// when it goes on. One that has said something since is alive and waits for the lost engine.
+path_wish stream_carrier::succession_wish() const
+{
+    const target_id& first = this->current->path.front().id;
+    const bool is_alive = condition_of(this->context.conditions, first).reported_at >= this->progress.sent_at;
+    return this->current->is_stream || is_alive ? this->move_wish() : this->elsewhere_wish();
+}
+
 // An engine that was left as silent is better than none, and is usable again once it answers.
 path_wish stream_carrier::last_wish(const target_id& left) const
 {
--- a/tests/process/entry_silent_attempts_proof_test.cpp
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -340,3 +340,22 @@
     CHECK(was_ordered(later));
     CHECK_FALSE(caller->closed);
 }
+
+TEST_CASE("a stream that a silent engine has yet to begin is not sent to it again when a later one has died")
+{
+    silent_engines engines(3);
+    REQUIRE(engines.become_ready({engine(0, 0, 4), engine(1, 4, 8), engine(2, 4, 8)}));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    const std::string path = engines.streams[0].head.header("Dandelionstep-Hop-Count");
+    const std::string second = to_string(engines.cluster.address_of(1)) + "=";
+    engines.silent = {0};
+    engines.dead = {absl::StrContains(path, second) ? std::size_t{1} : std::size_t{2}};
+    engines.run_for(silence);
+    CHECK(engines.streams.size() == 1);
+    engines.silent.clear();
+    engines.dead.clear();
+    answer_from(1, engines.streams[0]);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
