A new reader of the store does not take a removal for a lapse

Cause: a registration that is missing after an outage of the store is in doubt for a while, as it may have lapsed. A new reader took the moment at which it began to read for such an outage, and any removal soon after for a lapse. Change: an outage is the span in which the store answered neither this daemon nor the reader that it followed (readers tell how long ago that was); a removal is in doubt only when two heartbeats in a row were due in the outage. Evidence: process.entry_new_reader_proof, target.doubtful_targets and entry.store.store_client failed before.

--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -73,6 +73,8 @@
     std::function<void()> on_suspects;
     //! Up to when all changes of the registry are known.
     time_point targets_as_of{0};
+    //! When the store last answered a reader that this daemon followed, as far as that told.
+    time_point reader_answered_at{0};
     //! From where the store's changes go on that are not known yet.
     store_position position;
     //! Whether the registry was read at least once.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -71,6 +71,7 @@
         this->rows.followers = [this] { return this->peers.followers(); };
         this->peers.is_reader = [this] { return this->follower.is_reader(); };
         this->peers.contact = [this] { return this->contact_with_store(); };
+        this->peers.store_answered_at = [this] { return this->store.answered_at(); };
         this->follower.contact = [this] { return this->contact_with_store(); };
         this->peers.on_left = [this](const vm_id& left) { this->follower.take_over(left); };
         this->peers.own_reader = [this] { return this->follower.followed(); };
--- a/src/entry/peers/peer_exchange.cpp
+++ b/src/entry/peers/peer_exchange.cpp
@@ -57,6 +57,10 @@
     }
     learn_suspects(this->context, answer.suspects, "peer");
     this->context.config_as_of = std::max(this->context.config_as_of, asked_at - answer.config_age);
+    if (answer.store_age) {
+        const time_point answered_at = std::min(asked_at - *answer.store_age, event_loop::now());
+        this->context.reader_answered_at = std::max(this->context.reader_answered_at, answered_at);
+    }
     const time_point targets_as_of = asked_at - answer.targets_age;
     if (!is_fresh && this->context.targets_known && targets_as_of < this->context.targets_as_of) {
         return;
--- a/src/entry/peers/peer_messages.cpp
+++ b/src/entry/peers/peer_messages.cpp
@@ -191,6 +191,9 @@
     if (answer.better) {
         message["better"] = peer_json(*answer.better);
     }
+    if (answer.store_age) {
+        message["store_age_ms"] = answer.store_age->count;
+    }
     message["suspects_sequence"] = answer.suspects_sequence;
     if (!answer.suspects.empty()) {
         message["suspects"] = suspects_json(answer.suspects);
@@ -232,6 +235,11 @@
     }
     answer.config = *config;
     answer.reaches_store = boolean_or(*parsed, "reaches_store", true);
+    // Daemons of older versions don't tell it.
+    if (const absl::StatusOr<std::int64_t> store_age = integer_member(*parsed, "store_age_ms");
+        store_age.ok()) {
+        answer.store_age = milliseconds{*store_age};
+    }
     answer.position.config = integer_or(*parsed, "config_position", 0);
     answer.position.targets = integer_or(*parsed, "targets_position", 0);
     answer.successors = parse_peers(*parsed, "successors");
--- a/src/entry/peers/peer_messages.hpp
+++ b/src/entry/peers/peer_messages.hpp
@@ -62,6 +62,9 @@
     milliseconds targets_age{0};
     //! Whether the store answered the answering daemon since it began to read, and its last calls.
     bool reaches_store = true;
+    //! Time from the store's last answer to when the question came; negative when the store answered while
+    //! the question waited, and nullopt when it answered nothing.
+    std::optional<milliseconds> store_age;
     //! From where the changes in the store go on that are not in this answer.
     store_position position;
     //! Daemons in all, and in this data centre.
--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -100,7 +100,7 @@
 
 void peer_port::take(const std::shared_ptr<caller_exchange>& caller)
 {
-    const absl::StatusOr<peer_question> question = parse_peer_question(caller->body);
+    absl::StatusOr<peer_question> question = parse_peer_question(caller->body);
     if (!question.ok()) {
         log_event("peer_question_unreadable", {{"reason", std::string(question.status().message())}});
         caller->answer(status_bad_request, {}, "");
@@ -124,7 +124,9 @@
         return;
     }
     this->note_asker(*question);
-    this->wait_or_answer(caller, *question);
+    const time_point now = event_loop::now();
+    const time_point until = now + std::min(question->wait, longest_wait);
+    this->wait_or_answer({caller, *std::move(question), now, until});
 }
 
 void peer_port::note_asker(const peer_question& question)
@@ -144,14 +146,13 @@
     }
 }
 
-void peer_port::wait_or_answer(const std::shared_ptr<caller_exchange>& caller, const peer_question& question)
+void peer_port::wait_or_answer(pending_question asked)
 {
-    if (question.wait <= milliseconds{0} || this->may_answer(question)) {
-        this->answer(caller, question);
+    if (asked.question.wait <= milliseconds{0} || this->may_answer(asked.question)) {
+        this->answer(asked);
         return;
     }
-    const time_point until = event_loop::now() + std::min(question.wait, longest_wait);
-    this->waiting.push_back({caller, question, until});
+    this->waiting.push_back(std::move(asked));
     if (this->waiting.size() == 1) {
         this->overdue_timer =
             this->context.loop.run_every(overdue_interval, [this] { this->answer_waiting(); });
@@ -186,9 +187,15 @@
     return true;
 }
 
-void peer_port::answer(const std::shared_ptr<caller_exchange>& caller, const peer_question& question)
+std::optional<milliseconds> peer_port::store_age(time_point came_at) const
+{
+    const time_point answered = this->store_answered_at ? this->store_answered_at() : time_point{0};
+    return answered > time_point{0} ? std::optional(came_at - answered) : std::nullopt;
+}
+
+void peer_port::answer(const pending_question& asked)
 {
-    caller->answer(status_ok, {{"Content-Type", "application/json"}}, this->answer_to(question));
+    asked.caller->answer(status_ok, {{"Content-Type", "application/json"}}, this->answer_to(asked));
 }
 
 // Several changes often come with one answer of the store.
@@ -207,8 +214,8 @@
 void peer_port::answer_waiting()
 {
     const time_point now = event_loop::now();
-    std::vector<waiting_question> due;
-    std::erase_if(this->waiting, [&](waiting_question& one) {
+    std::vector<pending_question> due;
+    std::erase_if(this->waiting, [&](pending_question& one) {
         const bool is_due = now >= one.until || this->may_answer(one.question);
         if (is_due) {
             due.push_back(std::move(one));
@@ -218,13 +225,14 @@
     if (this->waiting.empty()) {
         this->overdue_timer = {};
     }
-    for (const waiting_question& one : due) {
-        this->answer(one.caller, one.question);
+    for (const pending_question& one : due) {
+        this->answer(one);
     }
 }
 
-std::string peer_port::answer_to(const peer_question& question)
+std::string peer_port::answer_to(const pending_question& asked)
 {
+    const peer_question& question = asked.question;
     const time_point now = event_loop::now();
     const knowledge_age age = present_age(this->context, now);
     peer_answer answer;
@@ -232,6 +240,7 @@
     answer.config_age = age.config;
     answer.targets_age = age.targets;
     answer.reaches_store = this->present_contact() == store_contact::reached;
+    answer.store_age = this->store_age(asked.came_at);
     answer.position = this->context.position;
     if (!this->context.unconfirmed.empty()) {
         // Whether the doubtful ones come back is no change that another daemon would read.
--- a/src/entry/peers/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -32,6 +32,8 @@
     std::function<bool()> is_reader;
     //! How the store answers this daemon while it reads.
     std::function<store_contact()> contact;
+    //! When the store last answered this daemon; 0 when it never did.
+    std::function<time_point()> store_answered_at;
     //! Called when a daemon whose reader failed wants this one to read the store.
     std::function<void(const vm_id& left)> on_left;
     //! The reader that this daemon itself follows.
@@ -46,10 +48,11 @@
     const engine_uses& followers_uses();
 
 private:
-    // A question that waits for a change.
-    struct waiting_question {
+    // A question that is not answered yet; it may wait for a change.
+    struct pending_question {
         std::shared_ptr<caller_exchange> caller;
         peer_question question;
+        time_point came_at;
         time_point until;
     };
 
@@ -61,14 +64,15 @@
 
     void take(const std::shared_ptr<caller_exchange>& caller);
     void note_asker(const peer_question& question);
-    void wait_or_answer(const std::shared_ptr<caller_exchange>& caller, const peer_question& question);
-    void answer(const std::shared_ptr<caller_exchange>& caller, const peer_question& question);
+    void wait_or_answer(pending_question asked);
+    void answer(const pending_question& asked);
     void answer_soon();
     void answer_waiting();
     [[nodiscard]] bool has_news_for(const peer_question& question) const;
     [[nodiscard]] store_contact present_contact() const;
     [[nodiscard]] bool may_answer(const peer_question& question) const;
-    std::string answer_to(const peer_question& question);
+    std::string answer_to(const pending_question& asked);
+    [[nodiscard]] std::optional<milliseconds> store_age(time_point came_at) const;
     std::string registry_part(const peer_question& question, peer_answer& answer);
     [[nodiscard]] std::optional<peer> better_reader() const;
 
@@ -82,7 +86,7 @@
     time_point announced_at{0};
     load_reports shared;
     shared_answers answers;
-    std::vector<waiting_question> waiting;
+    std::vector<pending_question> waiting;
     event_loop::timer overdue_timer;
     bool answering_soon = false;
 };
--- a/src/entry/registry/target_watch.cpp
+++ b/src/entry/registry/target_watch.cpp
@@ -26,6 +26,7 @@
 
 void target_watch::start()
 {
+    this->taken_over_as_of = this->context.targets_as_of;
     if (this->context.targets_known && this->context.position.targets > 0) {
         this->poll_targets();
     } else {
@@ -37,6 +38,7 @@
 {
     this->calls.pause();
     this->timer = {};
+    this->heartbeats.clear();
     this->forget_doubts();
 }
 
@@ -131,6 +133,7 @@
 {
     for (const stored_row& row : changes.rows) {
         this->take_target_row(row);
+        this->note_heartbeat(row);
     }
     const bool goes_on = changes.has_more && changes.version > this->context.position.targets;
     this->context.position.targets = std::max(this->context.position.targets, changes.version);
@@ -154,6 +157,7 @@
     if (!parsed.ok()) {
         const absl::string_view reason = parsed.status().message();
         this->note_unreadable(row, {reason.data(), reason.size()});
+        this->heartbeats.erase(id);
         drop_target(this->context, id);
         return;
     }
@@ -175,6 +179,15 @@
     log_event("target_unreadable", {{"target", row.key}, {"reason", logged}});
 }
 
+// The row may have been written as early as right after the answer before.
+void target_watch::note_heartbeat(const stored_row& row)
+{
+    const target_id id(row.key);
+    if (!row.is_removed && this->context.targets.contains(id)) {
+        this->heartbeats.insert_or_assign(id, this->context.targets_as_of);
+    }
+}
+
 // Daemons that follow this one have not been told of the target while it was in doubt.
 void target_watch::note_returned(const target_id& id)
 {
@@ -190,16 +203,27 @@
     if (known == this->context.targets.end()) {
         return;
     }
-    const time_point back_by = this->store.reachable_since() + lapse_grace;
-    if (event_loop::now() < back_by && !known->second.leaving) {
-        this->context.unconfirmed.try_emplace(id, back_by);
+    if (this->is_doubtful(known->second)) {
+        this->context.unconfirmed.try_emplace(id, this->store.last_outage().ended + lapse_grace);
         this->await_doubtful();
         return;
     }
     this->context.unconfirmed.erase(id);
+    this->heartbeats.erase(id);
     drop_target(this->context, id);
 }
 
+// Whether the target may have lost its registration to an outage of the store and may still bring it back.
+bool target_watch::is_doubtful(const registered_target& target) const
+{
+    const store_outage& outage = this->store.last_outage();
+    const time_point now = event_loop::now();
+    const auto heartbeat = this->heartbeats.find(target.id);
+    const time_point seen = heartbeat == this->heartbeats.end() ? this->taken_over_as_of : heartbeat->second;
+    return now < outage.ended + lapse_grace && !target.leaving &&
+           may_have_lapsed(seen, this->context.settings.heartbeat_interval, outage, now);
+}
+
 void target_watch::forget_doubts()
 {
     this->context.unconfirmed.clear();
--- a/src/entry/registry/target_watch.hpp
+++ b/src/entry/registry/target_watch.hpp
@@ -30,7 +30,9 @@
     void poll_targets_after(time_point last_began);
     void take_target_row(const stored_row& row);
     void note_unreadable(const stored_row& row, std::string_view reason);
+    void note_heartbeat(const stored_row& row);
     void remove_target(const target_id& id);
+    [[nodiscard]] bool is_doubtful(const registered_target& target) const;
     void finish_full_read();
     void note_returned(const target_id& id);
     void await_doubtful();
@@ -44,6 +46,10 @@
     std::set<target_id> seen;
     //! Entries that name no target, with the reason that was logged.
     std::map<std::string, std::string> unreadable;
+    //! The earliest time of each target's last heartbeat that was seen; of others, up to when the registry
+    //! was known when this daemon began to read it.
+    std::map<target_id, time_point> heartbeats;
+    time_point taken_over_as_of{0};
     std::int64_t full_read_version = 0;
     time_point full_read_began{0};
     event_loop::timer timer;
--- a/src/entry/store/store_client.cpp
+++ b/src/entry/store/store_client.cpp
@@ -145,6 +145,15 @@
         left_of_pause(pause, first_pause, this->last_failure_at - asked_at, 0.5 + this->context.draw());
 }
 
+// The store may have answered another daemon meanwhile, which this one followed.
+void store_client::note_return()
+{
+    const time_point in_touch_until =
+        std::max({this->answered_before, this->context.targets_as_of, this->context.reader_answered_at});
+    this->outage = joined_outage(this->outage, {in_touch_until, event_loop::now()},
+                                 this->context.settings.heartbeat_interval);
+}
+
 void store_client::note(const store_answer& answer, std::int64_t number)
 {
     const bool answered = answer.result == store_result::ok || answer.result == store_result::conflict ||
@@ -173,7 +182,9 @@
     }
     this->reachable = answered;
     if (answered) {
-        this->since = event_loop::now();
+        this->note_return();
+    } else {
+        this->answered_before = this->last_answer_at;
     }
     log_event(answered ? "store_regained" : "store_lost", {{"result", name_of(answer.result)}});
 }
--- a/src/entry/store/store_client.hpp
+++ b/src/entry/store/store_client.hpp
@@ -57,12 +57,13 @@
     //! When it answered last, and when a call failed last.
     [[nodiscard]] time_point answered_at() const { return this->last_answer_at; }
     [[nodiscard]] time_point failed_at() const { return this->last_failure_at; }
-    //! When the store answered again after calls had failed.
-    [[nodiscard]] time_point reachable_since() const { return this->since; }
+    //! The last outage of the store that is over.
+    [[nodiscard]] const store_outage& last_outage() const { return this->outage; }
 
 private:
     void note(const store_answer& answer, std::int64_t number);
     void note_failure(time_point asked_at);
+    void note_return();
     [[nodiscard]] bool must_hold_back() const;
     [[nodiscard]] bool is_from_before_pause(std::int64_t number) const;
 
@@ -78,7 +79,9 @@
     std::int64_t last_answered = 0;
     time_point last_answer_at{0};
     time_point last_failure_at{0};
-    time_point since{0};
+    //! When the store last answered before the present outage.
+    time_point answered_before{0};
+    store_outage outage;
 };
 
 //! What is left of a pause between two calls when the first has failed after so long a wait. `spread`, drawn
--- a/tests/entry/peers/peer_messages_test.cpp
+++ b/tests/entry/peers/peer_messages_test.cpp
@@ -78,6 +78,7 @@
     answer.config = "{\"Version\":3}";
     answer.config_age = {10};
     answer.targets_age = {700};
+    answer.store_age = milliseconds{-120};
     answer.daemons = 84;
     answer.siblings = 21;
     answer.position = {41, 43};
@@ -102,6 +103,7 @@
     CHECK(read->config == answer.config);
     CHECK(read->config_age == milliseconds{10});
     CHECK(read->targets_age == milliseconds{700});
+    CHECK(read->store_age == milliseconds{-120});
     CHECK(read->daemons == 84);
     CHECK(read->position == answer.position);
     CHECK(read->successors == answer.successors);
--- a/tests/entry/store/store_client_test.cpp
+++ b/tests/entry/store/store_client_test.cpp
@@ -187,3 +187,18 @@
     load.loop.run();
     CHECK(load.context.metrics.store_calls.at("rows").at("refused") == 1);
 }
+
+TEST_CASE("an outage begins with the last answer that the store gave this daemon or its reader")
+{
+    client_under_load load;
+    constexpr milliseconds ago{100};
+    const time_point reader_answered_at = event_loop::now() - ago;
+    load.context.targets_as_of = reader_answered_at - milliseconds{900};
+    load.context.reader_answered_at = reader_answered_at;
+    load.ask();
+    REQUIRE(run_until(load.loop, [&] { return load.failed == 1; }));
+    load.offered.is_away = false;
+    load.ask();
+    REQUIRE(run_until(load.loop, [&] { return load.answered == 1; }));
+    CHECK((load.client.last_outage().began == reader_answered_at));
+}
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -39,6 +39,8 @@
     std::int64_t grace_s = 8;
     std::int64_t stall_ms = 3'000;
     std::int64_t event_ms = 20;
+    //! How often the daemons expect replicas to renew their registration; those of the cluster do so.
+    std::int64_t heartbeat_ms = 200;
     //! Repeats that all daemons together may send beyond a share of the requests.
     std::int64_t retry_slack = 1'000;
     //! Whether the daemons may ask each other; else each reads the store for itself.
--- a/tests/target/doubtful_targets_test.cpp
+++ b/tests/target/doubtful_targets_test.cpp
@@ -4,6 +4,12 @@
 
 using namespace dandelionstep;
 
+namespace {
+
+constexpr milliseconds interval{1'200};
+
+} // namespace
+
 TEST_CASE("an unconfirmed target is kept until its time is over")
 {
     const unconfirmed_targets unconfirmed{{target_id("a"), {300}}, {target_id("b"), {100}}};
@@ -17,3 +23,44 @@
     CHECK_FALSE(first_expiry({}));
     CHECK(first_expiry({{target_id("a"), {300}}, {target_id("b"), {100}}}) == time_point{100});
 }
+
+TEST_CASE("a registration may have lapsed when two heartbeats in a row were due in an outage")
+{
+    const store_outage outage{{10'000}, {13'000}};
+    CHECK(may_have_lapsed({9'000}, interval, outage, {13'100}));
+    CHECK(may_have_lapsed({10'000}, interval, outage, {13'100}));
+    // Its heartbeats come again after the outage, but not before it lapses.
+    CHECK(may_have_lapsed({10'000}, interval, outage, {14'500}));
+}
+
+TEST_CASE("a removal after an outage that is too short for a lapse is no lapse")
+{
+    CHECK_FALSE(may_have_lapsed({9'000}, interval, {{10'000}, {11'199}}, {12'000}));
+    CHECK(may_have_lapsed({9'000}, interval, {{10'000}, {11'200}}, {12'000}));
+    CHECK_FALSE(may_have_lapsed({9'000}, interval, {}, {12'000}));
+}
+
+TEST_CASE("a removal that is too soon after an outage began is no lapse")
+{
+    const store_outage outage{{10'000}, {11'400}};
+    CHECK_FALSE(may_have_lapsed({8'000}, interval, outage, {11'799}));
+    CHECK(may_have_lapsed({8'000}, interval, outage, {11'800}));
+}
+
+TEST_CASE("a removal of a registration that was seen too late for a lapse is no lapse")
+{
+    const store_outage outage{{10'000}, {13'000}};
+    CHECK_FALSE(may_have_lapsed({11'801}, interval, outage, {16'000}));
+    CHECK(may_have_lapsed({11'800}, interval, outage, {16'000}));
+    CHECK_FALSE(may_have_lapsed({10'700}, interval, outage, {13'099}));
+    CHECK(may_have_lapsed({10'700}, interval, outage, {13'100}));
+}
+
+TEST_CASE("a return of the store that is too short for a heartbeat does not end an outage")
+{
+    const store_outage first{{10'000}, {13'000}};
+    CHECK(joined_outage(first, {{13'000}, {13'300}}, interval).began == time_point{10'000});
+    CHECK(joined_outage(first, {{14'199}, {14'300}}, interval).began == time_point{10'000});
+    CHECK(joined_outage(first, {{14'200}, {14'300}}, interval).began == time_point{14'200});
+    CHECK(joined_outage(first, {{14'200}, {14'300}}, interval).ended == time_point{14'300});
+}
