dandelionstepd tells of its stop until a peer has heard it

Cause: the notice was told once, and the process ended whether it had arrived or not. Change: it is repeated until a peer of the data centre has answered, for 3 s at most.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -119,7 +119,7 @@
         this->context.stopping = true;
         this->stopping.began = event_loop::now();
         log_event("stopping", {{"requests_in_flight", this->context.requests_in_flight}});
-        this->context.on_news();
+        this->peers.leave();
         this->stop_check = this->loop.run_every(stop_check_interval, [this] { this->check_stopped(); });
     }
 
@@ -127,7 +127,8 @@
     {
         const remaining_work left{.requests_in_flight = this->context.requests_in_flight,
                                   .unwritten_orders = this->orders.unwritten(),
-                                  .unsent_answers = this->callers.unfinished()};
+                                  .unsent_answers = this->callers.unfinished(),
+                                  .unheard_notices = this->peers.is_leave_unheard() ? 1 : 0};
         const stop_limits limits{.balancer_notice = this->configured.balancer_notice,
                                  .drain_limit = this->configured.drain_limit};
         switch (advance(this->stopping, left, limits, this->hurry, event_loop::now())) {
--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -55,8 +55,8 @@
 
 void group::tick()
 {
-    if (this->context.stopping && this->state.self.state != member_state::left) {
-        this->carry_out(leave(this->state, event_loop::now()));
+    if (this->is_leave_unheard()) {
+        this->carry_out(gossip(this->state, event_loop::now()));
     }
     this->carry_out(on_tick(this->state, event_loop::now()));
     std::erase_if(this->revision_of,
@@ -91,6 +91,18 @@
     });
 }
 
+void group::leave()
+{
+    this->carry_out(dandelionstep::leave(this->state, event_loop::now()));
+}
+
+// Whoever has heard it tells the others.
+bool group::is_leave_unheard() const
+{
+    return this->state.self.state == member_state::left && !this->is_leave_heard &&
+           !live_members(this->state, this->state.self.data_centre).empty();
+}
+
 std::vector<schema_reader> group::schema_readers() const
 {
     std::vector<schema_reader> readers{{this->context.configured.vm, newest_schema_version}};
@@ -141,14 +153,17 @@
     this->push_configuration(message, to.vm);
     ++this->counted.messages;
     this->counted.sent.value += static_cast<std::int64_t>(message.ByteSizeLong());
-    this->node.exchange(to.to, message, exchange_timeout, [this, to](const wire::ExchangeMessage* reply) {
+    const bool tells_leave = this->state.self.state == member_state::left;
+    const auto done = [this, to, tells_leave](const wire::ExchangeMessage* reply) {
         if (reply != nullptr) {
+            this->is_leave_heard = this->is_leave_heard || tells_leave;
             this->take(*reply);
         } else {
             this->carry_out(on_send_failed(this->state, to, event_loop::now()));
         }
         this->note_met(to.to);
-    });
+    };
+    this->node.exchange(to.to, message, exchange_timeout, done);
 }
 
 void group::note_met(const endpoint& peer)
--- a/src/vm/planned_stop.cpp
+++ b/src/vm/planned_stop.cpp
@@ -24,8 +24,10 @@
         return now - state.gave_up_at >= limits.flush_time ? stop_step::exit : stop_step::wait;
     }
     // An idle daemon waits for the end of the notice, so that requests that the load balancer still sends are
-    // refused instead of meeting a closed port.
-    if (is_idle(left) && (stop_now || waited >= limits.balancer_notice)) {
+    // refused instead of meeting a closed port. Peers that were not told go on sending to it.
+    const bool is_announced =
+        waited >= limits.balancer_notice && (left.unheard_notices == 0 || waited >= limits.peer_notice);
+    if (is_idle(left) && (stop_now || is_announced)) {
         return stop_step::exit;
     }
     if (stop_now || waited >= limits.drain_limit) {
--- a/src/vm/planned_stop.hpp
+++ b/src/vm/planned_stop.hpp
@@ -14,6 +14,8 @@
     milliseconds drain_limit{60'000};
     //! How long the last answers may take after that to reach their callers.
     milliseconds flush_time{200};
+    //! How long a stop waits, beside other work, for a peer to hear of it.
+    milliseconds peer_notice{3'000};
 };
 
 //! Work that a stopping daemon still has to finish.
@@ -23,6 +25,8 @@
     std::int64_t unwritten_orders = 0;
     //! Answers whose last byte has not reached the caller yet.
     std::int64_t unsent_answers = 0;
+    //! Notices of the stop that no peer has answered yet.
+    std::int64_t unheard_notices = 0;
 };
 
 //! Progress of a planned stop.
--- a/tests/vm/stop_proof_test.cpp
+++ b/tests/vm/stop_proof_test.cpp
@@ -20,7 +20,8 @@
 TEST_CASE("a planned stop ends when all work is done, or at its limit")
 {
     using enum stop_step;
-    const stop_limits limits{.balancer_notice = {1000}, .drain_limit = {5000}, .flush_time = {200}};
+    const stop_limits limits{
+        .balancer_notice = {1000}, .drain_limit = {5000}, .flush_time = {200}, .peer_notice = {3000}};
     struct row {
         const char* name;
         remaining_work left;
@@ -34,6 +35,9 @@
         {"a request runs", {1, 0, 0}, false, 4999, wait},
         {"an order's answer is not written yet", {0, 1, 0}, false, 4999, wait},
         {"a caller has not received its whole answer", {0, 0, 1}, false, 4999, wait},
+        {"no peer has heard of the stop", {0, 0, 0, 1}, false, 2999, wait},
+        {"no peer has heard of the stop in time", {0, 0, 0, 1}, false, 3000, exit},
+        {"a second signal while no peer has heard of the stop", {0, 0, 0, 1}, true, 10, exit},
         {"a request runs at the limit", {1, 0, 0}, false, 5000, give_up},
         {"a second signal while a request runs", {1, 0, 0}, true, 10, give_up},
         {"a second signal while idle", {0, 0, 0}, true, 10, exit},
