--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -50,9 +50,6 @@
 std::vector<asked> soak_callers::stop()
 {
     this->stopped = true;
-    for (std::thread& one : this->threads) {
-        one.join();
-    }
     this->threads.clear();
     return std::move(this->requests);
 }
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -52,7 +52,7 @@
     std::atomic<bool> ending_stopped = false;
     std::mutex lock;
     std::vector<asked> requests;
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
 };
 
 } // namespace dandelionstep::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -29,6 +29,8 @@
     std::vector<std::string> actions;
     std::int64_t requests = 0;
     std::int64_t served = 0;
+    //! Of those asked on days of planned work.
+    std::int64_t refused = 0;
 };
 
 //! Runs store, replicas and daemons as processes with proxies between them, injects faults drawn from the
