Tests with a frozen daemon wait until it stands still and its configuration is in force

Found by a review: process.entry_standstill_proof awaited the lowered idle timeout by a sleep of 1.5 s and did not wait for SIGSTOP to be taken, so that a slow machine could let it pass on a daemon with the fault. It awaits a key of the same configuration now, and child_process::freeze waits for the stop as entry_late_sends_proof did, which uses it too.

--- a/tests/process/entry_late_sends_proof_test.cpp
+++ b/tests/process/entry_late_sends_proof_test.cpp
@@ -9,8 +9,6 @@
 #include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
-#include <fstream>
-#include <iterator>
 #include <memory>
 #include <string>
 #include <thread>
@@ -56,18 +54,6 @@
     return all;
 }
 
-// The daemon takes the signal only when it next runs.
-bool freeze(entry_cluster& cluster)
-{
-    child_process& daemon = cluster.processes.at("daemon0");
-    daemon.signal(SIGSTOP);
-    return eventually([&] {
-        std::ifstream file(absl::StrCat("/proc/", daemon.id(), "/stat"));
-        const std::string text{std::istreambuf_iterator<char>(file), {}};
-        return text.find(") T ") != std::string::npos;
-    });
-}
-
 // The plain service has one replica, which is reached at this address alone.
 entry_plan plan_with_orders_at(const endpoint& at)
 {
@@ -92,7 +78,7 @@
         for (const auto& caller : send_requests(cluster.callers_of(0), form, "before", patience_ms)) {
             CHECK(eventually([&] { return caller->read(100'000).starts_with("HTTP/1.1 200 "); }));
         }
-        REQUIRE(freeze(cluster));
+        REQUIRE(cluster.processes.at("daemon0").freeze());
         for (const auto& caller : send_requests(cluster.callers_of(0), form, "late", patience_ms)) {
             caller->close();
         }
@@ -124,7 +110,7 @@
                              std::chrono::milliseconds after)
 {
     std::this_thread::sleep_for(after);
-    return freeze(cluster) && target.opening() == callers;
+    return cluster.processes.at("daemon0").freeze() && target.opening() == callers;
 }
 
 // False when it could not be tried.
--- a/tests/process/entry_standstill_proof_test.cpp
+++ b/tests/process/entry_standstill_proof_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -20,7 +21,6 @@
 // More than one turn of a daemon's loop takes.
 constexpr int callers = 300;
 constexpr std::chrono::milliseconds lowered_idle_timeout{1'000};
-constexpr std::chrono::milliseconds config_in_force{1'500};
 constexpr std::chrono::milliseconds standstill{1'600};
 constexpr milliseconds answer_limit{5'000};
 constexpr std::size_t most_bytes = std::size_t{64} * 1024;
@@ -57,12 +57,15 @@
 {
     entry_cluster cluster(usual_entry_plan());
     REQUIRE(cluster.become_ready());
-    cluster.write_config(
-        [](json& config) { config["Limits"]["IdleTimeoutMs"] = lowered_idle_timeout.count(); });
-    std::this_thread::sleep_for(config_in_force);
+    const std::string new_key = "of-the-lowered-timeout";
+    cluster.write_config([&](json& config) {
+        config["Limits"]["IdleTimeoutMs"] = lowered_idle_timeout.count();
+        config["Tenants"][0]["ApiKeys"].push_back(new_key);
+    });
+    REQUIRE(eventually([&] { return cluster.accepts_key(0, new_key); }));
     std::vector<kept_connection> all = connect_to(cluster);
     std::this_thread::sleep_for(lowered_idle_timeout / 2);
-    cluster.processes.at("daemon0").signal(SIGSTOP);
+    REQUIRE(cluster.processes.at("daemon0").freeze());
     for (int i = 0; i < callers; ++i) {
         const http_request request = caller_request("GET", "/look/x", "standstill-" + std::to_string(i));
         all[static_cast<std::size_t>(i)].caller->write(
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,6 +1,7 @@
 #include "support/child_process.hpp"
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -10,6 +11,7 @@
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -118,6 +120,21 @@
     }
 }
 
+// A process takes the signal only when it next runs.
+bool child_process::freeze() const
+{
+    constexpr int most_looks = 200;
+    constexpr std::chrono::milliseconds between_looks{5};
+    this->signal(SIGSTOP);
+    for (int i = 0; i < most_looks; ++i) {
+        if (read_file("/proc/" + std::to_string(this->pid) + "/stat").find(") T ") != std::string::npos) {
+            return true;
+        }
+        std::this_thread::sleep_for(between_looks);
+    }
+    return false;
+}
+
 int child_process::wait()
 {
     if (this->pid > 0) {
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -24,6 +24,8 @@
     //! The rest of its standard output, up to the end.
     std::string read_rest();
     void signal(int number) const;
+    //! Stops it until SIGCONT and waits until it stands still; false when it doesn't within a second.
+    [[nodiscard]] bool freeze() const;
     //! Waits for the end; returns the exit status, or 128 and the signal's number.
     int wait();
     //! Kills it at once and waits.
