A caller may pause after it has read fast

Seen by callers: a reset after about 4 s without reading, in the middle of a long answer, although the idle timeout is 15 s. Cause: `allow_pauses` took an empty buffer of the system for an answer that had arrived, while megabytes still waited in the daemon's own buffer. It did not look again, and TCP_USER_TIMEOUT (4 s) stayed in force for the rest of the answer. Ruled out: an answer without room (the test's budget has room for it), the idle timeout (15 s; the caller pauses 8 s). Change: bytes in both buffers count.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -107,7 +107,7 @@
         this->may_pause = true;
         set_unacknowledged_limit(socket, no_limit);
     } else {
-        this->was_written = unacknowledged_bytes(socket) > 0;
+        this->was_written = this->undelivered_bytes() > 0;
     }
 }
 
--- a/tests/adapters/caller_pauses_test.cpp
+++ b/tests/adapters/caller_pauses_test.cpp
@@ -3,8 +3,10 @@
 #include "support/blocking_caller.hpp"
 #include "support/served_port.hpp"
 
+#include <chrono>
 #include <doctest/doctest.h>
 #include <memory>
+#include <thread>
 
 using namespace dandelionstep;
 using namespace dandelionstep::testing;
@@ -12,10 +14,24 @@
 namespace {
 
 constexpr std::size_t long_answer_bytes = std::size_t{12} * 1024 * 1024;
+// More than the system's buffers on both sides hold several times.
+constexpr std::size_t very_long_answer_bytes = std::size_t{48} * 1024 * 1024;
 constexpr std::string_view plain_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 // Below the idle timeout, and above the limit for bytes that a cut link leaves unacknowledged.
 constexpr milliseconds caller_pause{8'000};
 
+// Takes all that the system holds for the caller, until no sweep of the port is in time.
+std::size_t read_while_nothing_runs(blocking_caller& caller, milliseconds time)
+{
+    const time_point begin = event_loop::now();
+    std::size_t received = 0;
+    while (event_loop::now() - begin < time) {
+        received += caller.read(long_answer_bytes).size();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return received;
+}
+
 } // namespace
 
 TEST_CASE("a long answer whose caller reads nothing for less than the idle timeout is not cut")
@@ -79,3 +95,20 @@
         CHECK(served.read(caller, long_answer_bytes).size() >= long_answer_bytes);
     }
 }
+
+TEST_CASE("an answer is not cut while its caller pauses, once it has emptied the system's buffers before")
+{
+    constexpr milliseconds standstill{300};
+    constexpr int steps = 4;
+    served_port served(very_long_answer_bytes * 16);
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(very_long_answer_bytes, 'a'));
+    std::size_t received = 0;
+    for (int i = 0; i < steps; ++i) {
+        served.run_for({20});
+        received += read_while_nothing_runs(caller, standstill);
+    }
+    served.run_for(caller_pause);
+    CHECK(received + served.read(caller, very_long_answer_bytes - received).size() >= very_long_answer_bytes);
+}
