The wait for the next request begins when an answer has arrived

Seen by callers: a kept connection ended right after they had finished reading an answer, although they might use it again for nearly the whole idle timeout; a request sent there met the end. Cause: whether the caller still reads was asked only once the idle timeout was over, and compared with a figure that was 0 or of an earlier answer. An answer that lay whole in the system's buffer, read meanwhile, changed nothing: 0 equals 0. Ruled out: the daemon's own buffer (the answer of the test, 1 MB, fits the system's), a lowered timeout (the test sets it once). Bytes written less bytes that wait is compared, so that neither a new answer nor an old figure is taken for reading.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -100,14 +100,9 @@
 void caller_connection::allow_pauses()
 {
     const evutil_socket_t socket = bufferevent_getfd(this->raw);
-    if (this->may_pause || !this->was_written) {
-        return;
-    }
-    if (is_window_full(socket)) {
+    if (!this->may_pause && this->was_written && is_window_full(socket)) {
         this->may_pause = true;
         set_unacknowledged_limit(socket, no_limit);
-    } else {
-        this->was_written = this->undelivered_bytes() > 0;
     }
 }
 
@@ -236,17 +231,32 @@
     return !this->closing && has_unread_bytes(bufferevent_getfd(this->raw));
 }
 
-// The system takes bytes in large pieces, so that a caller may read for a while before the buffer shrinks.
-bool caller_connection::is_read_by_caller()
+time_point caller_connection::last_progress() const
 {
-    const std::size_t left = this->undelivered_bytes();
-    return std::exchange(this->left_to_read, left) != left;
+    return std::max(this->last_activity, this->last_delivery);
+}
+
+// The system takes bytes in large pieces, so that a caller may read for a while before the buffer shrinks. It
+// is asked only while something written may still wait.
+void caller_connection::note_delivery(time_point now)
+{
+    if (!this->was_written) {
+        return;
+    }
+    const std::uint64_t left = this->undelivered_bytes();
+    const std::uint64_t delivered = this->written_bytes - std::min(left, this->written_bytes);
+    if (delivered > this->delivered_bytes) {
+        this->delivered_bytes = delivered;
+        this->last_delivery = now;
+    }
+    this->was_written = left > 0;
 }
 
 void caller_connection::on_output_changed(std::size_t added, std::size_t taken)
 {
     byte_budget& unread = *this->owner->unread;
     unread.held += added;
+    this->written_bytes += added;
     this->was_written = this->was_written || added > 0;
     unread.held -= std::min(unread.held, taken);
     if (taken > 0) {
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -116,11 +116,12 @@
 
 void caller_connection::check_timeouts(time_point now)
 {
+    this->note_delivery(now);
     this->allow_pauses();
     if (this->current) {
         return;
     }
-    const milliseconds quiet = now - this->last_activity;
+    const milliseconds quiet = now - this->last_progress();
     if (this->lingers_since) {
         if (quiet > linger_time || now - *this->lingers_since > this->bounds.idle_timeout) {
             this->end(true);
@@ -134,9 +135,7 @@
     if ((!is_quiet && !head_is_late) || this->has_unread_request()) {
         return;
     }
-    if (is_quiet && this->is_read_by_caller()) {
-        this->last_activity = now;
-    } else if (is_inside) {
+    if (is_inside) {
         this->refuse_beyond_bounds(status_request_timeout);
     } else {
         this->report_timeout(quiet);
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -3,6 +3,7 @@
 #include "adapters/caller_port.hpp"
 #include "common/gathered_text.hpp"
 
+#include <cstdint>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -26,8 +27,11 @@
     caller_bounds bounds;
     //! When bytes last moved in either direction.
     time_point last_activity;
-    //! Bytes of answers that had not reached the caller when that was last looked at.
-    std::size_t left_to_read = 0;
+    std::uint64_t written_bytes = 0;
+    //! How many of them had reached the caller when that was last looked at.
+    std::uint64_t delivered_bytes = 0;
+    //! When more of them were last seen to have reached the caller.
+    time_point last_delivery;
     bool keep = true;
     bool closing = false;
     bool has_ended = false;
@@ -67,8 +71,10 @@
     void linger();
     void discard_input();
     void on_output_changed(std::size_t added, std::size_t taken);
-    //! Whether the caller has taken some of its answer since this was last asked.
-    bool is_read_by_caller();
+    //! Looks whether more bytes have reached the caller.
+    void note_delivery(time_point now);
+    //! When bytes last moved at this side or reached the other one.
+    [[nodiscard]] time_point last_progress() const;
     //! Whether it waits for a request of which no byte was read.
     [[nodiscard]] bool is_between_requests() const;
     //! Whether bytes of a request wait in the system to be read.
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -220,3 +220,26 @@
     CHECK(served.read(caller, most_bytes).size() >= most_bytes);
     CHECK(run_until(served.loop, [&] { return served.port.unfinished() == 0; }, {1'000}));
 }
+
+TEST_CASE(
+    "a kept connection is not ended as idle soon after its caller has read an answer that the system held")
+{
+    constexpr int window_bytes = 64 * 1024;
+    constexpr int reads = 18;
+    served_port served;
+    served.set_idle_timeout({1'200});
+    blocking_caller caller(served.at, window_bytes);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(most_bytes, 'a'));
+    std::size_t received = 0;
+    for (int i = 0; i < reads; ++i) {
+        served.run_for({60});
+        received += caller.read(most_bytes / reads).size();
+    }
+    received += served.read(caller, most_bytes - received).size();
+    REQUIRE(received >= most_bytes);
+    served.run_for({700});
+    caller.write(plain_request);
+    run_until(served.loop, [&] { return served.taken.size() == 2; }, {500});
+    CHECK(served.taken.size() == 2);
+}
