A connection lingers while its caller reads or may send the rest

Seen by callers: the rest of a last answer lost to a reset, when they read it slowly and then sent something; a reset behind a 413 when the parts of their request were more than 2 s apart. Cause: a connection that only drops what its caller sends ended after 2 s without input, and after one idle timeout in all, whether or not the caller still read, or still owed the rest of a refused request. Ruled out: the stop's count of what is unfinished; it counts all bytes that are on their way, also of lingering connections. Change: while bytes of the answer wait, or after a refusal, only the idle timeout ends the connection, counted from the last byte that reached the caller. 2 s hold once a whole last answer has arrived. A refused caller that neither sends nor closes keeps its connection for an idle timeout now instead of 2 s. Evidence: adapters.caller_ends has the cases.

--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -11,7 +11,7 @@
 namespace dandelionstep {
 namespace {
 
-// For the next bytes of a request that was refused.
+// For what a caller sends although its whole answer has reached it.
 constexpr milliseconds linger_time{2'000};
 constexpr int status_request_timeout = 408;
 
@@ -42,6 +42,15 @@
     this->discard_input();
 }
 
+// The parts of a request that was refused may be as far apart as those of any other.
+bool caller_connection::may_linger(time_point now) const
+{
+    if (now - std::max(*this->lingers_since, this->last_delivery) > this->bounds.idle_timeout) {
+        return false;
+    }
+    return this->was_refused || this->was_written || now - this->last_progress() <= linger_time;
+}
+
 void caller_connection::discard_input()
 {
     evbuffer* input = bufferevent_get_input(this->raw);
@@ -121,13 +130,13 @@
     if (this->current) {
         return;
     }
-    const milliseconds quiet = now - this->last_progress();
     if (this->lingers_since) {
-        if (quiet > linger_time || now - *this->lingers_since > this->bounds.idle_timeout) {
+        if (!this->may_linger(now)) {
             this->end(true);
         }
         return;
     }
+    const milliseconds quiet = now - this->last_progress();
     const bool is_quiet = quiet > this->bounds.idle_timeout;
     const bool is_inside = !this->closing && this->reader.inside_message();
     const bool head_is_late = is_inside && !this->reader.head_done() && this->reading &&
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -69,6 +69,8 @@
     void dispatch();
     void answered();
     void linger();
+    //! Whether its caller may still read the answer or send the rest of its request.
+    [[nodiscard]] bool may_linger(time_point now) const;
     void discard_input();
     void on_output_changed(std::size_t added, std::size_t taken);
     //! Looks whether more bytes have reached the caller.
--- a/tests/adapters/caller_ends_test.cpp
+++ b/tests/adapters/caller_ends_test.cpp
@@ -243,3 +243,61 @@
     run_until(served.loop, [&] { return served.taken.size() == 2; }, {500});
     CHECK(served.taken.size() == 2);
 }
+
+TEST_CASE("a last answer that its caller reads slowly is not dropped for what the caller sends meanwhile")
+{
+    struct slow_case {
+        milliseconds idle_timeout;
+        int reads = 0;
+        milliseconds interval;
+    };
+    constexpr int window_bytes = 64 * 1024;
+    constexpr std::size_t step_bytes = std::size_t{32} * 1024;
+    for (const slow_case& one : {slow_case{{15'000}, 2, {2'600}}, slow_case{{800}, 14, {150}}}) {
+        CAPTURE(one.reads);
+        served_port served;
+        served.set_idle_timeout(one.idle_timeout);
+        served.port.close_after_answers();
+        blocking_caller caller(served.at, window_bytes);
+        caller.write(plain_request);
+        served.take()->answer(200, {}, std::string(most_bytes, 'a'));
+        std::size_t received = 0;
+        for (int i = 0; i < one.reads; ++i) {
+            served.run_for(one.interval);
+            received += caller.read(step_bytes).size();
+        }
+        CHECK(served.port.unfinished() == 1);
+        caller.write(plain_request);
+        served.run_for({50});
+        received += served.read_to_end(caller).size();
+        CHECK(received >= most_bytes);
+        CHECK_FALSE(caller.was_reset());
+    }
+}
+
+TEST_CASE("a refusal reaches a caller that sends the parts of its request some seconds apart")
+{
+    served_port served;
+    served.port.set_bounds({.max_body_bytes = 1'000});
+    blocking_caller caller(served.at);
+    caller.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 8000\r\n\r\n");
+    for (int i = 0; i < 2; ++i) {
+        caller.write(std::string(2'000, 'a'));
+        served.run_for({2'600});
+    }
+    caller.write(std::string(2'000, 'a'));
+    served.run_for({50});
+    CHECK(caller.read(most_bytes).starts_with("HTTP/1.1 413"));
+    CHECK_FALSE(caller.was_reset());
+}
+
+TEST_CASE("a connection whose caller neither reads its last answer nor sends is closed")
+{
+    served_port served;
+    served.set_idle_timeout({600});
+    served.port.close_after_answers();
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, std::string(long_answer_bytes / 2, 'a'));
+    CHECK(run_until(served.loop, [&] { return served.port.connections() == 0; }, {3'000}));
+}
