A caller that takes nothing is noticed while its request is served

Once a caller had paused, a request was served on for it until its route's deadline, also when its machine was cut off. Ruled out: keep-alive probes, which the system does not send while bytes wait. Change: while a request is served, a connection ends when bytes wait for its caller and none has reached it for the idle timeout, 4 s at least. The bytes are counted here rather than by a longer limit of the system, so that a raised idle timeout holds at once and a caller that takes a little counts as there. The caller of a stream that pauses for longer than the idle timeout is cut off now, as one whose answer is whole was before. In it the caller first takes 2 kB each 250 ms for 6 s and is not cut off, limit 4 s.

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -96,7 +96,7 @@
 }
 
 // To the system a caller that pauses behind a full window looks like one that is cut off, also when the
-// window has been open since. The idle timeout bounds a pause.
+// window has been open since. `check_delivery` and the idle timeout bound a pause.
 void caller_connection::allow_pauses()
 {
     const evutil_socket_t socket = bufferevent_getfd(this->raw);
@@ -257,7 +257,10 @@
     byte_budget& unread = *this->owner->unread;
     unread.held += added;
     this->written_bytes += added;
-    this->was_written = this->was_written || added > 0;
+    if (added > 0 && !this->was_written) {
+        this->was_written = true;
+        this->last_delivery = event_loop::now();
+    }
     unread.held -= std::min(unread.held, taken);
     if (taken > 0) {
         this->last_activity = event_loop::now();
--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -1,6 +1,7 @@
 #include "adapters/internal/caller_connection.hpp"
 
 #include "adapters/http_text.hpp"
+#include "adapters/socket_options.hpp"
 #include "adapters/socket_state.hpp"
 
 #include <algorithm>
@@ -78,11 +79,10 @@
     }
 }
 
-void caller_connection::report_timeout(milliseconds quiet) const
+void caller_connection::report_timeout(milliseconds quiet, milliseconds timeout) const
 {
     if (this->owner->on_timeout) {
-        this->owner->on_timeout({quiet, this->bounds.idle_timeout,
-                                 evbuffer_get_length(bufferevent_get_output(this->raw)),
+        this->owner->on_timeout({quiet, timeout, evbuffer_get_length(bufferevent_get_output(this->raw)),
                                  evbuffer_get_length(bufferevent_get_input(this->raw))});
     }
 }
@@ -123,11 +123,23 @@
     }
 }
 
+// The system does not notice that a caller is cut off once it was allowed to pause.
+void caller_connection::check_delivery(time_point now)
+{
+    const milliseconds limit = std::max(this->bounds.idle_timeout, unacknowledged_limit);
+    const milliseconds quiet = now - this->last_delivery;
+    if (this->was_written && quiet > limit) {
+        this->report_timeout(quiet, limit);
+        this->end(true);
+    }
+}
+
 void caller_connection::check_timeouts(time_point now)
 {
     this->note_delivery(now);
     this->allow_pauses();
     if (this->current) {
+        this->check_delivery(now);
         return;
     }
     if (this->lingers_since) {
@@ -147,7 +159,7 @@
     if (is_inside) {
         this->refuse_beyond_bounds(status_request_timeout);
     } else {
-        this->report_timeout(quiet);
+        this->report_timeout(quiet, this->bounds.idle_timeout);
         this->end(true);
     }
 }
--- a/src/adapters/internal/caller_connection.hpp
+++ b/src/adapters/internal/caller_connection.hpp
@@ -30,7 +30,7 @@
     std::uint64_t written_bytes = 0;
     //! How many of them had reached the caller when that was last looked at.
     std::uint64_t delivered_bytes = 0;
-    //! When more of them were last seen to have reached the caller.
+    //! When more of them were last seen to have reached the caller, or the first of them began to wait.
     time_point last_delivery;
     bool keep = true;
     bool closing = false;
@@ -88,10 +88,12 @@
     void report_unanswered() const;
     void allow_pauses();
     void report_unread() const;
-    void report_timeout(milliseconds quiet) const;
+    void report_timeout(milliseconds quiet, milliseconds timeout) const;
     void report_unreadable(int status) const;
     void end(bool gone);
     void check_timeouts(time_point now);
+    //! Ends the connection of a caller that has taken nothing for too long, whatever is being served.
+    void check_delivery(time_point now);
 };
 
 //! What all connections of a port share.
--- a/tests/adapters/caller_pauses_test.cpp
+++ b/tests/adapters/caller_pauses_test.cpp
@@ -112,3 +112,27 @@
     served.run_for(caller_pause);
     CHECK(received + served.read(caller, very_long_answer_bytes - received).size() >= very_long_answer_bytes);
 }
+
+TEST_CASE(
+    "a caller that takes no more of an answer is not served on without end, and one that takes a little is")
+{
+    constexpr int window_bytes = 4096;
+    constexpr std::size_t step_bytes = 2'000;
+    constexpr int reads = 24;
+    served_port served;
+    served.set_idle_timeout({1'000});
+    blocking_caller caller(served.at, window_bytes);
+    caller.write(plain_request);
+    const std::shared_ptr<caller_exchange> stream = served.take();
+    bool is_told = false;
+    stream->on_gone = [&is_told] { is_told = true; };
+    stream->start(200, {});
+    stream->write(std::string(long_answer_bytes, 'a'));
+    for (int i = 0; i < reads; ++i) {
+        served.run_for({250});
+        caller.read(step_bytes);
+    }
+    CHECK_FALSE(stream->gone());
+    CHECK(run_until(served.loop, [&] { return stream->gone(); }, {7'000}));
+    CHECK(is_told);
+}
