A timeout's report counts what waits in the system

Seen by operators: a connection that was ended while a whole answer lay untaken in the system's buffer was counted as owed="nothing" and logged nowhere; one that lingered with bytes of an answer was not counted at all. Cause: `unsent_bytes` was the daemon's own buffer alone. Ruled out: owed="request" can't be reached, since a request that stops arriving gets a 408. `quiet_ms` and `timeout_ms` are checked, too.

--- a/src/adapters/caller_connection_end.cpp
+++ b/src/adapters/caller_connection_end.cpp
@@ -82,8 +82,7 @@
 void caller_connection::report_timeout(milliseconds quiet, milliseconds timeout) const
 {
     if (this->owner->on_timeout) {
-        this->owner->on_timeout({quiet, timeout, evbuffer_get_length(bufferevent_get_output(this->raw)),
-                                 evbuffer_get_length(bufferevent_get_input(this->raw))});
+        this->owner->on_timeout({quiet, timeout, this->undelivered_bytes()});
     }
 }
 
@@ -144,6 +143,9 @@
     }
     if (this->lingers_since) {
         if (!this->may_linger(now)) {
+            if (this->was_written) {
+                this->report_timeout(now - this->last_delivery, this->bounds.idle_timeout);
+            }
             this->end(true);
         }
         return;
--- a/src/adapters/caller_port.hpp
+++ b/src/adapters/caller_port.hpp
@@ -56,10 +56,8 @@
     //! Since when nothing moved, and for how long nothing may.
     milliseconds quiet;
     milliseconds timeout;
-    //! Bytes of an answer that the caller had not taken.
+    //! Bytes of an answer, here or in the system, that the caller had not taken.
     std::size_t unsent_bytes = 0;
-    //! Bytes of a request that had been read.
-    std::size_t unread_bytes = 0;
 };
 
 //! A request that was refused before it was read to its end.
--- a/src/entry/caller_reports.cpp
+++ b/src/entry/caller_reports.cpp
@@ -14,16 +14,15 @@
 // Connections that were merely idle are counted alone.
 void note_timeout(entry_context& context, const timed_out_connection& ended)
 {
-    if (ended.unsent_bytes == 0 && ended.unread_bytes == 0) {
+    if (ended.unsent_bytes == 0) {
         ++context.metrics.callers_timed_out["nothing"];
         return;
     }
-    ++context.metrics.callers_timed_out[ended.unsent_bytes > 0 ? "answer" : "request"];
+    ++context.metrics.callers_timed_out["answer"];
     if (may_log_failure(context)) {
         log_event("caller_timed_out", {{"quiet_ms", ended.quiet},
                                        {"timeout_ms", ended.timeout},
-                                       {"unsent_bytes", static_cast<std::int64_t>(ended.unsent_bytes)},
-                                       {"unread_bytes", static_cast<std::int64_t>(ended.unread_bytes)}});
+                                       {"unsent_bytes", static_cast<std::int64_t>(ended.unsent_bytes)}});
     }
 }
 
--- a/tests/adapters/caller_timeouts_test.cpp
+++ b/tests/adapters/caller_timeouts_test.cpp
@@ -68,6 +68,46 @@
     REQUIRE(run_until(served.loop, [&] { return served.port.connections() == 0; }, {3'000}));
     REQUIRE(told.size() == 1);
     CHECK(told[0].unsent_bytes > 0);
+    CHECK(told[0].timeout == milliseconds{300});
+    CHECK(told[0].quiet > told[0].timeout);
+}
+
+TEST_CASE(
+    "an answer that waits whole in the system is not told as nothing when a timeout ends its connection")
+{
+    constexpr int window_bytes = 4096;
+    constexpr std::size_t answer_bytes = 200'000;
+    for (const std::string_view request : {plain_request, last_request}) {
+        CAPTURE(request);
+        served_port served;
+        std::vector<timed_out_connection> told;
+        served.port.on_timeout([&told](const timed_out_connection& ended) { told.push_back(ended); });
+        served.set_idle_timeout({300});
+        blocking_caller caller(served.at, window_bytes);
+        caller.write(request);
+        served.take()->answer(200, {}, std::string(answer_bytes, 'a'));
+        REQUIRE(run_until(served.loop, [&] { return served.port.connections() == 0; }, {4'000}));
+        REQUIRE(told.size() == 1);
+        CHECK(told[0].unsent_bytes > answer_bytes / 2);
+        CHECK(told[0].unsent_bytes < answer_bytes + 1'000);
+        CHECK(told[0].timeout == milliseconds{300});
+        CHECK(told[0].quiet > told[0].timeout);
+    }
+}
+
+TEST_CASE("an idle connection that a timeout ends is told with no bytes once its caller has its answer")
+{
+    served_port served;
+    std::vector<timed_out_connection> told;
+    served.port.on_timeout([&told](const timed_out_connection& ended) { told.push_back(ended); });
+    served.set_idle_timeout({300});
+    blocking_caller caller(served.at);
+    caller.write(plain_request);
+    served.take()->answer(200, {}, "one");
+    REQUIRE(run_until(served.loop, [&] { return served.port.connections() == 0; }, {3'000}));
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].unsent_bytes == 0);
+    CHECK(told[0].quiet > told[0].timeout);
 }
 
 TEST_CASE("an answer that its caller still reads is not cut by a planned stop")
