--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -95,8 +95,9 @@
     return true;
 }
 
-// To the system a caller that pauses behind a full window looks like one that is cut off, also when the
-// window has been open since. `check_delivery` and the idle timeout bound a pause.
+// The system's limit (TCP_USER_TIMEOUT) also counts the time of a zero window, also when the window has been
+// open since, so that a caller that pauses looks like one that is cut off. `check_delivery` and the idle
+// timeout bound a pause.
 void caller_connection::allow_pauses()
 {
     const evutil_socket_t socket = bufferevent_getfd(this->raw);
