A caller that takes nothing of its answer no longer holds dandelionstepd for good

What callers saw: nothing; the daemon kept the connection, its answer's bytes and a place among its callers for as long as the caller stayed, and a planned stop waited for the drain limit. The second request on a kept connection had no time bound either. Cause: `restore_idle_timeout` and `on_request` set the timeouts of the library's connection, which are zero and stand for none; the library keeps them with the port. After its first request a connection had neither a receive nor a send timeout. Ruled out: that the receive timeout cuts an answer while it is read. Its test passes on the code as it was (the timeout was off), and fails (4.3 and 4.5 of 12.6 MB) once the timeouts are put right alone; it stays as a guard. Change: the port's timeouts hold again. The receive timeout ends a connection only while a request is arriving or the first one has yet to come; an answer on its way has the send timeout, which goes on while the caller takes bytes. Kept connections without a request stay open, as before. Evidence: adapters.caller_server_reading, two of its four cases failed before ("takes nothing", "second request"); 10 of 10 runs pass, adapters.caller_server_standstill 10 of 10.

--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -8,6 +8,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <iterator>
+#include <unordered_map>
 
 #include <evhtp/evhtp.h>
 
@@ -84,6 +86,21 @@
     return buffer;
 }
 
+std::size_t unsent_bytes(bufferevent* connection)
+{
+    return evbuffer_get_length(bufferevent_get_output(connection)) +
+           unacknowledged_bytes(bufferevent_getfd(connection));
+}
+
+// Not while an answer is on its way, nor between two requests on a kept connection.
+bool waits_for_request(const evhtp_connection_t& connection)
+{
+    if (connection.request == nullptr) {
+        return (connection.flags & EVHTP_CONN_FLAG_KEEPALIVE) == 0;
+    }
+    return (connection.request->flags & EVHTP_REQ_FLAG_FINISHED) == 0;
+}
+
 } // namespace
 
 void caller_reply::add_header(const std::string& name, const std::string& value)
@@ -139,17 +156,19 @@
     }
 }
 
+// The library keeps the timeouts with the port; those of its connections are zero, which stands for none.
 void caller_reply::restore_idle_timeout()
 {
-    bufferevent_set_timeouts(this->raw->conn->bev, &this->raw->conn->recv_timeo,
-                             &this->raw->conn->send_timeo);
+    const evhtp* port = this->raw->conn->htp;
+    bufferevent_set_timeouts(this->raw->conn->bev, &port->recv_timeo, &port->send_timeo);
 }
 
 struct caller_server::state {
     evhtp* raw = nullptr;
     caller_limits limits;
     handler handle;
-    int connections = 0;
+    //! With the bytes that their callers had yet to take when a send timeout last came.
+    std::unordered_map<const evhtp_connection_t*, std::size_t> connections;
     int unfinished = 0;
     //! What the HTTP library does when a connection ends or times out.
     bufferevent_event_cb library_event = nullptr;
@@ -163,10 +182,10 @@
     static evhtp_res on_connect(evhtp_connection_t* connection, void* argument)
     {
         auto* server = static_cast<state*>(argument);
-        if (server->connections >= server->limits.max_connections) {
+        if (std::ssize(server->connections) >= server->limits.max_connections) {
             return EVHTP_RES_ERROR;
         }
-        ++server->connections;
+        server->connections.emplace(connection, 0);
         server->watch_timeouts(connection->bev);
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(on_connection_end),
                                   server);
@@ -182,22 +201,37 @@
         bufferevent_setcb(connection, on_read, on_write, on_event, argument);
     }
 
-    // After a standstill a timeout may come before the bytes that wait in the system.
     static void on_event(bufferevent* connection, short what, void* argument)
     {
         const auto* library = static_cast<evhtp_connection_t*>(argument);
-        const auto* server = static_cast<state*>(library->htp->defaults.post_accept_cbarg);
-        const bool is_late = what == (BEV_EVENT_TIMEOUT | BEV_EVENT_READING);
-        if (is_late && has_unread_bytes(bufferevent_getfd(connection))) {
+        auto* server = static_cast<state*>(library->htp->defaults.post_accept_cbarg);
+        if (what == (BEV_EVENT_TIMEOUT | BEV_EVENT_READING) && may_read_on(*library)) {
             bufferevent_enable(connection, EV_READ);
             return;
         }
+        if (what == (BEV_EVENT_TIMEOUT | BEV_EVENT_WRITING) && server->may_write_on(*library)) {
+            bufferevent_enable(connection, EV_WRITE);
+            return;
+        }
         server->library_event(connection, what, argument);
     }
 
-    static evhtp_res on_connection_end(evhtp_connection_t* /*connection*/, void* argument)
+    // After a standstill a timeout may come before the bytes that wait in the system.
+    static bool may_read_on(const evhtp_connection_t& connection)
+    {
+        return !waits_for_request(connection) || has_unread_bytes(bufferevent_getfd(connection.bev));
+    }
+
+    // The system asks for more only once a third of its buffer is free; until then the caller may be reading.
+    bool may_write_on(const evhtp_connection_t& connection)
+    {
+        const std::size_t unsent = unsent_bytes(connection.bev);
+        return unsent != std::exchange(this->connections.at(&connection), unsent);
+    }
+
+    static evhtp_res on_connection_end(evhtp_connection_t* connection, void* argument)
     {
-        --static_cast<state*>(argument)->connections;
+        static_cast<state*>(argument)->connections.erase(connection);
         return EVHTP_RES_OK;
     }
 
@@ -222,7 +256,7 @@
         ++server->unfinished;
         evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, as_hook(on_request_end), held.release());
         // A caller that waits for its answer sends nothing, which must not count against it.
-        bufferevent_set_timeouts(raw->conn->bev, nullptr, &raw->conn->send_timeo);
+        bufferevent_set_timeouts(raw->conn->bev, nullptr, &raw->conn->htp->send_timeo);
         const received_request request = receive(raw);
         if (request.body.size() > server->limits.max_body_bytes) {
             reply->add_header("Outcome", "not_run");
@@ -295,7 +329,7 @@
 
 int caller_server::connections() const
 {
-    return this->self->connections;
+    return static_cast<int>(this->self->connections.size());
 }
 
 } // namespace dandelionstep
