A caller of dandelionstepd that ends its own direction gets its ready answer

What callers saw: a cut answer after a half-close: 49 kB of 12.6 MB. A short answer, which leaves at once, came whole. Cause: the library ends the connection when the end of input is read, whatever waits in its output. Change: with an answer ready, the end of input lets the connection end behind the answer's last byte. A request that is being served then still counts as left, as at the entry daemon; so does every end under TLS, whose library stops both directions.

--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -101,6 +101,14 @@
     return (connection.request->flags & EVHTP_REQ_FLAG_FINISHED) == 0;
 }
 
+// Whether a caller that sends nothing more has an answer to take. TLS ends both directions at once.
+bool has_ready_answer(const evhtp_connection_t& connection)
+{
+    return connection.request != nullptr && connection.ssl == nullptr &&
+           (connection.request->flags & EVHTP_REQ_FLAG_FINISHED) != 0 &&
+           evbuffer_get_length(bufferevent_get_output(connection.bev)) > 0;
+}
+
 } // namespace
 
 void caller_reply::add_header(const std::string& name, const std::string& value)
@@ -213,6 +221,11 @@
             bufferevent_enable(connection, EV_WRITE);
             return;
         }
+        if (what == (BEV_EVENT_EOF | BEV_EVENT_READING) && has_ready_answer(*library)) {
+            // The library ends the connection behind the last byte of an answer that keeps it no longer.
+            evhtp_request_disable_flag(library->request, EVHTP_REQ_FLAG_KEEPALIVE);
+            return;
+        }
         server->library_event(connection, what, argument);
     }
 
--- a/tests/adapters/caller_server_reading_test.cpp
+++ b/tests/adapters/caller_server_reading_test.cpp
@@ -114,3 +114,17 @@
     caller.write(plain_request.substr(0, 10));
     CHECK(served.is_left_by_all({3'000}));
 }
+
+TEST_CASE(
+    "a caller of dandelionstepd that ends its own direction gets its ready answer, and its connection ends")
+{
+    for (const std::size_t answer_bytes : {std::size_t{10}, long_answer_bytes}) {
+        CAPTURE(answer_bytes);
+        answering_server served(limits_of(long_timeout, long_timeout), answer_bytes);
+        blocking_caller caller(served.at);
+        caller.write(plain_request);
+        caller.end_writing();
+        CHECK(served.read_slowly(caller, step_bytes, {10}) >= answer_bytes);
+        CHECK(served.is_left_by_all({2'000}));
+    }
+}
