dandelionstepd does not reuse a connection on which bytes or the end lie

What callers could get: another answer than their own. What a target wrote behind an answer in the same piece, or behind a 204 that told a length, was read as the answer to the next request; on a kept connection whose end lay unread the request broke off. Cause: a kept connection was used again without a look at the library's buffer and at the socket. Ruled out: bytes that come while a connection is kept and the loop reads them; the library closes it. Change: `take_kept` drops connections that are not open and silent, read or not.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http_client.hpp"
 
 #include "adapters/log.hpp"
+#include "adapters/socket_state.hpp"
 
 #include <algorithm>
 #include <event2/buffer.h>
@@ -19,6 +20,7 @@
 constexpr std::int64_t max_head_bytes = 64LL * 1024;
 // libevent's own timeout is only a backstop: it must not fire before an exchange's own timer.
 constexpr int connection_timeout_seconds = 600;
+constexpr int first_error_status = 300;
 
 evhttp_cmd_type method_of(std::string_view name)
 {
@@ -41,6 +43,14 @@
     return text;
 }
 
+// Whether the connection is open and no byte has come that belongs to no request, read or not.
+bool is_clean(evhttp_connection* connection)
+{
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
+           is_open_and_silent(bufferevent_getfd(stream));
+}
+
 } // namespace
 
 std::string http_result::header(std::string_view name) const
@@ -112,16 +122,29 @@
 
     std::unique_ptr<http_connection> take(const endpoint& to, bool new_connection)
     {
-        std::vector<std::unique_ptr<http_connection>>& kept = this->idle[to];
-        if (new_connection || kept.empty()) {
-            return this->connect(to);
+        std::unique_ptr<http_connection> connection = new_connection ? nullptr : this->take_kept(to);
+        if (!connection) {
+            connection = this->connect(to);
         }
-        std::unique_ptr<http_connection> connection = std::move(kept.back());
-        kept.pop_back();
         connection->bytes_sent = false;
         return connection;
     }
 
+    // What came behind an answer would be read as the answer to the next request.
+    std::unique_ptr<http_connection> take_kept(const endpoint& to)
+    {
+        std::vector<std::unique_ptr<http_connection>>& kept = this->idle[to];
+        while (!kept.empty()) {
+            std::unique_ptr<http_connection> connection = std::move(kept.back());
+            kept.pop_back();
+            if (is_clean(connection->raw)) {
+                return connection;
+            }
+            this->discard(std::move(connection));
+        }
+        return nullptr;
+    }
+
     void discard(std::unique_ptr<http_connection> connection)
     {
         if (connection) {
@@ -183,7 +206,6 @@
         }
         const std::string text = take_text(evhttp_request_get_input_buffer(raw));
         const int status = evhttp_request_get_response_code(raw);
-        constexpr int first_error_status = 300;
         if (self->part && status < first_error_status) {
             self->part(text);
         } else if (!self->body.append(text)) {
--- a/tests/adapters/http_client_test.cpp
+++ b/tests/adapters/http_client_test.cpp
@@ -114,3 +114,99 @@
     }
     CHECK(run_until(loop, [&] { return budget->held == 0; }));
 }
+
+namespace {
+
+// Writes `first_answer` to the first request and, on any connection, "second" to those behind it.
+struct two_answers_server {
+    std::string first_answer;
+    int requests = 0;
+    scripted_server server;
+
+    two_answers_server(event_loop& loop, std::string first_in)
+        : first_answer(std::move(first_in)), server(loop, [this](raw_connection& connection) {
+              if (std::exchange(connection.received, {}).ends_with("\r\n\r\n")) {
+                  const bool is_first = ++this->requests == 1;
+                  connection.write(is_first ? this->first_answer
+                                            : "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+              }
+          })
+    {}
+};
+
+http_result ask(event_loop& loop, http_client& client, const endpoint& to)
+{
+    std::vector<http_result> results;
+    client.send(to, plain_request(), [&](const http_result& result) { results.push_back(result); });
+    REQUIRE(run_until(loop, [&] { return !results.empty(); }));
+    return results.front();
+}
+
+constexpr std::string_view stray_answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+
+} // namespace
+
+TEST_CASE("a second answer to one request is not the answer to the next")
+{
+    event_loop loop;
+    http_client client(loop);
+    two_answers_server target(loop, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst" +
+                                        std::string(stray_answer));
+    CHECK(ask(loop, client, target.server.address()).body == "first");
+    CHECK(ask(loop, client, target.server.address()).body == "second");
+}
+
+TEST_CASE("a body behind an answer that has none is not the answer to the next request")
+{
+    event_loop loop;
+    http_client client(loop);
+    two_answers_server target(loop, "HTTP/1.1 204 No Content\r\nContent-Length: 43\r\n\r\n" +
+                                        std::string(stray_answer));
+    CHECK(ask(loop, client, target.server.address()).status == 204);
+    CHECK(ask(loop, client, target.server.address()).body == "second");
+}
+
+TEST_CASE("a request does not go to a kept connection on which something lies unread")
+{
+    for (const bool is_end : {true, false}) {
+        CAPTURE(is_end);
+        event_loop loop;
+        http_client client(loop);
+        raw_connection* first = nullptr;
+        scripted_server target(loop, [&](raw_connection& connection) {
+            if (std::exchange(connection.received, {}).ends_with("\r\n\r\n")) {
+                first = first == nullptr ? &connection : first;
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+            }
+        });
+        ask(loop, client, target.address());
+        if (is_end) {
+            first->end_writing();
+        } else {
+            first->write(stray_answer);
+        }
+        const http_result next = ask(loop, client, target.address());
+        CHECK(next.answered());
+        CHECK(next.body == "right");
+    }
+}
+
+TEST_CASE("a request does not go to a kept connection on which something came after the answer")
+{
+    event_loop loop;
+    http_client client(loop);
+    raw_connection* first = nullptr;
+    int requests_on_first = 0;
+    scripted_server target(loop, [&](raw_connection& connection) {
+        if (std::exchange(connection.received, {}).ends_with("\r\n\r\n")) {
+            first = first == nullptr ? &connection : first;
+            const bool is_second_there = &connection == first && ++requests_on_first == 2;
+            connection.write(is_second_there ? stray_answer
+                                             : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+        }
+    });
+    ask(loop, client, target.address());
+    first->write("HTTP/1.1 100 Continue\r\n\r\n");
+    run_until(loop, [] { return false; }, {30});
+    CHECK(ask(loop, client, target.address()).body == "right");
+}
--- a/tests/support/scripted_peer.cpp
+++ b/tests/support/scripted_peer.cpp
@@ -68,6 +68,13 @@
     }
 }
 
+void raw_connection::end_writing()
+{
+    if (this->raw) {
+        shutdown(bufferevent_getfd(raw_of(this->raw)), SHUT_WR);
+    }
+}
+
 void raw_connection::close()
 {
     if (this->raw) {
--- a/tests/support/scripted_peer.hpp
+++ b/tests/support/scripted_peer.hpp
@@ -17,6 +17,8 @@
     bool closed = false;
 
     void write(std::string_view bytes);
+    //! Ends this side's direction at once, before the loop runs again.
+    void end_writing();
     //! Ends the connection in order.
     void close();
     //! Ends it with a reset.
