dandelionstepd takes no status below 200 for an answer

What callers could get: a 103, or a 99 with a body, as the answer to their request; the 200 behind the 103 then was the answer to the next request. Cause: the library passes over 100 alone and counts every other status as final. Change: such an exchange fails as broken, no part of its body is handed on, and its connection is closed (`response_not_final`).

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t max_head_bytes = 64LL * 1024;
 // libevent's own timeout is only a backstop: it must not fire before an exchange's own timer.
 constexpr int connection_timeout_seconds = 600;
+constexpr int first_final_status = 200;
 constexpr int first_error_status = 300;
 
 evhttp_cmd_type method_of(std::string_view name)
@@ -206,6 +207,9 @@
         }
         const std::string text = take_text(evhttp_request_get_input_buffer(raw));
         const int status = evhttp_request_get_response_code(raw);
+        if (status < first_final_status) {
+            return;
+        }
         if (self->part && status < first_error_status) {
             self->part(text);
         } else if (!self->body.append(text)) {
@@ -255,6 +259,14 @@
             self->owner->finish(*self, sent ? http_failure::broken : http_failure::not_connected);
             return;
         }
+        // The library passes over 100 alone, so that the final answer behind another one
+        // would be the next request's.
+        if (evhttp_request_get_response_code(raw) < first_final_status) {
+            log_event("response_not_final",
+                      {{"from", to_string(self->to)}, {"status", evhttp_request_get_response_code(raw)}});
+            self->owner->finish(*self, http_failure::broken);
+            return;
+        }
         self->result.status = evhttp_request_get_response_code(raw);
         const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
         for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
--- a/tests/adapters/http_client_test.cpp
+++ b/tests/adapters/http_client_test.cpp
@@ -166,6 +166,31 @@
     CHECK(ask(loop, client, target.server.address()).body == "second");
 }
 
+TEST_CASE("an interim answer is not taken for the answer, nor the final one for the next request's")
+{
+    event_loop loop;
+    http_client client(loop);
+    two_answers_server target(loop, "HTTP/1.1 103 Early Hints\r\n\r\n" + std::string(stray_answer));
+    CHECK(ask(loop, client, target.server.address()).failure == http_failure::broken);
+    CHECK(ask(loop, client, target.server.address()).body == "second");
+}
+
+TEST_CASE("a status below 100 is no answer, and no part of its body is handed on")
+{
+    event_loop loop;
+    http_client client(loop);
+    two_answers_server target(loop, "HTTP/1.1 99 Odd\r\nContent-Length: 5\r\n\r\nstray");
+    std::string parts;
+    std::vector<http_result> results;
+    client.stream(
+        target.server.address(), plain_request(), [&](std::string_view part) { parts += part; },
+        [&](const http_result& result) { results.push_back(result); });
+    REQUIRE(run_until(loop, [&] { return !results.empty(); }));
+    CHECK(results.front().failure == http_failure::broken);
+    CHECK(parts.empty());
+    CHECK(ask(loop, client, target.server.address()).body == "second");
+}
+
 TEST_CASE("a request does not go to a kept connection on which something lies unread")
 {
     for (const bool is_end : {true, false}) {
