A planned stop of dandelionstepd waits for requests that arrive in parts

What callers saw: a request whose body came in two parts, with a SIGTERM between them, was cut without an answer 1 s after the signal, although the drain limit is 60 s. Cause: the stop counted requests that had arrived whole. Change: a request counts from its first byte. What has not arrived whole at the limit, or at a second SIGTERM, is answered 503 with outcome `not_run`, and the rest of it is read and dropped so that no reset overtakes the answer (`arriving_requests_refused`). A request of which no byte has been read yet does not count, as before.

--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "adapters/certificate.hpp"
 #include "adapters/socket_state.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -109,6 +110,33 @@
            evbuffer_get_length(bufferevent_get_output(connection.bev)) > 0;
 }
 
+// Whether a part of a request has come; its end hook is set when it is whole.
+bool is_arriving(const evhtp_connection_t& connection)
+{
+    const evhtp_request_t* request = connection.request;
+    return request != nullptr && (request->hooks == nullptr || request->hooks->on_request_fini == nullptr);
+}
+
+std::string refusal_text(int status, const http_headers& headers, std::string_view body)
+{
+    std::string text =
+        absl::StrCat("HTTP/1.1 ", status, " Refused\r\nConnection: close\r\n",
+                     "Content-Type: application/json\r\nContent-Length: ", body.size(), "\r\n");
+    for (const auto& [name, value] : headers) {
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    }
+    text += "\r\n";
+    text += body;
+    return text;
+}
+
+// Bytes that stay unread would reset the connection at its end, and the reset may overtake the refusal.
+void discard_input(bufferevent* connection, void* /*argument*/)
+{
+    evbuffer* input = bufferevent_get_input(connection);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 } // namespace
 
 void caller_reply::add_header(const std::string& name, const std::string& value)
@@ -176,14 +204,12 @@
     caller_limits limits;
     handler handle;
     //! With the bytes that their callers had yet to take when a send timeout last came.
-    std::unordered_map<const evhtp_connection_t*, std::size_t> connections;
-    int unfinished = 0;
+    std::unordered_map<evhtp_connection_t*, std::size_t> connections;
     //! What the HTTP library does when a connection ends or times out.
     bufferevent_event_cb library_event = nullptr;
 
     // Ties one request to its reply until the last byte of the answer has left.
     struct held_reply {
-        state& server;
         std::shared_ptr<caller_reply> reply;
     };
 
@@ -211,7 +237,7 @@
 
     static void on_event(bufferevent* connection, short what, void* argument)
     {
-        const auto* library = static_cast<evhtp_connection_t*>(argument);
+        auto* library = static_cast<evhtp_connection_t*>(argument);
         auto* server = static_cast<state*>(library->htp->defaults.post_accept_cbarg);
         if (what == (BEV_EVENT_TIMEOUT | BEV_EVENT_READING) && may_read_on(*library)) {
             bufferevent_enable(connection, EV_READ);
@@ -236,7 +262,7 @@
     }
 
     // The system asks for more only once a third of its buffer is free; until then the caller may be reading.
-    bool may_write_on(const evhtp_connection_t& connection)
+    bool may_write_on(evhtp_connection_t& connection)
     {
         const std::size_t unsent = unsent_bytes(connection.bev);
         return unsent != std::exchange(this->connections.at(&connection), unsent);
@@ -251,7 +277,6 @@
     static evhtp_res on_request_end(evhtp_request_t* /*request*/, void* argument)
     {
         const std::unique_ptr<held_reply> held(static_cast<held_reply*>(argument));
-        --held->server.unfinished;
         caller_reply& reply = *held->reply;
         const bool unanswered = std::exchange(reply.raw, nullptr) != nullptr;
         if (const std::function<void()> run = std::move(reply.when_gone); unanswered && run) {
@@ -265,8 +290,7 @@
         auto* server = static_cast<state*>(argument);
         const auto reply = std::make_shared<caller_reply>(raw);
         // The request's end hook owns this reference and releases it.
-        auto held = std::unique_ptr<held_reply>(new held_reply{*server, reply});
-        ++server->unfinished;
+        auto held = std::unique_ptr<held_reply>(new held_reply{reply});
         evhtp_request_set_hook(raw, evhtp_hook_on_request_fini, as_hook(on_request_end), held.release());
         // A caller that waits for its answer sends nothing, which must not count against it.
         bufferevent_set_timeouts(raw->conn->bev, nullptr, &raw->conn->htp->send_timeo);
@@ -337,7 +361,23 @@
 
 int caller_server::unfinished() const
 {
-    return this->self->unfinished;
+    const auto& open = this->self->connections;
+    return static_cast<int>(
+        std::ranges::count_if(open, [](const auto& one) { return one.first->request != nullptr; }));
+}
+
+int caller_server::refuse_arriving(int status, const http_headers& headers, std::string_view body)
+{
+    const std::string text = refusal_text(status, headers, body);
+    int refused = 0;
+    for (const auto& [connection, unsent] : this->self->connections) {
+        if (is_arriving(*connection)) {
+            bufferevent_setcb(connection->bev, discard_input, nullptr, nullptr, nullptr);
+            bufferevent_write(connection->bev, text.data(), text.size());
+            ++refused;
+        }
+    }
+    return refused;
 }
 
 int caller_server::connections() const
--- a/src/adapters/caller_server.hpp
+++ b/src/adapters/caller_server.hpp
@@ -69,8 +69,11 @@
     //! InvalidArgument: the files do not hold a certificate and its key; what was in use stays.
     absl::Status use_tls(const tls_files& files);
     absl::Status listen(const endpoint& at);
-    //! Requests whose answers have not left whole.
+    //! Requests that have not arrived whole, or whose answers have not left whole.
     [[nodiscard]] int unfinished() const;
+    //! Answers the requests that have not arrived whole and drops what still comes of them, until the process
+    //! ends; returns their number.
+    int refuse_arriving(int status, const http_headers& headers, std::string_view body);
     //! Callers connected now.
     [[nodiscard]] int connections() const;
 
--- a/src/daemon/answers.cpp
+++ b/src/daemon/answers.cpp
@@ -24,6 +24,22 @@
     reply.send(http_status(why.code), refusal_body(why));
 }
 
+// Takes a refusal for all requests that are still arriving.
+struct arriving_reply {
+    caller_server& callers;
+    http_headers headers;
+    int refused = 0;
+
+    void add_header(const std::string& name, const std::string& value)
+    {
+        this->headers.emplace_back(name, value);
+    }
+    void send(int status, const std::string& body)
+    {
+        this->refused = this->callers.refuse_arriving(status, this->headers, body);
+    }
+};
+
 bool kept_level(const declarations& declared, const finished_request& finished)
 {
     if (finished.kind == "generation") {
@@ -59,6 +75,13 @@
     send_refusal_by(reply, why);
 }
 
+int refuse_arriving(caller_server& callers, const refusal& why)
+{
+    arriving_reply reply{.callers = callers, .headers = {}};
+    send_refusal_by(reply, why);
+    return reply.refused;
+}
+
 std::optional<std::string> bearer_token_hash(const received_request& request)
 {
     constexpr std::string_view prefix = "Bearer ";
--- a/src/daemon/answers.hpp
+++ b/src/daemon/answers.hpp
@@ -22,6 +22,8 @@
 void send_refusal(caller_reply& reply, const refusal& why);
 //! The same for an operator.
 void send_refusal(http_reply& reply, const refusal& why);
+//! The same for all callers whose requests have not arrived whole; returns their number.
+int refuse_arriving(caller_server& callers, const refusal& why);
 
 //! The SHA-256 of the request's bearer token, in hexadecimal; nullopt without one.
 std::optional<std::string> bearer_token_hash(const received_request& request);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/caller_server.hpp"
 #include "adapters/log.hpp"
+#include "daemon/answers.hpp"
 #include "daemon/caller_routes.hpp"
 #include "daemon/configuration_sync.hpp"
 #include "daemon/context.hpp"
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr milliseconds stop_check_interval{50};
+constexpr milliseconds retry_after_stop{1000};
 
 caller_limits limits_of(const settings& configured)
 {
@@ -155,6 +157,12 @@
             log_event("order_answers_not_kept", {{"count", this->orders.unwritten()}});
         }
         this->context.open.give_up();
+        const int refused = refuse_arriving(
+            this->callers,
+            execution_tracker{}.refuse(error_code::stopping, "this daemon is stopping", retry_after_stop));
+        if (refused > 0) {
+            log_event("arriving_requests_refused", {{"count", refused}});
+        }
     }
 
     const settings& configured;
--- a/tests/process/stop_limit_proof_test.cpp
+++ b/tests/process/stop_limit_proof_test.cpp
@@ -1,5 +1,7 @@
+#include "support/blocking_caller.hpp"
 #include "support/cluster.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
@@ -143,3 +145,66 @@
         CHECK(daemon.wait() == 0);
     }
 }
+
+namespace {
+
+// A caller whose request has a part that comes later.
+struct late_caller {
+    static constexpr std::size_t step_bytes = 4096;
+    static constexpr std::string_view rest = R"("left": true})";
+    blocking_caller connection;
+    std::string received;
+
+    explicit late_caller(const cluster& running) : connection(running.callers_of(0))
+    {
+        constexpr std::string_view begun = R"({"order": 1, )";
+        this->connection.write("POST /v1/services/order-desk/orders HTTP/1.1\r\nHost: x\r\n"
+                               "Authorization: Bearer member-secret\r\nContent-Length: " +
+                               std::to_string(begun.size() + rest.size()) + "\r\n\r\n" + std::string(begun));
+    }
+
+    // Reads until the connection ends.
+    std::string read_to_end()
+    {
+        eventually([this] {
+            this->received += this->connection.read(step_bytes);
+            return this->connection.has_ended();
+        });
+        return this->received;
+    }
+};
+
+void check_refused_as_not_run(const std::string& answer)
+{
+    CAPTURE(answer);
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(answer.find("Outcome: not_run\r\n") != std::string::npos);
+    CHECK(answer.find(R"("code":"stopping")") != std::string::npos);
+}
+
+} // namespace
+
+TEST_CASE("a request whose rest comes 2 s after a SIGTERM is answered")
+{
+    cluster running(one_daemon(""));
+    late_caller caller(running);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    child_process& daemon = running.processes.at("daemon0");
+    daemon.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    caller.connection.write(late_caller::rest);
+    check_refused_as_not_run(caller.read_to_end());
+    CHECK(daemon.wait() == 0);
+}
+
+TEST_CASE("a request that is still arriving at the limit of a planned stop is answered as not run")
+{
+    cluster running(one_daemon("[limits]\ndrain_limit_ms = 1500\n"));
+    late_caller caller(running);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    child_process& daemon = running.processes.at("daemon0");
+    daemon.signal(SIGTERM);
+    check_refused_as_not_run(caller.read_to_end());
+    CHECK_FALSE(caller.connection.was_reset());
+    CHECK(daemon.wait() == 0);
+}
