A chunk of an answer to dandelionstepd counts before it is whole

Seen: 12 answers that each announced a chunk of 50 MB and sent it without an end took 574 and 576 MiB of the process, with a budget of 10 MiB of which none counted as held. Cause: the library gathers a whole chunk before it hands it over, so that the budget for all answers did not see its bytes. Change: what the library has read and not yet taken counts too, by a callback of its input buffer; an exchange that finds no room is given up as overlong. Ruled out: that bytes count twice as they move from there into the answer (case "counts once").

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -61,15 +61,42 @@
 
 // One kept connection; destroyed only from the loop's queue, as libevent still uses it after its callbacks.
 struct http_connection {
-    evhttp_connection* raw = nullptr;
+    evhttp_connection* raw;
+    std::shared_ptr<byte_budget> budget;
+    http_client::exchange* running = nullptr;
     bool bytes_sent = false;
+    //! Bytes that were read and that the library has yet to take, such as those of a chunk that is not whole.
+    std::size_t waiting = 0;
 
-    http_connection() = default;
-    ~http_connection() { evhttp_connection_free(this->raw); }
+    http_connection(evhttp_connection* raw_in, std::shared_ptr<byte_budget> budget_in)
+        : raw(raw_in), budget(std::move(budget_in))
+    {
+        evbuffer_add_cb(bufferevent_get_output(this->stream()), on_output, this);
+        evbuffer_add_cb(bufferevent_get_input(this->stream()), on_input, this);
+    }
+    ~http_connection()
+    {
+        evbuffer_remove_cb(bufferevent_get_output(this->stream()), on_output, this);
+        evbuffer_remove_cb(bufferevent_get_input(this->stream()), on_input, this);
+        evhttp_connection_free(this->raw);
+        this->budget->held -= this->waiting;
+    }
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
     http_connection(http_connection&&) = delete;
     http_connection& operator=(http_connection&&) = delete;
+
+    [[nodiscard]] bufferevent* stream() const { return evhttp_connection_get_bufferevent(this->raw); }
+
+    // The kernel took bytes out of the buffer: from here on the target may have seen the request.
+    static void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
+    {
+        if (info->n_deleted > 0) {
+            static_cast<http_connection*>(argument)->bytes_sent = true;
+        }
+    }
+
+    static void on_input(evbuffer* buffer, const evbuffer_cb_info* info, void* argument);
 };
 
 class http_client::exchange {
@@ -101,24 +128,13 @@
 
     std::unique_ptr<http_connection> connect(const endpoint& to)
     {
-        auto connection = std::make_unique<http_connection>();
-        connection->raw = evhttp_connection_base_bufferevent_new(this->loop.base(), nullptr, nullptr,
-                                                                 to.address.c_str(), to.port);
-        evhttp_connection_set_timeout(connection->raw, connection_timeout_seconds);
-        evhttp_connection_set_retries(connection->raw, 0);
-        evhttp_connection_set_max_body_size(connection->raw, max_answer_bytes);
-        evhttp_connection_set_max_headers_size(connection->raw, max_head_bytes);
-        evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw));
-        evbuffer_add_cb(output, on_output, connection.get());
-        return connection;
-    }
-
-    // The kernel took bytes out of the buffer: from here on the target may have seen the request.
-    static void on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
-    {
-        if (info->n_deleted > 0) {
-            static_cast<http_connection*>(argument)->bytes_sent = true;
-        }
+        evhttp_connection* raw = evhttp_connection_base_bufferevent_new(this->loop.base(), nullptr, nullptr,
+                                                                        to.address.c_str(), to.port);
+        evhttp_connection_set_timeout(raw, connection_timeout_seconds);
+        evhttp_connection_set_retries(raw, 0);
+        evhttp_connection_set_max_body_size(raw, max_answer_bytes);
+        evhttp_connection_set_max_headers_size(raw, max_head_bytes);
+        return std::make_unique<http_connection>(raw, this->bodies);
     }
 
     std::unique_ptr<http_connection> take(const endpoint& to, bool new_connection)
@@ -149,6 +165,7 @@
     void discard(std::unique_ptr<http_connection> connection)
     {
         if (connection) {
+            connection->running = nullptr;
             std::shared_ptr<http_connection> doomed = std::move(connection);
             this->loop.post([doomed] {});
         }
@@ -179,6 +196,9 @@
         kept->deadline = {};
         kept->result.failure = failure;
         kept->result.bytes_sent = kept->connection && kept->connection->bytes_sent;
+        if (kept->connection) {
+            kept->connection->running = nullptr;
+        }
         this->loop.post([this, kept, watch = std::weak_ptr(this->alive)] {
             if (watch.expired()) {
                 return;
@@ -288,6 +308,7 @@
         self->part = std::move(part);
         self->done = std::move(done);
         self->connection = this->take(to, request.new_connection);
+        self->connection->running = self.get();
         self->raw = evhttp_request_new(on_complete, self.get());
         evhttp_request_set_error_cb(self->raw, on_error);
         evhttp_request_set_chunked_cb(self->raw, on_chunk);
@@ -317,6 +338,19 @@
     }
 };
 
+// The library hands over whole chunks alone, and one may be as long as an answer.
+void http_connection::on_input(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* argument)
+{
+    auto* self = static_cast<http_connection*>(argument);
+    const std::size_t before = std::exchange(self->waiting, self->waiting + info->n_added - info->n_deleted);
+    self->budget->held = self->budget->held - before + self->waiting;
+    http_client::exchange* running = self->running;
+    if (info->n_added > 0 && running != nullptr && !running->cancelled &&
+        !may_grow(*self->budget, running->body.size() + self->waiting, 0)) {
+        running->owner->give_up_overlong(*running);
+    }
+}
+
 http_client::http_client(event_loop& loop, std::shared_ptr<byte_budget> bodies)
     : connections(std::make_unique<pool>(loop, std::move(bodies)))
 {}
--- a/tests/adapters/http_client_test.cpp
+++ b/tests/adapters/http_client_test.cpp
@@ -92,6 +92,57 @@
     }
 }
 
+TEST_CASE("chunks that are announced and come without end at the same time are bounded together")
+{
+    constexpr std::size_t asked = 12;
+    event_loop loop;
+    const auto budget = std::make_shared<byte_budget>(byte_budget{10 * megabyte, 0});
+    http_client client(loop, budget);
+    endless_server server(loop, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3000000\r\n",
+                          std::string(std::size_t{64} * 1024, 'x'));
+    std::vector<http_result> results;
+    for (std::size_t i = 0; i < asked; ++i) {
+        client.send(server.address(), plain_request(),
+                    [&](const http_result& result) { results.push_back(result); });
+    }
+    std::size_t most_held = 0;
+    REQUIRE(run_until(loop,
+                      [&] {
+                          most_held = std::max(most_held, budget->held);
+                          return results.size() == asked;
+                      },
+                      {3'000}));
+    CHECK(most_held > megabyte);
+    CHECK(most_held <= 10 * megabyte);
+    CHECK(std::ranges::all_of(results, [](const auto& one) { return one.failure == http_failure::broken; }));
+    CHECK(run_until(loop, [&] { return budget->held == 0; }));
+}
+
+TEST_CASE("a body in one chunk that fits is whole, and counts once")
+{
+    // A text alone may take a fifth of the budget.
+    constexpr std::size_t body_bytes = std::size_t{0xE6000};
+    event_loop loop;
+    const auto budget = std::make_shared<byte_budget>(byte_budget{5 * megabyte, 0});
+    http_client client(loop, budget);
+    scripted_server server(loop, [&](raw_connection& connection) {
+        if (std::exchange(connection.received, {}).ends_with("\r\n\r\n")) {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nE6000\r\n");
+            connection.write(std::string(body_bytes, 'x'));
+            connection.write("\r\n0\r\n\r\n");
+        }
+    });
+    for (int round = 0; round < 10; ++round) {
+        std::vector<http_result> results;
+        client.send(server.address(), plain_request(),
+                    [&](const http_result& result) { results.push_back(result); });
+        REQUIRE(run_until(loop, [&] { return !results.empty(); }));
+        CHECK(results.front().body.size() == body_bytes);
+    }
+    CHECK(run_until(loop, [&] { return budget->held == 0; }));
+    CHECK(server.accepted() == 1);
+}
+
 TEST_CASE("a body that ends is whole beside others, and its room is free again")
 {
     constexpr std::size_t body_bytes = megabyte;
