A comment ahead of the first event does not begin a stream's answer

What callers saw: a stream cut, of which they had nothing but a comment, when its engine broke off before the first event; no other engine was asked. Found by reading, not seen outside of tests. Cause: a comment counted as an event. It began the answer, and as an event without an id it made the stream one that can't be resumed. Ruled out: dropping such comments, as the caller gets what its target sent byte for byte. A body of comments alone that ends with its connection counts as broken off now.

--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -115,7 +115,7 @@
     //! A stream whose events have no ids can't be gone on with.
     [[nodiscard]] bool is_repeatable() const
     {
-        return this->request.route->resumable && (!this->progress.has_events || this->splitter.last_id);
+        return this->request.route->resumable && (!this->splitter.has_events || this->splitter.last_id);
     }
     [[nodiscard]] milliseconds silence(time_point now) const;
 
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -73,7 +73,7 @@
     }
     this->begin_answer();
     // What follows the last whole event belongs to the answer as well.
-    this->request.caller->write(this->splitter.pending);
+    this->request.caller->write(this->splitter.leading_comments + this->splitter.pending);
     const target_id first = this->current->path.front().id;
     const int status = this->current->head.status;
     this->log_pace();
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -185,7 +185,7 @@
     const stream_form form = form_of(attempt->head);
     attempt->goes_on = this->begun.has_value();
     this->splitter.events_only = attempt->goes_on || form.media_type == event_stream_type;
-    this->splitter.needs_ids = attempt->goes_on && this->progress.has_events;
+    this->splitter.needs_ids = attempt->goes_on && this->splitter.has_events;
 }
 
 // With the first event and not before, so that the caller of an attempt that fails without one still gets
--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -80,6 +80,24 @@
     return lines.has_known_field && !lines.has_other_text && (id || !splitter.needs_ids);
 }
 
+// A comment carries nothing that its caller waits for: an attempt that brought no more can still be replaced.
+bool is_leading_comment(const event_splitter& splitter, std::string_view event)
+{
+    return splitter.events_only && !splitter.has_events && is_comment(event);
+}
+
+// Adds a complete event, and what was held back for it, to what is passed on.
+void add_event(event_splitter& splitter, std::string_view event, std::string& whole)
+{
+    splitter.leading_comments += event;
+    if (is_leading_comment(splitter, event) && splitter.leading_comments.size() <= max_event_bytes) {
+        return;
+    }
+    splitter.has_events = splitter.has_events || !is_leading_comment(splitter, event);
+    whole += splitter.leading_comments;
+    splitter.leading_comments.clear();
+}
+
 } // namespace
 
 std::optional<std::int64_t> event_id(std::string_view event)
@@ -134,7 +152,7 @@
         if (id) {
             splitter.last_id = id;
         }
-        whole += event;
+        add_event(splitter, event, whole);
     }
     splitter.pending.erase(0, at);
     splitter.is_overlong = splitter.pending.size() > max_event_bytes;
@@ -149,6 +167,7 @@
 void discard_partial_event(event_splitter& splitter)
 {
     splitter.pending.clear();
+    splitter.leading_comments.clear();
     splitter.searched = 0;
     splitter.is_overlong = false;
     splitter.is_malformed = false;
--- a/src/request/event_splitter.hpp
+++ b/src/request/event_splitter.hpp
@@ -28,16 +28,22 @@
     bool is_malformed = false;
     //! The id of the last complete event that had one.
     std::optional<std::int64_t> last_id;
+    //! Whether an event other than a comment was returned, of this body or of one that it continues.
+    bool has_events = false;
+    //! The comments of an event stream ahead of its first event, which are returned together with it.
+    std::string leading_comments;
 };
 
 //! Adds bytes and returns all events that are complete now, byte for byte as received. Omits events whose id
-//! is not greater than last_id. After invalid data it returns nothing more.
+//! is not greater than last_id. After invalid data it returns nothing more. Holds back comments ahead of the
+//! first event up to max_event_bytes.
 std::string take_events(event_splitter& splitter, std::string_view bytes);
 
 //! Whether the pending bytes may be the beginning of an event.
 bool may_be_partial_event(const event_splitter& splitter);
 
-//! Discards the incomplete event and its error flags, for a stream that is requested again.
+//! Discards the incomplete event, its error flags and comments that were held back, for a stream that is
+//! requested again.
 void discard_partial_event(event_splitter& splitter);
 
 //! The id of one event; nullopt when it has no numeric id.
--- a/tests/process/entry_stream_attempts_proof_test.cpp
+++ b/tests/process/entry_stream_attempts_proof_test.cpp
@@ -51,19 +51,32 @@
     return head;
 }
 
+std::string chunk(const std::string& text)
+{
+    return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
+}
+
 // Breaks a stream off between its answer's head and the first event.
-scripted_cluster::handler break_off_after_head()
+scripted_cluster::handler break_off_after_head(const std::string& comments = "")
 {
-    return [](const arrival& request) {
+    return [comments](const arrival& request) {
         if (request.head.header("Dandelionstep-Attempt-Id") != stream) {
             request.from->write(signed_answer(200, "{}"));
             return;
         }
-        request.from->write(stream_head());
+        request.from->write(absl::StrCat(stream_head(), comments.empty() ? "" : chunk(comments)));
         request.from->close();
     };
 }
 
+raw_answer ask_stream(scripted_cluster& cluster)
+{
+    return cluster.ask(request_bytes("POST", "/ask/x", stream,
+                                     "Dandelionstep-Token-Counts: 100,40\r\n"
+                                     "Dandelionstep-Deadline-Remaining: 10000\r\n",
+                                     "question"));
+}
+
 } // namespace
 
 TEST_CASE("an engine that fails a stream after that was sent to another one counts among its attempts")
@@ -98,11 +111,44 @@
     scripted_cluster cluster(engine_count);
     cluster.handle = break_off_after_head();
     REQUIRE(start_engines(cluster));
-    const raw_answer answer = cluster.ask(request_bytes("POST", "/ask/x", stream,
-                                                        "Dandelionstep-Token-Counts: 100,40\r\n"
-                                                        "Dandelionstep-Deadline-Remaining: 10000\r\n",
-                                                        "question"));
+    const raw_answer answer = ask_stream(cluster);
     CHECK(cluster.arrivals_of(stream) >= 1);
     CHECK(answer.whole);
     CHECK(answer.status == 502);
 }
+
+TEST_CASE("a stream whose engines break off after a comment gets a refusal and is not cut")
+{
+    scripted_cluster cluster(engine_count);
+    cluster.handle = break_off_after_head(": keep-alive\n\n");
+    REQUIRE(start_engines(cluster));
+    const raw_answer answer = ask_stream(cluster);
+    CHECK(cluster.arrivals_of(stream) == 2);
+    CHECK(answer.whole);
+    CHECK(answer.status == 502);
+}
+
+TEST_CASE("a stream whose engine breaks off after a comment gets another engine's answer")
+{
+    const std::string body = ": one\n\n: two\n\nid: 1\ndata: a\n\n: three\n\nid: 2\ndata: b\n\n";
+    scripted_cluster cluster(engine_count);
+    const scripted_cluster::handler break_off = break_off_after_head(": lost\n\n: cut");
+    cluster.handle = [&](const arrival& request) {
+        const bool is_second = cluster.arrivals_of(stream) == 2;
+        if (!is_second || request.head.header("Dandelionstep-Attempt-Id") != stream) {
+            break_off(request);
+            return;
+        }
+        std::string answer = stream_head();
+        for (const char byte : body) {
+            answer += chunk(std::string(1, byte));
+        }
+        request.from->write(answer + "0\r\n\r\n");
+    };
+    REQUIRE(start_engines(cluster));
+    const raw_answer answer = ask_stream(cluster);
+    CHECK(cluster.arrivals_of(stream) == 2);
+    CHECK(answer.whole);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == body);
+}
--- a/tests/request/event_splitter_test.cpp
+++ b/tests/request/event_splitter_test.cpp
@@ -160,3 +160,49 @@
         CHECK(may_be_partial_event(splitter));
     }
 }
+
+TEST_CASE("comments ahead of the first event are returned with it, however their bytes arrive")
+{
+    const std::string comments = ": one\n\n\r\n\r\n: two\n: three\n\n";
+    const std::string text = comments + three_events + ": four\n\n";
+    for (std::size_t part = 1; part <= text.size(); ++part) {
+        CAPTURE(part);
+        event_splitter splitter;
+        splitter.events_only = true;
+        std::string forwarded;
+        for (std::size_t at = 0; at < text.size(); at += part) {
+            forwarded += take_events(splitter, std::string_view(text).substr(at, part));
+            CHECK((forwarded.empty() || forwarded.size() > comments.size()));
+        }
+        CHECK(forwarded == text);
+        CHECK(splitter.has_events);
+    }
+}
+
+TEST_CASE("comments that were held back are discarded with their attempt")
+{
+    event_splitter splitter;
+    splitter.events_only = true;
+    CHECK(take_events(splitter, ": one\n\n").empty());
+    CHECK_FALSE(splitter.has_events);
+    discard_partial_event(splitter);
+    CHECK(take_events(splitter, three_events) == three_events);
+}
+
+TEST_CASE("comments without an end are passed on rather than held back")
+{
+    event_splitter splitter;
+    splitter.events_only = true;
+    const std::string comment = ": keep-alive\n\n";
+    std::string sent;
+    std::string forwarded;
+    while (sent.size() < 3 * max_event_bytes) {
+        sent += comment;
+        forwarded += take_events(splitter, comment);
+        REQUIRE(splitter.leading_comments.size() <= max_event_bytes);
+    }
+    CHECK_FALSE(forwarded.empty());
+    CHECK_FALSE(splitter.has_events);
+    forwarded += take_events(splitter, three_events);
+    CHECK(forwarded == sent + three_events);
+}
