A first engine gets its stream again only if it has answered since it was doubted

What callers saw: nothing yet; found by reading. An engine that gets a stream twice begins both and gives up the first for the second, which has been cancelled for the first by then, so that the stream fails. Cause: a report from any time after the request was sent, or an answer that had begun, counted as a sign of life of a first engine; behind a failed change of path none was asked for. Ruled out: the time of its last report, as an engine may fall silent right after it, and times in ms can't tell an answer that came before the loss from one that came after; going elsewhere at once, as the first engine is usually alive and may be the only one. Change: one criterion, is_first_alive: a call (report or order) was answered since the first engine was doubted, which is when another engine is lost, when a change of path is ordered, and anew for each later try. Where no change is possible the first engine is asked at once, and the stream waits up to 60 ms for its answer. Probes under way are shared by all streams. Evidence: three new cases of process.entry_silent_attempts_proof failed before (2 arrivals of the stream, 1 wanted): an engine that reported first, a change of path without an answer, a fifth loss. A fourth case, which passed before too, guards that an engine that answers gets the stream along another path. What the wait costs streams was not measured.

--- a/src/entry/engines/engine_calls.cpp
+++ b/src/entry/engines/engine_calls.cpp
@@ -33,6 +33,10 @@
     const auto known = context.targets.find(id);
     const incarnation started = known == context.targets.end() ? incarnation{} : known->second.started;
     const auto take = [&context, id, started, done = std::move(done)](const http_answer& answer) {
+        const auto condition = context.conditions.find(id);
+        if (answer.status != 0 && condition != context.conditions.end()) {
+            ++condition->second.calls_answered;
+        }
         if (started != incarnation{}) {
             const response_facts facts = context.dialect.read_response(answer.status, answer.headers);
             if (facts.is_leaving) {
--- a/src/entry/engines/engine_probes.cpp
+++ b/src/entry/engines/engine_probes.cpp
@@ -62,6 +62,17 @@
     condition.probe_interval = since > pause_forgotten
                                    ? first_pause
                                    : std::clamp(condition.probe_interval * 2, first_pause, longest_pause);
+    this->ask_now(id, address);
+}
+
+void engine_probes::ask_now(const target_id& id, const endpoint& address)
+{
+    const time_point now = event_loop::now();
+    target_condition& condition = this->context.conditions[id];
+    if (condition.is_being_probed) {
+        return;
+    }
+    condition.is_being_probed = true;
     condition.probed_at = now;
     ask_report(
         this->context, id, address, probe_timeout,
@@ -76,6 +87,7 @@
         return;
     }
     target_condition& condition = found->second;
+    condition.is_being_probed = false;
     const time_point now = event_loop::now();
     if (report) {
         if (condition.is_unresponsive) {
--- a/src/entry/engines/engine_probes.hpp
+++ b/src/entry/engines/engine_probes.hpp
@@ -16,6 +16,8 @@
     void ask(const std::vector<hop>& path);
     //! Asks one engine that a request was refused or dropped for.
     void ask_one(const target_id& id, const endpoint& address);
+    //! Asks one engine that has to be known alive at this moment, however lately it was heard of.
+    void ask_now(const target_id& id, const endpoint& address);
 
 private:
     void take_answer(const target_id& id, time_point sent_at, const std::optional<engine_report>& report);
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -61,6 +61,9 @@
     [[nodiscard]] path_wish move_wish() const;
     [[nodiscard]] path_wish elsewhere_wish() const;
     [[nodiscard]] path_wish succession_wish() const;
+    void doubt_first();
+    [[nodiscard]] bool is_first_alive() const;
+    [[nodiscard]] bool awaits_first();
     [[nodiscard]] path_wish last_wish(const target_id& left) const;
     void take_back(const std::vector<hop>& path);
 
@@ -89,6 +92,7 @@
     // stream_path_change.cpp
     void wait_while_held();
     void replace_engine(const target_id& lost, bool leaves);
+    void leave_path(const target_id& lost, bool leaves);
     void order_path(const path_change& change);
     void path_refused(const http_answer& answer, const path_change& refused);
     [[nodiscard]] bool can_change_path(const target_id& lost) const;
@@ -149,6 +153,9 @@
     //! When the stream moves off an engine that leaves, and until when no other path is looked for.
     time_point move_at = never;
     time_point next_change_at{0};
+    //! When the first engine was last doubted, and the calls that it had answered until then.
+    time_point doubted_at{0};
+    std::int64_t answers_at_doubt = 0;
     bool maybe_ran = false;
     //! Whether it has waited for engines to end their rest.
     bool has_waited = false;
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -44,6 +44,19 @@
     }
 }
 
+// An engine that leaves is left only while the stream goes on, so that the first one is alive; before the
+// first event nothing is gained by leaving an engine that still works.
+void stream_carrier::leave_path(const target_id& lost, bool leaves)
+{
+    if (leaves) {
+        if (this->current->is_stream) {
+            this->begin_succession("engine_leaves", this->move_wish(), true);
+        }
+    } else if (lost == this->current->path.front().id || !this->awaits_first()) {
+        this->begin_succession("dead_engine", this->succession_wish(), false);
+    }
+}
+
 // Finds another engine for the lost one's layers, or another path altogether.
 void stream_carrier::replace_engine(const target_id& lost, bool leaves)
 {
@@ -52,6 +65,9 @@
     }
     const auto part = std::ranges::find(this->current->path, lost, &hop::id);
     const bool is_new_loss = this->excluded.insert(lost).second;
+    if (is_new_loss) {
+        this->doubted_at = time_point{0};
+    }
     if (!leaves) {
         this->left_silent.insert(lost);
     }
@@ -63,10 +79,7 @@
         return;
     }
     if (!this->can_change_path(lost)) {
-        // Before the first event nothing is gained by leaving an engine that still works.
-        if (!leaves || this->current->is_stream) {
-            this->begin_succession(leaves ? "engine_leaves" : "dead_engine", this->succession_wish(), leaves);
-        }
+        this->leave_path(lost, leaves);
         return;
     }
     std::vector<hop> repaired = repair_path(this->context, this->move_wish(), this->current->path, lost);
@@ -114,6 +127,7 @@
         }
     };
     const hop& first = changed->path.front();
+    this->doubt_first();
     call_engine(this->context, first.id, first.address, call, order_timeout, take);
 }
 
@@ -140,7 +154,7 @@
     if (is_named && this->can_change_path(refused.lost)) {
         this->replace_engine(refused.lost, false);
     } else {
-        this->begin_succession("path_change_failed", this->move_wish(), false);
+        this->begin_succession("path_change_failed", this->succession_wish(), false);
     }
 }
 
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace dandelionstep::internal {
+namespace {
+
+// Longer than a probe of an engine takes.
+constexpr milliseconds longest_doubt{60};
+
+} // namespace
 
 // What an engine that joins the path now has to read: the prompt and the answer so far.
 std::int64_t stream_carrier::tokens_read() const
@@ -35,13 +41,37 @@
     return elsewhere;
 }
 
-// A first engine that has yet to begin the stream may be silent as well, and would get the same request twice
-// when it goes on. One that has said something since is alive and waits for the lost engine.
+// A first engine that is silent as well would get the same stream twice when it goes on: it begins both and
+// gives up the first for the second, which has been cancelled for the first by then.
 path_wish stream_carrier::succession_wish() const
+{
+    return this->is_first_alive() ? this->move_wish() : this->elsewhere_wish();
+}
+
+void stream_carrier::doubt_first()
 {
     const target_id& first = this->current->path.front().id;
-    const bool is_alive = condition_of(this->context.conditions, first).reported_at >= this->progress.sent_at;
-    return this->current->is_stream || is_alive ? this->move_wish() : this->elsewhere_wish();
+    this->doubted_at = event_loop::now();
+    this->answers_at_doubt = condition_of(this->context.conditions, first).calls_answered;
+}
+
+// Only an answer that came since counts: an engine may fall silent right after any other.
+bool stream_carrier::is_first_alive() const
+{
+    const target_id& first = this->current->path.front().id;
+    return condition_of(this->context.conditions, first).calls_answered > this->answers_at_doubt;
+}
+
+// Whether the first engine was asked for a sign of life and may still give one.
+bool stream_carrier::awaits_first()
+{
+    const time_point now = event_loop::now();
+    if (now - this->doubted_at >= pause_without_path) {
+        const hop& first = this->current->path.front();
+        this->doubt_first();
+        this->tools.probes.ask_now(first.id, first.address);
+    }
+    return !this->is_first_alive() && now - this->doubted_at < longest_doubt;
 }
 
 // An engine that was left as silent is better than none, and is usable again once it answers.
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -60,6 +60,10 @@
     time_point probed_at{0};
     //! Shortest time from `probed_at` to the next probe.
     milliseconds probe_interval{0};
+    //! How many calls other than requests the engine has answered.
+    std::int64_t calls_answered = 0;
+    //! Whether a probe of it is still unanswered.
+    bool is_being_probed = false;
     //! Whether the engine left a probe unanswered; it is not used until it answers one.
     bool is_unresponsive = false;
     time_point unresponsive_since{0};
--- a/tests/process/entry_silent_attempts_proof_test.cpp
+++ b/tests/process/entry_silent_attempts_proof_test.cpp
@@ -124,6 +124,9 @@
                 this->calls.push_back(request);
                 // Each request goes over a connection of its own.
                 request.from->write(signed_answer(200, this->report, "Connection: close\r\n"));
+                if (this->on_call) {
+                    this->on_call(request);
+                }
             }
         };
     }
@@ -180,6 +183,7 @@
     //! Engines that break each call off.
     std::set<std::size_t> dead;
     std::function<void(const arrival&)> on_stream;
+    std::function<void(const arrival&)> on_call;
 
 private:
     std::size_t count;
@@ -203,6 +207,38 @@
     return entries;
 }
 
+// Engine 0 holds the first layers alone, and each of the others all that follow.
+std::vector<registration> one_first_engine(std::size_t count)
+{
+    std::vector<registration> entries{engine(0, 0, 4)};
+    for (std::size_t i = 1; i < count; ++i) {
+        entries.push_back(engine(i, 4, entry_layers));
+    }
+    return entries;
+}
+
+// The engine that has the later layers on the stream's path.
+std::size_t later_engine(const silent_engines& engines, const arrival& stream)
+{
+    const std::string path = stream.head.header("Dandelionstep-Hop-Count");
+    std::size_t later = 1;
+    while (!absl::StrContains(path, to_string(engines.cluster.address_of(later)) + "=")) {
+        ++later;
+    }
+    return later;
+}
+
+// A report that names each of the later engines as the one that stream s1 waits for.
+std::string report_of_stalled(const silent_engines& engines, std::size_t count)
+{
+    std::string stalled;
+    for (std::size_t i = 1; i < count; ++i) {
+        absl::StrAppend(&stalled, i == 1 ? "" : ",", R"({"Identifier":"s1","Address":")",
+                        to_string(engines.cluster.address_of(i)), R"("})");
+    }
+    return absl::StrCat(R"({"Stalled":[)", stalled, "]}");
+}
+
 // Two engines die under the question, and a third one gets it next.
 void let_two_die(silent_engines& engines)
 {
@@ -359,3 +395,102 @@
     REQUIRE(engines.await_end(*caller));
     CHECK(is_whole(scripted_cluster::answers_on(*caller)));
 }
+
+TEST_CASE(
+    "a silent engine that reported after it got the stream does not get it again when a later one has died")
+{
+    silent_engines engines(3);
+    REQUIRE(engines.become_ready(one_first_engine(3)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    engines.calls.clear();
+    REQUIRE(engines.cluster.await([&] {
+        return std::ranges::any_of(engines.calls, [](const arrival& call) { return call.target == 0; });
+    }));
+    engines.silent = {0};
+    engines.dead = {later_engine(engines, engines.streams[0])};
+    engines.run_for(silence);
+    CHECK(engines.streams.size() == 1);
+    engines.silent.clear();
+    engines.dead.clear();
+    answer_from(1, engines.streams[0]);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
+
+TEST_CASE("a silent engine does not get its stream again when a change of the path has failed")
+{
+    constexpr milliseconds until_probes_are_rare{1'000};
+    silent_engines engines(3);
+    REQUIRE(engines.become_ready(one_first_engine(3)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    begin_answer(engines.streams[0]);
+    write_events(engines.streams[0], 1, 1);
+    engines.run_for(until_probes_are_rare);
+    engines.report = report_of_stalled(engines, 3);
+    engines.on_call = [&](const arrival& call) {
+        if (call.target == 0) {
+            engines.silent = {0};
+        }
+    };
+    engines.run_for(silence);
+    CHECK(engines.silent.contains(0));
+    CHECK(engines.streams.size() == 1);
+    engines.on_call = nullptr;
+    engines.report = "{}";
+    engines.silent.clear();
+    write_events(engines.streams[0], 2, last_event);
+    end_answer(engines.streams[0]);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
+
+TEST_CASE("a silent engine does not get its stream again when the path was changed as often as it may be")
+{
+    constexpr std::size_t count = 7;
+    constexpr int most_changes = 4;
+    silent_engines engines(count);
+    REQUIRE(engines.become_ready(one_first_engine(count)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    begin_answer(engines.streams[0]);
+    write_events(engines.streams[0], 1, 1);
+    engines.report = report_of_stalled(engines, count);
+    int changes = 0;
+    engines.on_call = [&](const arrival& call) {
+        const bool is_order = absl::StrContains(call.body, "=");
+        changes += is_order ? 1 : 0;
+        // The report that follows the last change is the last word of the first engine.
+        if (call.target == 0 && !is_order && changes == most_changes) {
+            engines.silent = {0};
+        }
+    };
+    REQUIRE(engines.cluster.await([&] { return engines.silent.contains(0); }, {6'000}));
+    engines.run_for(silence);
+    CHECK(engines.streams.size() == 1);
+    engines.on_call = nullptr;
+    engines.report = "{}";
+    engines.silent.clear();
+    write_events(engines.streams[0], 2, last_event);
+    end_answer(engines.streams[0]);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
+
+TEST_CASE(
+    "a stream that an engine has yet to begin is sent to it again, along another path, while it answers")
+{
+    silent_engines engines(3);
+    REQUIRE(engines.become_ready(one_first_engine(3)));
+    const auto caller = engines.ask("s1");
+    REQUIRE(engines.await_streams(1));
+    const std::size_t later = later_engine(engines, engines.streams[0]);
+    engines.dead = {later};
+    REQUIRE(engines.await_streams(2));
+    CHECK(engines.streams[1].target == 0);
+    CHECK(later_engine(engines, engines.streams[1]) == 3 - later);
+    answer_from(1, engines.streams[1]);
+    REQUIRE(engines.await_end(*caller));
+    CHECK(is_whole(scripted_cluster::answers_on(*caller)));
+}
