A test for streams that four engines refuse before their answer begins

A caller that has nothing of the answer gets 503 with Retry-After, and four engines were asked; the case passed on the code before too, so it guards and proves no fault.

--- a/tests/process/entry_stream_attempts_proof_test.cpp
+++ b/tests/process/entry_stream_attempts_proof_test.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t engine_count = 3;
 constexpr const char* stream = "s1";
 
-// Three engines that each hold the whole model.
-bool start_engines(scripted_cluster& cluster)
+// Engines that each hold the whole model.
+bool start_engines(scripted_cluster& cluster, std::size_t count = engine_count)
 {
     const bool is_ready = cluster.become_ready([](json& config) {
         for (json& service : config["Services"]) {
@@ -24,7 +24,7 @@
             }
         }
     });
-    for (std::size_t i = 0; i < engine_count; ++i) {
+    for (std::size_t i = 0; i < count; ++i) {
         const json row = {{"Service", "assistant"},
                           {"Address", to_string(cluster.address_of(i))},
                           {"Zone", "n"},
@@ -38,7 +38,7 @@
         cluster.daemons().write_row("replica", "servers", absl::StrCat("i-x", i), dump(row));
     }
     return is_ready && cluster.await([&] {
-        return cluster.daemons().gauge_of(0, "targets") == static_cast<std::int64_t>(2 * engine_count);
+        return cluster.daemons().gauge_of(0, "targets") == static_cast<std::int64_t>(2 * count);
     });
 }
 
@@ -152,3 +152,25 @@
     CHECK(answer.status == 200);
     CHECK(answer.body == body);
 }
+
+TEST_CASE("a stream that four engines refused gets a refusal that tells when to come back, and is not cut")
+{
+    constexpr std::size_t count = 6;
+    scripted_cluster cluster(count);
+    cluster.handle = [](const arrival& request) {
+        const std::string attempt = request.head.header("Dandelionstep-Attempt-Id");
+        if (attempt != stream) {
+            request.from->write(signed_answer(200, "{}"));
+            return;
+        }
+        request.from->write(absl::StrCat("HTTP/1.1 503 X\r\nContent-Length: 0\r\n",
+                                         "Dandelionstep-Not-Executed: 1\r\n",
+                                         "Dandelionstep-Attempt-Id: ", attempt, "\r\n\r\n"));
+    };
+    REQUIRE(start_engines(cluster, count));
+    const raw_answer answer = ask_stream(cluster);
+    CHECK(cluster.arrivals_of(stream) == 4);
+    CHECK(answer.whole);
+    CHECK(answer.status == 503);
+    CHECK_FALSE(find_header(answer.headers, "Retry-After").empty());
+}
