A daemon that begins to read says that the store is lost only for failures since

Cause: a daemon whose calls failed during an outage follows another one afterwards and makes no calls, so its store client goes on holding calls back. When it is asked to take over it answered "lost" at once, for failures seconds ago. Followers went on to the next in line, which did the same, until several in line read the store after one kill. Change: store_client::contact_since. Calls that failed before a daemon began to read count only while their pause lasts; after that the contact is unknown until the first call ends, as the comment of store_contact said. The check stands as it is.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -208,14 +208,7 @@
 
     [[nodiscard]] store_contact contact_with_store() const
     {
-        const time_point began = this->follower.reads_since();
-        if (this->store.holds_back()) {
-            return store_contact::lost;
-        }
-        if (this->store.answered_at() >= began) {
-            return store_contact::reached;
-        }
-        return this->store.failed_at() >= began ? store_contact::lost : store_contact::unknown;
+        return this->store.contact_since(this->follower.reads_since());
     }
 
     // A reader knows what the others' requests take once all of its data centre follow it.
--- a/src/entry/peers/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -4,6 +4,7 @@
 #include "entry/context/entry_context.hpp"
 #include "entry/peers/peer_messages.hpp"
 #include "entry/peers/shared_answers.hpp"
+#include "entry/store/store_client.hpp"
 #include "target/load_reports.hpp"
 #include "vm/successor_list.hpp"
 
@@ -15,13 +16,6 @@
 
 namespace dandelionstep {
 
-//! How the store answers a daemon that reads it.
-enum class store_contact {
-    unknown, //!< It has just begun, and no call was answered or failed yet.
-    reached,
-    lost //!< Calls fail one after the other.
-};
-
 //! Answers the daemons of the same data centre that follow this one instead of reading the store themselves.
 class peer_port {
 public:
--- a/src/entry/store/store_client.cpp
+++ b/src/entry/store/store_client.cpp
@@ -94,6 +94,19 @@
     return this->holds_back() && event_loop::now() < this->next_try_at;
 }
 
+store_contact store_client::contact_since(time_point began) const
+{
+    const bool has_failed = this->last_failure_at >= began;
+    if (this->holds_back()) {
+        // A daemon that follows a reader makes no calls, so its last ones may have failed long before.
+        return has_failed || began < this->pause_ends_at ? store_contact::lost : store_contact::unknown;
+    }
+    if (this->last_answer_at >= began) {
+        return store_contact::reached;
+    }
+    return has_failed ? store_contact::lost : store_contact::unknown;
+}
+
 void store_client::call(const outgoing_call& call, milliseconds timeout, store_reason reason,
                         done_callback done)
 {
@@ -143,6 +156,7 @@
     this->next_try_at =
         this->last_failure_at +
         left_of_pause(pause, first_pause, this->last_failure_at - asked_at, 0.5 + this->context.draw());
+    this->pause_ends_at = this->next_try_at;
 }
 
 // The store may have answered another daemon meanwhile, which this one followed.
--- a/src/entry/store/store_client.hpp
+++ b/src/entry/store/store_client.hpp
@@ -30,6 +30,13 @@
 
 std::string_view name_of(store_reason reason);
 
+//! How the store answers a daemon that reads it.
+enum class store_contact {
+    unknown, //!< It has just begun, and no call was answered or failed yet.
+    reached,
+    lost //!< Calls fail one after the other.
+};
+
 struct store_answer {
     store_result result = store_result::refused;
     stored_rows rows;
@@ -54,9 +61,10 @@
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
     //! Whether calls fail one after the other, so that most are held back.
     [[nodiscard]] bool holds_back() const;
-    //! When it answered last, and when a call failed last.
+    //! When it answered last.
     [[nodiscard]] time_point answered_at() const { return this->last_answer_at; }
-    [[nodiscard]] time_point failed_at() const { return this->last_failure_at; }
+    //! How it answers a daemon that has read it since `began`.
+    [[nodiscard]] store_contact contact_since(time_point began) const;
     //! The last outage of the store that is over.
     [[nodiscard]] const store_outage& last_outage() const { return this->outage; }
 
@@ -72,6 +80,8 @@
     int failures_in_a_row = 0;
     //! While the store does not answer: when the next call may be made.
     time_point next_try_at{0};
+    //! When the pause after the last failure ends.
+    time_point pause_ends_at{0};
     //! Calls are numbered as they are made: the last one before the present pause, the last one that was
     //! answered.
     std::int64_t last_number = 0;
--- a/tests/entry/store/store_client_test.cpp
+++ b/tests/entry/store/store_client_test.cpp
@@ -188,6 +188,25 @@
     CHECK(load.context.metrics.store_calls.at("rows").at("refused") == 1);
 }
 
+TEST_CASE("a daemon that begins to read long after its calls failed says that the store is lost")
+{
+    client_under_load load;
+    load.run_for({500});
+    REQUIRE(load.client.holds_back());
+    CHECK(load.client.contact_since(event_loop::now()) == store_contact::lost);
+    constexpr milliseconds longest_pause{1'500};
+    run_until(
+        load.loop, [] { return false; }, longest_pause);
+    const time_point began = event_loop::now();
+    CHECK(load.client.contact_since(began) == store_contact::unknown);
+    load.ask();
+    CHECK(load.client.contact_since(began) == store_contact::unknown);
+    REQUIRE(run_until(load.loop, [&] { return load.client.contact_since(began) == store_contact::lost; }));
+    load.offered.is_away = false;
+    load.run_for(longest_pause);
+    CHECK(load.client.contact_since(began) == store_contact::reached);
+}
+
 TEST_CASE("an outage begins with the last answer that the store gave this daemon or its reader")
 {
     client_under_load load;
