Successors of equal capacity keep their order when the line is sorted

Cause: five seconds after a reader's first follower came its line was sorted by capacity and, among equal ones, by name. On equal vms that replaced the line that all had been told by another that was no better, and until the followers had asked again some knew the old one, some the new one. A reader that fails in that moment has two next ones. Process.entry_store_calls kills a reader five seconds after the one before. Change (vm/successor_list): among daemons of the same capacity those in line keep their place. An abler one still comes first after five seconds; the moment of disagreement remains for it.

--- a/src/vm/successor_list.cpp
+++ b/src/vm/successor_list.cpp
@@ -10,10 +10,18 @@
 // After the line is sorted, some followers know the old order until they have asked again.
 constexpr milliseconds rank_interval{5'000};
 
-void sort_by_capacity(std::vector<successor_candidate>& candidates)
+// Those in line keep their order among daemons of the same capacity: at each change, followers that know the
+// old order and those that know the new one disagree on the next reader.
+void sort_by_capacity(std::vector<successor_candidate>& candidates, const std::vector<peer>& line)
 {
-    std::ranges::sort(candidates, [](const successor_candidate& a, const successor_candidate& b) {
-        return a.capacity != b.capacity ? a.capacity > b.capacity : a.daemon.vm < b.daemon.vm;
+    const auto place = [&line](const successor_candidate& one) {
+        return std::ranges::find(line, one.daemon) - line.begin();
+    };
+    std::ranges::sort(candidates, [&place](const successor_candidate& a, const successor_candidate& b) {
+        if (a.capacity != b.capacity) {
+            return a.capacity > b.capacity;
+        }
+        return place(a) != place(b) ? place(a) < place(b) : a.daemon.vm < b.daemon.vm;
     });
 }
 
@@ -22,7 +30,7 @@
 void update_successors(successor_list& successors, std::vector<successor_candidate> candidates,
                        time_point now)
 {
-    sort_by_capacity(candidates);
+    sort_by_capacity(candidates, successors.line);
     if (successors.line.empty()) {
         successors.ranked_at = now;
     } else if (now - successors.ranked_at >= rank_interval) {
--- a/src/vm/successor_list.hpp
+++ b/src/vm/successor_list.hpp
@@ -17,10 +17,11 @@
 //! The line of successors that a reader tells its followers. Dozens of followers may come to a reader within
 //! milliseconds, because their own reader gave up its role, and the new reader may fail soon after. Therefore
 //! all of them are told the same first successors, so that they agree on the next reader, and the line is
-//! sorted by capacity only some seconds later.
+//! sorted by capacity only some seconds later. Among daemons of the same capacity, those in the line keep
+//! their order when it is sorted.
 struct successor_list {
     std::vector<peer> line;
-    //! When the line was last rebuilt in order of capacity.
+    //! When the line was last sorted by capacity.
     time_point ranked_at{0};
 };
 
--- a/tests/vm/successor_list_test.cpp
+++ b/tests/vm/successor_list_test.cpp
@@ -85,6 +85,24 @@
     CHECK(names_in(successors.line) == std::vector<std::string>{"vm2", "vm3", "vm1", "vm5"});
 }
 
+TEST_CASE("successors of equal capacity change places when the line is sorted, and followers disagree")
+{
+    successor_list successors;
+    const std::vector<successor_candidate> all{candidate_of(1, 5), candidate_of(2, 5), candidate_of(3, 5),
+                                               candidate_of(4, 5), candidate_of(5, 5)};
+    update_successors(successors, {candidate_of(3, 5)}, start);
+    update_successors(successors, {candidate_of(3, 5), candidate_of(5, 5)}, start);
+    update_successors(successors, all, start + milliseconds{100});
+    const std::vector<std::string> told = names_in(successors.line);
+    CHECK(told == std::vector<std::string>{"vm3", "vm5", "vm1", "vm2"});
+    update_successors(successors, all, start + milliseconds{5'000});
+    CHECK(names_in(successors.line) == told);
+    std::vector<successor_candidate> with_abler = all;
+    with_abler.push_back(candidate_of(6, 9));
+    update_successors(successors, with_abler, start + milliseconds{10'000});
+    CHECK(names_in(successors.line) == std::vector<std::string>{"vm6", "vm3", "vm5", "vm1"});
+}
+
 TEST_CASE("a daemon that no longer follows leaves the line, and the others keep their order")
 {
     successor_list successors;
