A stop of dandelionstepd counts as heard only by a peer that stays

Cause: any answer ended the repetition: of a daemon that leaves too, that does not know the leaving one, or of another data centre. Ruled out: the time of a message as evidence; an answer says itself how its sender counts a receiver that is not alive. Change: heard is what a peer of the data centre that stays says of this daemon, that it has left. Who left before and was heard by a daemon that then leaves relies on that one: its notices carry the departures that it knows, each time. The repetition is part of the membership's tick, where it is tried without a network.

--- a/src/daemon/group.cpp
+++ b/src/daemon/group.cpp
@@ -55,9 +55,6 @@
 
 void group::tick()
 {
-    if (this->is_leave_unheard()) {
-        this->carry_out(gossip(this->state, event_loop::now()));
-    }
     this->carry_out(on_tick(this->state, event_loop::now()));
     std::erase_if(this->revision_of,
                   [this](const auto& entry) { return !this->state.others.contains(entry.first); });
@@ -96,13 +93,6 @@
     this->carry_out(dandelionstep::leave(this->state, event_loop::now()));
 }
 
-// Whoever has heard it tells the others.
-bool group::is_leave_unheard() const
-{
-    return this->state.self.state == member_state::left && !this->is_leave_heard &&
-           !live_members(this->state, this->state.self.data_centre).empty();
-}
-
 std::vector<schema_reader> group::schema_readers() const
 {
     std::vector<schema_reader> readers{{this->context.configured.vm, newest_schema_version}};
@@ -153,10 +143,8 @@
     this->push_configuration(message, to.vm);
     ++this->counted.messages;
     this->counted.sent.value += static_cast<std::int64_t>(message.ByteSizeLong());
-    const bool tells_leave = this->state.self.state == member_state::left;
-    const auto done = [this, to, tells_leave](const wire::ExchangeMessage* reply) {
+    const auto done = [this, to](const wire::ExchangeMessage* reply) {
         if (reply != nullptr) {
-            this->is_leave_heard = this->is_leave_heard || tells_leave;
             this->take(*reply);
         } else {
             this->carry_out(on_send_failed(this->state, to, event_loop::now()));
--- a/src/daemon/group.hpp
+++ b/src/daemon/group.hpp
@@ -38,10 +38,10 @@
     void share(shared_kind kind) { this->kinds.push_back(std::move(kind)); }
     //! Tells peers soon that there is news, for example a newer configuration.
     void spread_soon();
-    //! Tells the peers that this daemon leaves, again and again until one of them has answered.
+    //! Tells the peers that this daemon leaves, again and again until one that stays has heard it.
     void leave();
     //! Whether a peer of this data centre has still to hear that this daemon leaves.
-    [[nodiscard]] bool is_leave_unheard() const;
+    [[nodiscard]] bool is_leave_unheard() const { return dandelionstep::is_leave_unheard(this->state); }
     //! What each daemon that may be alive can read.
     [[nodiscard]] std::vector<schema_reader> schema_readers() const;
     //! Every other daemon known, with its state; dead and left ones are forgotten after a while.
@@ -78,7 +78,6 @@
     event_loop::timer spreading;
     event_loop::timer next_vm_list;
     bool spread_due = false;
-    bool is_leave_heard = false;
 };
 
 } // namespace dandelionstep
--- a/src/vm/membership.cpp
+++ b/src/vm/membership.cpp
@@ -104,6 +104,33 @@
     state.last_tick = now;
 }
 
+// A daemon that leaves too may end before it tells the others. A message says how its sender counts a
+// receiver that is not alive, and nothing of a receiver that its sender does not know.
+bool shows_own_leave(const membership& state, const member_message& message)
+{
+    const bool stays = is_live(message.sender) && message.sender.data_centre == state.self.data_centre;
+    const auto is_own_leave = [&state](const member& each) {
+        return each.vm == state.self.vm && each.state == member_state::left &&
+               each.started >= state.self.started;
+    };
+    return stays && std::ranges::any_of(message.members, is_own_leave);
+}
+
+// Others that left before rely on this daemon for their notices, which are no more heard than its own.
+membership_actions tell_leave(membership& state, time_point now)
+{
+    tell_departures_again(state);
+    return gossip(state, now);
+}
+
+void repeat_leave(membership& state, membership_actions& actions, time_point now)
+{
+    if (is_leave_unheard(state)) {
+        const std::vector<outgoing_message> again = tell_leave(state, now).to_send;
+        actions.to_send.insert(actions.to_send.end(), again.begin(), again.end());
+    }
+}
+
 } // namespace
 
 membership_actions start(membership& state, time_point now)
@@ -140,6 +167,7 @@
         rejoin(state, actions, now);
     }
     request_table(state, actions, now);
+    repeat_leave(state, actions, now);
     return actions;
 }
 
@@ -154,6 +182,7 @@
     if (state.self.started != before) {
         actions.to_send = gossip(state, now).to_send;
     }
+    state.is_leave_heard = state.is_leave_heard || shows_own_leave(state, message);
     state.probes.erase(message.sender.vm);
     for (const member& each : message.confirmed) {
         state.probes.erase(each.vm);
@@ -214,7 +243,13 @@
 membership_actions leave(membership& state, time_point now)
 {
     state.self.state = member_state::left;
-    return gossip(state, now);
+    return tell_leave(state, now);
+}
+
+bool is_leave_unheard(const membership& state)
+{
+    return state.self.state == member_state::left && !state.is_leave_heard &&
+           !live_members(state, state.self.data_centre).empty();
 }
 
 std::vector<vm_id> live_members(const membership& state, const data_centre_id& data_centre)
--- a/src/vm/membership.hpp
+++ b/src/vm/membership.hpp
@@ -89,6 +89,8 @@
     //! Since when every digest that came from the data centre has differed from this daemon's own.
     std::map<data_centre_id, time_point> digest_differs_since;
     time_point started_at;
+    //! Whether a daemon of this data centre that stays knows that this one leaves.
+    bool is_leave_heard = false;
 };
 
 //! The membership part of a message between two daemons.
@@ -134,8 +136,10 @@
 membership_actions on_send_failed(membership& state, const outgoing_message& failed, time_point now);
 //! Sends messages to a few members at once, so that an update is soon known everywhere.
 membership_actions gossip(membership& state, time_point now);
-//! Announces that this daemon leaves; from now on it refutes nothing.
+//! Announces that this daemon leaves; from now on it refutes nothing. on_tick() repeats it until it is heard.
 membership_actions leave(membership& state, time_point now);
+//! Whether a live member of this data centre has still to hear that this daemon leaves.
+bool is_leave_unheard(const membership& state);
 
 //! Makes a message for the receiver; `receiver` is unset if only its address is known. The message carries
 //! the full table, or those recent updates that were sent least often. Each update is sent a bounded number
--- a/src/vm/membership_table.cpp
+++ b/src/vm/membership_table.cpp
@@ -97,6 +97,15 @@
     }
 }
 
+void tell_departures_again(membership& state)
+{
+    for (auto& [vm, each] : state.others) {
+        if (each.info.state == member_state::left) {
+            each.transmissions_left = transmissions_for(state.others.size());
+        }
+    }
+}
+
 void remove_expired_members(membership& state, time_point now)
 {
     std::erase_if(state.others, [&](const auto& entry) {
--- a/src/vm/membership_table.hpp
+++ b/src/vm/membership_table.hpp
@@ -30,6 +30,8 @@
 //! Merges an update about a member if it supersedes what is known. An update that calls this daemon suspect,
 //! dead or left, or gives it a higher incarnation, is refuted by a still higher one.
 void merge_member(membership& state, membership_actions& actions, const member& update, time_point now);
+//! Has the next messages to this data centre carry again which members left.
+void tell_departures_again(membership& state);
 //! Removes members that died or left long ago, and those of data centres that have sent nothing for very
 //! long.
 void remove_expired_members(membership& state, time_point now);
--- a/src/vm/planned_stop.hpp
+++ b/src/vm/planned_stop.hpp
@@ -25,7 +25,7 @@
     std::int64_t unwritten_orders = 0;
     //! Answers whose last byte has not reached the caller yet.
     std::int64_t unsent_answers = 0;
-    //! Notices of the stop that no peer has answered yet.
+    //! Notices of the stop that no peer that stays has heard yet.
     std::int64_t unheard_notices = 0;
 };
 
--- a/tests/process/stop_notice_proof_test.cpp
+++ b/tests/process/stop_notice_proof_test.cpp
@@ -3,10 +3,25 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace dandelionstep;
 using namespace dandelionstep::testing;
 
+namespace {
+
+std::string state_of(const json& members, const std::string& vm)
+{
+    for (const json& each : members) {
+        if (string_or(each, "vm", "") == vm) {
+            return string_or(each, "state", "");
+        }
+    }
+    return "";
+}
+
+} // namespace
+
 TEST_CASE("peers hear that a daemon leaves")
 {
     cluster running({.daemons = {"nashua", "nashua"},
@@ -23,3 +38,28 @@
     REQUIRE(members.size() == 1);
     CHECK(string_or(members[0], "state", "") == "left");
 }
+
+TEST_CASE("daemons that stop together don't end before one that stays has heard it")
+{
+    cluster running({.daemons = {"nashua", "nashua", "nashua"},
+                     .engines = {},
+                     .services = {},
+                     .extra_settings = {},
+                     .service_settings = {}});
+    child_process& staying = running.processes.at("daemon0");
+    child_process& first = running.processes.at("daemon1");
+    child_process& second = running.processes.at("daemon2");
+    staying.signal(SIGSTOP);
+    first.signal(SIGTERM);
+    second.signal(SIGTERM);
+    // Longer than the notice to the load balancer, shorter than the one to peers.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'700));
+    const bool is_one_running = first.running() || second.running();
+    CHECK(is_one_running);
+    staying.signal(SIGCONT);
+    CHECK(first.wait() == 0);
+    CHECK(second.wait() == 0);
+    const json members = running.status(0).value("members", json::array());
+    CHECK(state_of(members, "vm1") == "left");
+    CHECK(state_of(members, "vm2") == "left");
+}
--- a/tests/vm/membership_proof_test.cpp
+++ b/tests/vm/membership_proof_test.cpp
@@ -27,6 +27,16 @@
     }
 }
 
+member_message message_of(const member& sender, const std::vector<member>& members)
+{
+    return {.sender = sender,
+            .members = members,
+            .digest = 0,
+            .wants_full_table = false,
+            .probe = {},
+            .confirmed = {}};
+}
+
 } // namespace
 
 TEST_CASE("daemons that know only a few seeds find all other daemons")
@@ -54,6 +64,90 @@
     });
 }
 
+TEST_CASE("a daemon whose notice that it leaves was lost tells it again at the next tick")
+{
+    for_each_seed([](fake_network& net) {
+        net.cut = [](std::size_t, std::size_t) { return true; };
+        net.carry_out(4, leave(net.nodes[4].state, net.now));
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        CHECK(is_leave_unheard(net.nodes[4].state));
+        net.run({100});
+        CHECK_FALSE(is_leave_unheard(net.nodes[4].state));
+    });
+}
+
+TEST_CASE("a notice that was heard by a daemon which then leaves before it told it is not lost")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        fake_network net(seed, 1, 3);
+        REQUIRE(net.run_until([&] { return net.all_alive(); }, convergence_time));
+        net.cut = [](std::size_t from, std::size_t to) { return from == 0 || to == 0; };
+        net.carry_out(1, leave(net.nodes[1].state, net.now));
+        CHECK_FALSE(is_leave_unheard(net.nodes[1].state));
+        net.nodes[1].running = false;
+        net.carry_out(2, leave(net.nodes[2].state, net.now));
+        net.run({2'000});
+        CHECK(is_leave_unheard(net.nodes[2].state));
+        net.cut = [](std::size_t, std::size_t) { return false; };
+        net.run({100});
+        CHECK_FALSE(is_leave_unheard(net.nodes[2].state));
+        CHECK(net.view(1, 0) == member_state::left);
+        CHECK(net.view(2, 0) == member_state::left);
+    }
+}
+
+TEST_CASE("an answer of a daemon that leaves too, or does not know the leaving one, is no sign that it heard")
+{
+    const member leaving{.vm = vm_id("vm0"),
+                         .data_centre = data_centre_id("dc0"),
+                         .peer_address = fake_network::address_of(0),
+                         .operator_address = {},
+                         .started = {1'000}};
+    const auto seen_as = [&](member_state state, std::int64_t started) {
+        member seen = leaving;
+        seen.state = state;
+        seen.started = {started};
+        return std::vector{seen};
+    };
+    struct row {
+        const char* name;
+        const char* data_centre;
+        member_state answers_as;
+        std::vector<member> told;
+        bool is_heard;
+    };
+    using enum member_state;
+    const std::vector<row> rows{
+        {"it stays and has heard it", "dc0", alive, seen_as(left, 1'000), true},
+        {"it leaves too", "dc0", left, seen_as(left, 1'000), false},
+        {"it does not know the daemon", "dc0", alive, {}, false},
+        {"it suspects the daemon", "dc0", alive, seen_as(suspect, 1'000), false},
+        {"it means an earlier process", "dc0", alive, seen_as(left, 999), false},
+        {"it is in another data centre", "dc1", alive, seen_as(left, 1'000), false},
+    };
+    for (const row& each : rows) {
+        CAPTURE(each.name);
+        membership state;
+        state.self = leaving;
+        member answering{.vm = vm_id("vm1"),
+                         .data_centre = data_centre_id(each.data_centre),
+                         .peer_address = fake_network::address_of(1),
+                         .operator_address = {},
+                         .started = {1'000}};
+        member staying = answering;
+        staying.vm = vm_id("vm2");
+        staying.data_centre = leaving.data_centre;
+        on_message(state, message_of(answering, {}), {10'000});
+        on_message(state, message_of(staying, {}), {10'000});
+        leave(state, {10'000});
+        CHECK(is_leave_unheard(state));
+        answering.state = each.answers_as;
+        on_message(state, message_of(answering, each.told), {10'000});
+        CHECK(is_leave_unheard(state) != each.is_heard);
+    }
+}
+
 TEST_CASE("lost messages don't kill a live daemon")
 {
     for_each_seed([](fake_network& net) {
