Why a lapse beside a heartbeat that was lost before stays taken for a removal

Ruled out: doubt as soon as an outage may have cost one heartbeat; any removal after one failed call would be in doubt (DRAIN-7). Change: none of the code.

--- a/tests/target/doubtful_targets_test.cpp
+++ b/tests/target/doubtful_targets_test.cpp
@@ -1,5 +1,6 @@
 #include "target/doubtful_targets.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace dandelionstep;
@@ -64,3 +65,30 @@
     CHECK(joined_outage(first, {{14'200}, {14'300}}, interval).began == time_point{14'200});
     CHECK(joined_outage(first, {{14'200}, {14'300}}, interval).ended == time_point{14'300});
 }
+
+TEST_CASE("a lapse is no removal after an outage of 1.5 intervals, also when a heartbeat was lost before it")
+{
+    const time_point last_seen{100'000};
+    const time_point lapse = last_seen + interval * 3;
+    // The second heartbeat was due in the outage; the first may have been lost for any reason.
+    for (milliseconds length = interval * 3 / 2; length <= interval * 2;
+         length = length + milliseconds{100}) {
+        for (milliseconds after = interval * 2; after <= interval * 5; after = after + milliseconds{100}) {
+            CAPTURE(length.count);
+            CAPTURE(after.count);
+            const time_point ended = last_seen + after;
+            CHECK(may_have_lapsed(last_seen, interval, {ended - length, ended}, std::max(lapse, ended)));
+        }
+    }
+}
+
+TEST_CASE("a lapse to which a heartbeat lost before a shorter outage added counts as a removal")
+{
+    const time_point last_seen{100'000};
+    const time_point due = last_seen + interval * 2;
+    for (milliseconds length{0}; length < interval; length = length + milliseconds{100}) {
+        CAPTURE(length.count);
+        const store_outage outage{due - length / 2, due + length / 2};
+        CHECK_FALSE(may_have_lapsed(last_seen, interval, outage, last_seen + interval * 3));
+    }
+}
