--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -41,6 +41,11 @@
     return uses;
 }
 
+std::optional<milliseconds> store_age(time_point answered_at, time_point came_at)
+{
+    return answered_at > time_point{0} ? std::optional(came_at - answered_at) : std::nullopt;
+}
+
 peer_port::peer_port(entry_context& context_in, std::uint64_t process_in)
     : context(context_in), process(process_in),
       // Callers who do not read take nothing from what daemons tell each other.
@@ -187,12 +192,6 @@
     return true;
 }
 
-std::optional<milliseconds> peer_port::store_age(time_point came_at) const
-{
-    const time_point answered = this->store_answered_at ? this->store_answered_at() : time_point{0};
-    return answered > time_point{0} ? std::optional(came_at - answered) : std::nullopt;
-}
-
 void peer_port::answer(const pending_question& asked)
 {
     asked.caller->answer(status_ok, {{"Content-Type", "application/json"}}, this->answer_to(asked));
@@ -240,7 +239,8 @@
     answer.config_age = age.config;
     answer.targets_age = age.targets;
     answer.reaches_store = this->present_contact() == store_contact::reached;
-    answer.store_age = this->store_age(asked.came_at);
+    answer.store_age =
+        store_age(this->store_answered_at ? this->store_answered_at() : time_point{0}, asked.came_at);
     answer.position = this->context.position;
     if (!this->context.unconfirmed.empty()) {
         // Whether the doubtful ones come back is no change that another daemon would read.
--- a/src/entry/peers/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -66,7 +66,6 @@
     [[nodiscard]] store_contact present_contact() const;
     [[nodiscard]] bool may_answer(const peer_question& question) const;
     std::string answer_to(const pending_question& asked);
-    [[nodiscard]] std::optional<milliseconds> store_age(time_point came_at) const;
     std::string registry_part(const peer_question& question, peer_answer& answer);
     [[nodiscard]] std::optional<peer> better_reader() const;
 
@@ -88,4 +87,7 @@
 //! What this daemon's own requests take of engines.
 engine_uses own_uses(const entry_context& context);
 
+//! The age of the store's last answer when a question came; nullopt when it never answered, which is 0.
+std::optional<milliseconds> store_age(time_point answered_at, time_point came_at);
+
 } // namespace dandelionstep
