--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -16,9 +16,6 @@
 constexpr int status_unavailable = 503;
 // Followers ask more often than every second.
 constexpr milliseconds follower_time{3'000};
-// An answer waits no longer for a change, and is late by no more than the interval.
-constexpr milliseconds longest_wait{2'000};
-constexpr milliseconds overdue_interval{30};
 // A daemon that reached the store is named for so long to those that did not.
 constexpr milliseconds announcement_time{5'000};
 
@@ -50,9 +47,12 @@
     : context(context_in), process(process_in),
       // Callers who do not read take nothing from what daemons tell each other.
       port(context_in.loop, std::make_shared<byte_budget>(answer_budget(context_in.settings)),
-           [this](const std::shared_ptr<caller_exchange>& caller) { this->take(caller); })
+           [this](const std::shared_ptr<caller_exchange>& caller) { this->take(caller); }),
+      questions(
+          context_in.loop, [this](const peer_question& question) { return this->may_answer(question); },
+          [this](const pending_question& asked) { this->answer(asked); })
 {
-    context_in.on_change = [this] { this->answer_soon(); };
+    context_in.on_change = [this] { this->questions.answer_soon(); };
 }
 
 absl::Status peer_port::listen(const endpoint& at)
@@ -129,9 +129,7 @@
         return;
     }
     this->note_asker(*question);
-    const time_point now = event_loop::now();
-    const time_point until = now + std::min(question->wait, longest_wait);
-    this->wait_or_answer({caller, *std::move(question), now, until});
+    this->questions.take(caller, *std::move(question));
 }
 
 void peer_port::note_asker(const peer_question& question)
@@ -151,19 +149,6 @@
     }
 }
 
-void peer_port::wait_or_answer(pending_question asked)
-{
-    if (asked.question.wait <= milliseconds{0} || this->may_answer(asked.question)) {
-        this->answer(asked);
-        return;
-    }
-    this->waiting.push_back(std::move(asked));
-    if (this->waiting.size() == 1) {
-        this->overdue_timer =
-            this->context.loop.run_every(overdue_interval, [this] { this->answer_waiting(); });
-    }
-}
-
 bool peer_port::has_news_for(const peer_question& question) const
 {
     return question.process != this->process || question.sequence != this->context.changes.sequence ||
@@ -197,38 +182,6 @@
     asked.caller->answer(status_ok, {{"Content-Type", "application/json"}}, this->answer_to(asked));
 }
 
-// Several changes often come with one answer of the store.
-void peer_port::answer_soon()
-{
-    if (this->answering_soon || this->waiting.empty()) {
-        return;
-    }
-    this->answering_soon = true;
-    this->context.loop.post([this] {
-        this->answering_soon = false;
-        this->answer_waiting();
-    });
-}
-
-void peer_port::answer_waiting()
-{
-    const time_point now = event_loop::now();
-    std::vector<pending_question> due;
-    std::erase_if(this->waiting, [&](pending_question& one) {
-        const bool is_due = now >= one.until || this->may_answer(one.question);
-        if (is_due) {
-            due.push_back(std::move(one));
-        }
-        return is_due;
-    });
-    if (this->waiting.empty()) {
-        this->overdue_timer = {};
-    }
-    for (const pending_question& one : due) {
-        this->answer(one);
-    }
-}
-
 std::string peer_port::answer_to(const pending_question& asked)
 {
     const peer_question& question = asked.question;
--- a/src/entry/peers/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -4,6 +4,7 @@
 #include "entry/context/entry_context.hpp"
 #include "entry/peers/peer_messages.hpp"
 #include "entry/peers/shared_answers.hpp"
+#include "entry/peers/waiting_questions.hpp"
 #include "entry/store/store_client.hpp"
 #include "target/load_reports.hpp"
 #include "vm/successor_list.hpp"
@@ -42,14 +43,6 @@
     const engine_uses& followers_uses();
 
 private:
-    // A question that is not answered yet; it may wait for a change.
-    struct pending_question {
-        std::shared_ptr<caller_exchange> caller;
-        peer_question question;
-        time_point came_at;
-        time_point until;
-    };
-
     struct asker {
         endpoint at;
         double capacity = 0;
@@ -58,10 +51,7 @@
 
     void take(const std::shared_ptr<caller_exchange>& caller);
     void note_asker(const peer_question& question);
-    void wait_or_answer(pending_question asked);
     void answer(const pending_question& asked);
-    void answer_soon();
-    void answer_waiting();
     [[nodiscard]] bool has_news_for(const peer_question& question) const;
     [[nodiscard]] store_contact present_contact() const;
     [[nodiscard]] bool may_answer(const peer_question& question) const;
@@ -79,9 +69,7 @@
     time_point announced_at{0};
     load_reports shared;
     shared_answers answers;
-    std::vector<pending_question> waiting;
-    event_loop::timer overdue_timer;
-    bool answering_soon = false;
+    waiting_questions questions;
 };
 
 //! What this daemon's own requests take of engines.
