--- a/tests/process/entry_target_notices_proof_test.cpp
+++ b/tests/process/entry_target_notices_proof_test.cpp
@@ -44,6 +44,16 @@
     return arrivals_in(cluster, replica, from, INT64_MAX);
 }
 
+// When each request arrived at the replica, in ms after `from`.
+std::string arrival_times(entry_cluster& cluster, const std::string& replica, std::int64_t from)
+{
+    std::string text;
+    for (const json& at : cluster.ledger(replica).value("arrivals", json::array())) {
+        absl::StrAppend(&text, at.get<std::int64_t>() - from, " ");
+    }
+    return text;
+}
+
 // When the last request arrived at the replica.
 std::int64_t last_arrival(entry_cluster& cluster, const std::string& replica)
 {
@@ -182,6 +192,7 @@
     for (int i = 0; i < 6; ++i) {
         CHECK(is_whole_stream(cluster.stream(0, absl::StrCat("s", i), "question"), "question"));
     }
+    CAPTURE(arrival_times(cluster, first, passed_on.count));
     CHECK(arrivals_since(cluster, first, passed_on.count + plan.drain_ms) == 0);
 }
 
