--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -24,6 +24,8 @@
 constexpr std::int64_t lower_idle_ms = 1'000;
 // A raised limit is in force by then, if nothing disturbs the daemons.
 constexpr milliseconds raise_time{4'000};
+// What callers began under the limit before has reached its daemon by then.
+constexpr milliseconds arrival_time{200};
 constexpr std::int64_t full_weight = 100;
 
 std::string daemon_name(std::size_t index)
@@ -156,6 +158,7 @@
         this->raised_at = steady_clock::now();
     } else {
         this->promised.idle_ms = lower_idle_ms;
+        std::this_thread::sleep_for(arrival_time);
     }
 }
 
