Logs name the shared segments of a prompt, and whether an attempt had begun when its target ended

The incident's hypotheses differ in what the requests under the crashes share, and whether the crashing one had brought anything; neither was logged. No decision changes.

--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -10,6 +10,8 @@
 using organisation_id = strong_id<struct organisation_tag>;
 using model_id = strong_id<struct model_tag>;
 using service_id = strong_id<struct service_tag>;
+//! A segment of a prompt, named by its content; equal segments of different prompts have the same id.
+using segment_id = strong_id<struct segment_tag>;
 using request_id = strong_id<struct request_tag>;
 using change_id = strong_id<struct change_tag>;
 //! The key by which a caller names one order, unique within its organisation and service.
--- a/src/entry/calls/call_outcome.cpp
+++ b/src/entry/calls/call_outcome.cpp
@@ -47,7 +47,8 @@
         this->maybe_ran = true;
         this->log_failed(ended, reused ? "broken_reused" : "broken");
         this->tools.guard.note_lost({ended.target.id, ended.target.started, this->request.fingerprint,
-                                     crash_place{}, this->request.facts.attempt_id});
+                                     crash_place{}, this->request.facts.attempt_id,
+                                     this->request.facts.shared_segments});
         this->after_failure("broken", reused);
     } else {
         this->answered(ended, condition, now);
--- a/src/entry/context/dialect.hpp
+++ b/src/entry/context/dialect.hpp
@@ -27,6 +27,8 @@
     token_count max_answer_tokens;
     //! The caller's estimate of the answer's length.
     std::optional<std::int64_t> answer_hint;
+    //! The segments of the prompt that other requests may share, in order: all but the last one.
+    std::vector<segment_id> shared_segments;
 };
 
 //! Requests that a target runs, that wait there, and that it can run at once.
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -26,6 +26,8 @@
     std::int64_t sent_to_resting = 0;
     //! Targets that died while a request was on them, once for each of those requests.
     std::int64_t deaths_under_requests = 0;
+    //! The same, of requests whose attempt had not brought any part of its answer.
+    std::int64_t deaths_before_answers = 0;
     //! Targets that were known to leave by an answer first, and answers that asked for a rest.
     std::int64_t leaving_by_answer = 0;
     std::int64_t rests = 0;
--- a/src/entry/requests/accepted_request.cpp
+++ b/src/entry/requests/accepted_request.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_format.h"
 #include "adapters/log.hpp"
+#include "request/prompt_segments.hpp"
 
 namespace dandelionstep {
 namespace {
@@ -91,7 +92,8 @@
                           {"target", target.value},
                           {"ms", now - request.caller->began},
                           {"left_ms", request.deadline - now},
-                          {"fingerprint", request.fingerprint.value}});
+                          {"fingerprint", request.fingerprint.value},
+                          {"segments", segments_text(request.facts.shared_segments)}});
 }
 
 void refuse(entry_context& context, const accepted_request& request, int status, std::string_view reason,
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -108,7 +108,7 @@
     void take_successor();
     void drop_successor();
     void successor_ended(exchange_end end);
-    void consider_death(const hop& lost);
+    void consider_death(const stream_attempt& attempt, const hop& lost);
     //! Whether too many targets died under the request for it to be sent on.
     [[nodiscard]] bool is_held() const
     {
--- a/src/entry/streams/stream_attempt.hpp
+++ b/src/entry/streams/stream_attempt.hpp
@@ -25,8 +25,8 @@
     bool is_stream = false;
     //! Whether it goes on with the answer that another attempt began.
     bool goes_on = false;
-    //! Whether an event of it was passed on.
-    bool has_events = false;
+    //! Events of it that were passed on.
+    std::int64_t events = 0;
     bool ended = false;
 
     explicit stream_attempt(const std::shared_ptr<byte_budget>& budget) : body(budget), held(budget) {}
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -50,7 +50,7 @@
     }
     const bool is_cut = !this->splitter.pending.empty();
     if (ends_with_connection(ended.head)) {
-        return !is_cut && ended.has_events;
+        return !is_cut && ended.events > 0;
     }
     return !is_cut || !ended.goes_on;
 }
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -72,7 +72,7 @@
         this->left_silent.insert(lost);
     }
     if (is_new_loss && !leaves && part != this->current->path.end()) {
-        this->consider_death(*part);
+        this->consider_death(*this->current, *part);
     }
     if (!leaves && this->is_held()) {
         this->wait_while_held();
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -64,7 +64,7 @@
 
 // Engines that die together are found one after the other: those of a path count as one death, until the
 // stream has gone on or has lost an engine that joined it since.
-void stream_carrier::consider_death(const hop& lost)
+void stream_carrier::consider_death(const stream_attempt& attempt, const hop& lost)
 {
     if (std::ranges::find(this->path_at_death, lost) != this->path_at_death.end()) {
         return;
@@ -74,8 +74,9 @@
         std::ranges::copy(this->successor->path, std::back_inserter(this->path_at_death));
     }
     const crash_place place{token_count{this->splitter.last_id.value_or(0)}, layer_index{0}};
-    this->tools.guard.note_lost(
-        {lost.id, lost.started, this->request.fingerprint, place, this->request.facts.attempt_id});
+    this->tools.guard.note_lost({lost.id, lost.started, this->request.fingerprint, place,
+                                 this->request.facts.attempt_id, this->request.facts.shared_segments,
+                                 attempt.events});
 }
 
 // An engine of the path that other streams, or this one's first engine, found not to answer.
@@ -238,7 +239,7 @@
         note_failure(this->context.conditions[first.id],
                      unreachable ? target_failure::unreachable : target_failure::broken, now);
         if (!unreachable) {
-            this->consider_death(first);
+            this->consider_death(*this->successor, first);
         }
     } else if (this->successor->facts.did_not_run) {
         this->note_refused(*this->successor);
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -221,7 +221,9 @@
 
 void stream_carrier::pass_on(std::string_view bytes)
 {
+    const std::int64_t events_before = this->splitter.returned_events;
     const std::string events = take_events(this->splitter, bytes);
+    this->current->events += this->splitter.returned_events - events_before;
     if (events.empty()) {
         return;
     }
@@ -236,7 +238,6 @@
     }
     note_event(this->context, this->pace, this->request.caller->began, last, now);
     this->progress.has_events = true;
-    this->current->has_events = true;
     this->progress.last_event_at = now;
     this->begin_answer();
     this->request.caller->write(events);
@@ -283,7 +284,7 @@
         note_failure(this->context.conditions[first.id], target_failure::unreachable, now);
     } else {
         this->maybe_ran = true;
-        this->consider_death(first);
+        this->consider_death(*this->current, first);
         if (!reused || this->current->is_stream) {
             note_failure(this->context.conditions[first.id], target_failure::broken, now);
             this->excluded.insert(first.id);
--- a/src/entry/suspects/death_watch.cpp
+++ b/src/entry/suspects/death_watch.cpp
@@ -1,6 +1,7 @@
 #include "entry/suspects/death_watch.hpp"
 
 #include "adapters/log.hpp"
+#include "request/prompt_segments.hpp"
 
 #include <algorithm>
 
@@ -129,12 +130,15 @@
 void death_watch::report(const possible_death& death)
 {
     ++this->context.metrics.deaths_under_requests;
+    this->context.metrics.deaths_before_answers += death.attempt_events == 0 ? 1 : 0;
     if (may_log(this->context.logs, log_weight::failure, event_loop::now())) {
         log_event("target_died", {{"id", death.attempt_id},
                                   {"fingerprint", death.request.value},
                                   {"target", death.target.value},
                                   {"started", death.started.value},
-                                  {"after_event", death.place.delivered.value}});
+                                  {"after_event", death.place.delivered.value},
+                                  {"attempt_events", death.attempt_events},
+                                  {"segments", segments_text(death.segments)}});
     }
     if (this->on_death) {
         this->on_death(death);
--- a/src/entry/suspects/death_watch.hpp
+++ b/src/entry/suspects/death_watch.hpp
@@ -18,6 +18,10 @@
     request_fingerprint request;
     crash_place place;
     std::string attempt_id;
+    //! The segments of its prompt that other requests may share.
+    std::vector<segment_id> segments = {};
+    //! Events that its attempt had brought; 0 for a call.
+    std::int64_t attempt_events = 0;
 };
 
 //! Finds out whether targets died under requests: a broken connection alone proves nothing, a refused one or
--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -94,6 +94,7 @@
         return;
     }
     splitter.has_events = splitter.has_events || !is_leading_comment(splitter, event);
+    splitter.returned_events += is_comment(event) ? 0 : 1;
     whole += splitter.leading_comments;
     splitter.leading_comments.clear();
 }
--- a/src/request/event_splitter.hpp
+++ b/src/request/event_splitter.hpp
@@ -30,6 +30,8 @@
     std::optional<std::int64_t> last_id;
     //! Whether an event other than a comment was returned, of this body or of one that it continues.
     bool has_events = false;
+    //! The number of events other than comments that were returned.
+    std::int64_t returned_events = 0;
     //! The comments of an event stream ahead of its first event, which are returned together with it.
     std::string leading_comments;
 };
--- a/tests/platform/message_headers_test.cpp
+++ b/tests/platform/message_headers_test.cpp
@@ -30,6 +30,26 @@
     CHECK_FALSE(odd.last_event.has_value());
 }
 
+TEST_CASE("the segments of a prompt are read, but for the last one")
+{
+    const auto read = [](const http_headers& headers) {
+        std::vector<std::string> ids;
+        for (const segment_id& id : read_request_headers(headers).shared_segments) {
+            ids.push_back(id.value);
+        }
+        return ids;
+    };
+    constexpr const char* name = "Dandelionstep-Prompt-Prefix";
+    using ids = std::vector<std::string>;
+    CHECK(read({{name, "5c1e07a2:800,91BD3F06:410,e4402b7d:250"}}) == ids{"5c1e07a2", "91bd3f06"});
+    CHECK(read({{name, " 5c1e07a2:800 , 91bd3f06:410"}, {name, "e4402b7d:250"}}) ==
+          ids{"5c1e07a2", "91bd3f06"});
+    CHECK(read({{name, "5c1e07a2:800"}}).empty());
+    CHECK(read({{name, ""}}).empty());
+    CHECK(read({{name, ",:7,a,b:,:"}}) == ids{"a", "b"});
+    CHECK(read({}).empty());
+}
+
 TEST_CASE(
     "numbers beyond all bounds are read as the nearest that can be used, and what is no number as absent")
 {
--- a/tests/request/event_splitter_test.cpp
+++ b/tests/request/event_splitter_test.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+TEST_CASE("events are counted as they are returned, without comments and repeated ones")
+{
+    event_splitter splitter;
+    splitter.events_only = true;
+    take_events(splitter, ": comment\n\nid: 1\ndata: a\n\nid: 1\ndata: a\n\nid: 2\nda");
+    CHECK(splitter.returned_events == 1);
+    take_events(splitter, "ta: b\n\n: comment\n\n");
+    CHECK(splitter.returned_events == 2);
+}
+
 TEST_CASE("only complete events are forwarded, however their bytes arrive")
 {
     for (std::size_t part = 1; part <= three_events.size(); ++part) {
