A failing test: requests that share a crashing prompt segment go on crashing targets

The keeper of replicas is what process.entry_crashing_request_proof had; its checks are as they were.

--- a/tests/process/entry_crashing_request_proof_test.cpp
+++ b/tests/process/entry_crashing_request_proof_test.cpp
@@ -1,6 +1,7 @@
 #include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
+#include "support/replica_keeper.hpp"
 
 #include "absl/strings/str_cat.h"
 
@@ -19,7 +20,6 @@
 constexpr const char* crashing_text = "ends its target";
 constexpr milliseconds restart_pause{600};
 constexpr milliseconds repeat_pause{150};
-constexpr milliseconds look_pause{10};
 // Retries that may reach targets later than the stability window after the third death.
 constexpr std::int64_t allowed_retries = 3;
 
@@ -61,7 +61,7 @@
 class repeated_request {
 public:
     repeated_request(entry_cluster& cluster, std::size_t daemons, ask_function ask)
-        : cluster(cluster), ask(std::move(ask))
+        : replicas(cluster, restart_pause), ask(std::move(ask))
     {
         for (std::size_t i = 0; i < daemons; ++i) {
             this->callers.emplace_back([this, i] { this->repeat(i); });
@@ -70,26 +70,15 @@
 
     void run_for(milliseconds span)
     {
-        const time_point end = event_loop::now() + span;
-        while (event_loop::now() < end) {
-            this->tend_replicas();
-            sleep_for(look_pause);
-        }
+        this->replicas.tend_for(span);
         this->stopping = true;
         for (std::thread& caller : this->callers) {
             caller.join();
         }
-        sleep_for(restart_pause);
-        this->tend_replicas();
+        this->replicas.restore();
     }
 
-    [[nodiscard]] std::int64_t deaths_after(time_point from) const
-    {
-        return std::ranges::count_if(this->deaths, [from](time_point at) { return at > from; });
-    }
-
-    //! When replicas ended.
-    std::vector<time_point> deaths;
+    replica_keeper replicas;
     //! Answers that say that the request has not run.
     std::atomic<std::int64_t> refused = 0;
     std::atomic<std::int64_t> refused_with_return_time = 0;
@@ -107,28 +96,9 @@
         }
     }
 
-    void tend_replicas()
-    {
-        const time_point now = event_loop::now();
-        for (const std::string& id : this->cluster.replica_ids()) {
-            if (this->cluster.processes.at(id).running()) {
-                continue;
-            }
-            const auto [due, is_new] = this->restart_at.try_emplace(id, now + restart_pause);
-            if (is_new) {
-                this->deaths.push_back(now);
-            } else if (now >= due->second) {
-                this->cluster.start_replica(id);
-                this->restart_at.erase(due);
-            }
-        }
-    }
-
-    entry_cluster& cluster;
     ask_function ask;
     std::vector<std::thread> callers;
     std::atomic<bool> stopping = false;
-    std::map<std::string, time_point> restart_at;
 };
 
 void check_bounded(entry_cluster& cluster, const entry_plan& plan, const ask_function& ask,
@@ -142,10 +112,10 @@
     }
     repeated_request repeated(cluster, plan.daemons.size(), ask);
     repeated.run_for(span);
-    REQUIRE(repeated.deaths.size() >= 3);
-    const time_point third = repeated.deaths[2];
-    MESSAGE("targets ended: ", repeated.deaths.size());
-    CHECK(repeated.deaths_after(third + milliseconds{plan.stability_ms}) <= allowed_retries);
+    REQUIRE(repeated.replicas.ends().size() >= 3);
+    const time_point third = repeated.replicas.ends()[2];
+    MESSAGE("targets ended: ", repeated.replicas.ends().size());
+    CHECK(repeated.replicas.ends_after(third + milliseconds{plan.stability_ms}) <= allowed_retries);
     CHECK(repeated.refused > 0);
     CHECK(repeated.refused == repeated.refused_with_return_time);
     for (const std::string& id : failing) {
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds peer_timeout{150};
 // Tells the next engine of a path that the stream ends the engines that run it.
 constexpr const char* crash_header = "Crashes";
+constexpr const char* segments_header = "Dandelionstep-Prompt-Prefix";
 // The part of a path that an engine is asked to run.
 constexpr const char* part_header = "Part";
 constexpr milliseconds idle_interval{10};
@@ -72,6 +73,8 @@
     event_loop::timer step;
     std::optional<endpoint> stalled_on;
     time_point stalled_at;
+    //! Whether a segment of its prompt ends the engine that begins its answer.
+    bool is_crashing = false;
     //! Whether the process that it is stalled on has ended: a new one at the address knows nothing of it.
     bool has_lost_part = false;
 };
@@ -331,7 +334,8 @@
             reply->send(status_failed, "failed", "text/plain");
             return;
         }
-        if (this->is_crashing(request.body) || this->is_crashing(request.path)) {
+        const bool is_crashing_call = path.empty() && this->is_crashing(request.header(segments_header));
+        if (this->is_crashing(request.body) || this->is_crashing(request.path) || is_crashing_call) {
             if (path.size() <= 1 || !this->options.crashes_later_engines) {
                 this->crash();
             }
@@ -430,6 +434,7 @@
         stream->body = request.body;
         stream->path = path;
         stream->reply = reply;
+        stream->is_crashing = this->is_crashing(request.header(segments_header));
         std::int64_t last = 0;
         if (absl::SimpleAtoi(request.header("Last-Event-Id"), &last)) {
             stream->next = last;
@@ -483,7 +488,7 @@
         const path_hop& part = stream->path[index];
         const endpoint hop = part.address;
         question.headers = {{part_header, absl::StrCat(to_string(hop), "=", part.begin, "-", part.end)}};
-        if (this->is_crashing(stream->body)) {
+        if (this->is_crashing(stream->body) || (stream->is_crashing && this->options.crashes_later_engines)) {
             question.headers.emplace_back(crash_header, "1");
         }
         this->client.send(hop, std::move(question),
@@ -519,6 +524,9 @@
 
     void write_event(const std::shared_ptr<running_stream>& stream)
     {
+        if (stream->is_crashing && !this->options.crashes_later_engines) {
+            this->crash();
+        }
         stream->stalled_on.reset();
         const std::int64_t count = event_count(stream->body);
         if (stream->next <= count) {
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -23,8 +23,8 @@
     std::int64_t event_ms = 20;
     std::int64_t stall_ms = 3000;
     std::int64_t load_ms = 50;
-    //! A request whose body or path holds this text ends the process as soon as it begins to run; none when
-    //! empty.
+    //! A request whose body or path holds this text ends the process as soon as it begins to run, one whose
+    //! prompt has a segment with it as soon as its answer would begin; none when empty.
     std::string crashes_on;
     //! Whether it ends the later engines of its path instead of the first one.
     bool crashes_later_engines = false;
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -53,8 +53,8 @@
     std::map<std::string, endpoint> store_seen_at;
     //! Where each replica registers itself, if not at its own address.
     std::map<std::string, endpoint> replica_seen_at;
-    //! Requests whose body or path holds this text end each replica that runs them: the first engine of a
-    //! path, or the later ones. None when empty.
+    //! Requests whose body, path or prompt segments hold this text end each replica that runs them: the first
+    //! engine of a path, or the later ones. None when empty.
     std::string crashes_on;
     bool crashes_later_engines = false;
     //! Called with the address of the store and of each replica when it has started.
