--- a/tests/request/prompt_segments_test.cpp
+++ b/tests/request/prompt_segments_test.cpp
@@ -27,6 +27,7 @@
 TEST_CASE("of very many segments the first ones count")
 {
     std::vector<segment_id> many;
+    many.reserve(1'000);
     for (int i = 0; i < 1'000; ++i) {
         many.emplace_back(std::to_string(i));
     }
