Suspected segments of one crash are tried one after the other, and the proved one explains the others' crashes

Cause: two segments that were aboard the first crash were tried at the same moment, on the same engine. The crash that followed counted against both, so that neither was told from the other, and both were tried again; segments that were aboard these crashes by chance were tried in their turn, at the same moments as the cause.

Ruled out: late news (both daemons knew of both suspects 100 ms after the first crash), the level at which a segment is refused (it was reached, and lifted as the crash had another possible cause).

Change: suspects that share a crash are tried in one order, on which all daemons agree: the one against which most speaks first, then by fingerprint; each waits for the length of a trial, or less if an answer clears the one before. Segments that were answered before are not waited for. A segment that crashed a target alone, and against which more speaks, explains the crashes that it shares with others; they go on at once.

The three new cases fail on the code before.

--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -14,6 +14,10 @@
 // segment, and a crash that comes later than the other time belongs to that trial.
 constexpr std::int64_t first_trial_after = 50;
 constexpr std::int64_t round_length = 40;
+// The part in which a trial ends, and its end is known; suspects of one crash are tried one after the other,
+// so that each crash under a trial has one cause.
+constexpr std::int64_t trial_length = 30;
+constexpr std::int64_t max_turn = 5;
 // Segments that many requests share are often aboard a target that crashes for another reason; one of which
 // an answer began is judged more mildly up to this round.
 constexpr int rounds_beyond_chance = 3;
@@ -32,12 +36,65 @@
     return last;
 }
 
-// The crashes that no answer has cleared, in order of time.
-std::vector<segment_crash> open_crashes(const segment_suspect& suspect)
+bool is_open(const segment_suspect& suspect, crash_id id)
+{
+    const auto found = suspect.crashes.find(id);
+    return found != suspect.crashes.end() && !found->second.is_cleared;
+}
+
+bool was_ever_cleared(const segment_suspect& suspect)
+{
+    return std::ranges::any_of(suspect.crashes, [](const auto& entry) { return entry.second.is_cleared; });
+}
+
+// How much speaks against a suspect: first the crashes at which no other segment of the prompt could be the
+// cause, then all that no answer has cleared.
+struct segment_evidence {
+    std::int64_t alone = 0;
+    std::int64_t open = 0;
+
+    friend auto operator<=>(const segment_evidence&, const segment_evidence&) = default;
+};
+
+segment_evidence evidence_of(const segment_suspect& suspect)
+{
+    segment_evidence evidence;
+    for (const auto& [id, crash] : suspect.crashes) {
+        evidence.open += crash.is_cleared ? 0 : 1;
+        evidence.alone += crash.is_cleared || !crash.is_alone ? 0 : 1;
+    }
+    return evidence;
+}
+
+// Whether an answer to a request with the segment has ever begun.
+bool was_answered(const segment_suspects& known, segment_fingerprint segment, const segment_suspect& suspect,
+                  time_point now)
+{
+    return was_ever_cleared(suspect) || was_segment_answered(known, segment, now);
+}
+
+// Whether another segment that was aboard at the crash is its cause: one that has crashed a target alone, and
+// against which more speaks.
+bool is_explained(const segment_suspects& known, const segment_suspect& suspect, crash_id crash,
+                  time_point now)
+{
+    const segment_evidence own = evidence_of(suspect);
+    return std::ranges::any_of(known.suspects, [&](const auto& entry) {
+        if (!is_open(entry.second, crash)) {
+            return false;
+        }
+        const segment_evidence other = evidence_of(entry.second);
+        return other.alone > 0 && other > own && !was_answered(known, entry.first, entry.second, now);
+    });
+}
+
+// The crashes that no answer has cleared and no other segment explains, in order of time.
+std::vector<segment_crash> open_crashes(const segment_suspects& known, const segment_suspect& suspect,
+                                        time_point now)
 {
     std::vector<segment_crash> open;
     for (const auto& [id, crash] : suspect.crashes) {
-        if (!crash.is_cleared) {
+        if (!crash.is_cleared && !is_explained(known, suspect, id, now)) {
             open.push_back(crash);
         }
     }
@@ -58,14 +115,9 @@
     return rounds;
 }
 
-bool was_ever_cleared(const segment_suspect& suspect)
-{
-    return std::ranges::any_of(suspect.crashes, [](const auto& entry) { return entry.second.is_cleared; });
-}
-
-int level_of(int rounds, std::size_t crashes, bool was_answered)
+int level_of(int rounds, std::size_t crashes, bool is_answered)
 {
-    if (was_answered) {
+    if (is_answered) {
         return rounds < rounds_beyond_chance ? rounds - 1 : rounds;
     }
     if (rounds > 1) {
@@ -124,8 +176,8 @@
 
 bool less_suspicious(const segment_suspect& a, const segment_suspect& b)
 {
-    const std::size_t open_a = open_crashes(a).size();
-    const std::size_t open_b = open_crashes(b).size();
+    const std::int64_t open_a = evidence_of(a).open;
+    const std::int64_t open_b = evidence_of(b).open;
     return open_a != open_b ? open_a < open_b : last_crash(a) < last_crash(b);
 }
 
@@ -149,37 +201,66 @@
     });
 }
 
-// Whether another suspect of at least that level was aboard at the crash.
+// Whether another suspect that was never answered was aboard at the crash, and no less speaks against it.
 bool has_other_cause(const segment_suspects& known, segment_fingerprint segment, crash_id crash,
-                     int least_level, time_point now)
+                     const segment_evidence& least, time_point now)
 {
     return std::ranges::any_of(known.suspects, [&](const auto& entry) {
-        const auto found = entry.second.crashes.find(crash);
-        return entry.first != segment && found != entry.second.crashes.end() && !found->second.is_cleared &&
-               suspicion_level(known, entry.first, now) >= least_level;
+        return entry.first != segment && is_open(entry.second, crash) && evidence_of(entry.second) >= least &&
+               !was_answered(known, entry.first, entry.second, now);
     });
 }
 
 // Whether a request with the segment can tell if that is the cause: no other segment of its prompt can be it,
 // and another suspect may have been the cause of each crash. A segment that was tried so already is no longer
-// in doubt, unless a stronger suspect was aboard then.
+// in doubt, unless as strong a suspect was aboard then.
 bool would_tell(const segment_suspects& known, segment_fingerprint segment,
                 const std::vector<prompt_segment>& of_request, time_point now)
 {
     if (!were_others_answered(known, segment, of_request, now)) {
         return false;
     }
-    return std::ranges::all_of(known.suspects.at(segment).crashes, [&](const auto& entry) {
-        const int least_level = entry.second.is_alone ? level_of_doubt : 0;
-        return entry.second.is_cleared || has_other_cause(known, segment, entry.first, least_level, now);
+    const segment_suspect& suspect = known.suspects.at(segment);
+    const segment_evidence own = evidence_of(suspect);
+    return std::ranges::all_of(suspect.crashes, [&](const auto& entry) {
+        const segment_evidence least = entry.second.is_alone ? own : segment_evidence{};
+        return entry.second.is_cleared || has_other_cause(known, segment, entry.first, least, now);
     });
 }
 
+bool share_open_crash(const segment_suspect& a, const segment_suspect& b)
+{
+    return std::ranges::any_of(
+        a.crashes, [&](const auto& entry) { return !entry.second.is_cleared && is_open(b, entry.first); });
+}
+
+// How many suspects of the same crashes are tried before this one, in an order on which all daemons agree.
+// A segment that was answered waits for none: it is popular, and seldom the cause.
+std::int64_t turn_of(const segment_suspects& known, segment_fingerprint segment, time_point now)
+{
+    const segment_suspect& suspect = known.suspects.at(segment);
+    if (was_answered(known, segment, suspect, now)) {
+        return 0;
+    }
+    const segment_evidence own = evidence_of(suspect);
+    const auto before = std::ranges::count_if(known.suspects, [&](const auto& entry) {
+        const segment_evidence other = evidence_of(entry.second);
+        const bool is_before = other != own ? other > own : entry.first < segment;
+        return is_before && share_open_crash(suspect, entry.second) &&
+               !was_answered(known, entry.first, entry.second, now);
+    });
+    return std::min<std::int64_t>(before, max_turn);
+}
+
 segment_verdict verdict_at(const segment_suspects& known, segment_fingerprint segment, int level,
                            time_point now)
 {
-    const segment_crash last = open_crashes(known.suspects.at(segment)).back();
-    const milliseconds remaining = hold_of(known, level, last.is_own) - (now - last.at);
+    const segment_crash last = open_crashes(known, known.suspects.at(segment), now).back();
+    milliseconds hold = hold_of(known, level, last.is_own);
+    if (level == 1) {
+        hold = hold + part_of(known.limits.propagation_time, trial_length) * turn_of(known, segment, now);
+    }
+    const milliseconds remaining = hold - (now - last.at);
     if (remaining <= milliseconds{0}) {
         return {segment_permission::trial, {0}};
     }
@@ -228,13 +309,12 @@
     if (found == known.suspects.end()) {
         return 0;
     }
-    const std::vector<segment_crash> open = open_crashes(found->second);
+    const std::vector<segment_crash> open = open_crashes(known, found->second, now);
     if (open.empty() || now - open.back().at >= known.limits.lifetime) {
         return 0;
     }
-    const bool was_answered = was_ever_cleared(found->second) || was_segment_answered(known, segment, now);
     const int rounds = rounds_of(open, part_of(known.limits.propagation_time, round_length));
-    const int level = level_of(rounds, open.size(), was_answered);
+    const int level = level_of(rounds, open.size(), was_answered(known, segment, found->second, now));
     const bool is_doubtful = level > level_of_doubt && !stands_out(known, found->second, open);
     return is_doubtful ? level_of_doubt : level;
 }
@@ -324,7 +404,7 @@
 void expire(segment_suspects& known, time_point now)
 {
     std::erase_if(known.suspects, [&](const auto& entry) {
-        const bool is_cleared = open_crashes(entry.second).empty();
+        const bool is_cleared = evidence_of(entry.second).open == 0;
         const milliseconds lifetime = is_cleared ? known.limits.cleared_lifetime : known.limits.lifetime;
         return now - last_crash(entry.second) >= lifetime;
     });
--- a/tests/request/segment_suspects_test.cpp
+++ b/tests/request/segment_suspects_test.cpp
@@ -12,6 +12,7 @@
 constexpr time_point start{10'000'000};
 constexpr segment_fingerprint bad{1};
 constexpr segment_fingerprint common{2};
+constexpr segment_fingerprint innocent{7};
 
 std::vector<prompt_segment> prompt(std::initializer_list<segment_fingerprint> fingerprints)
 {
@@ -174,6 +175,85 @@
     }
 }
 
+TEST_CASE("suspects of one crash are tried one after the other, so that a crash under a trial has one cause")
+{
+    segment_suspects known;
+    crash(known, 1, {0}, bad);
+    crash(known, 1, {0}, innocent);
+    crash(known, 2, {0}, segment_fingerprint{9});
+    CHECK(verdict(known, {0}, {bad}).remaining == milliseconds{600});
+    CHECK(verdict(known, {0}, {innocent}).remaining == milliseconds{960});
+    CHECK(verdict(known, {0}, {segment_fingerprint{9}}).remaining == milliseconds{600});
+    SUBCASE("sooner if an answer clears the one before")
+    {
+        note_segment_answered(known, bad, start + milliseconds{700});
+        CHECK(permission(known, {700}, innocent) == segment_permission::trial);
+    }
+    SUBCASE("a popular one is not waited for")
+    {
+        note_segment_answered(known, common, start);
+        crash_under(known, 1, {0}, {common});
+        CHECK(verdict(known, {0}, {innocent}).remaining == milliseconds{960});
+    }
+    SUBCASE("the wait is bounded")
+    {
+        for (std::int64_t i = 20; i < 60; ++i) {
+            crash(known, 1, {0}, segment_fingerprint{i});
+        }
+        CHECK(verdict(known, {0}, {segment_fingerprint{59}}).remaining == milliseconds{2'400});
+    }
+}
+
+TEST_CASE("a segment that crashed a target by itself explains the crashes at which others were aboard")
+{
+    segment_suspects known;
+    note_segment_answered(known, common, start);
+    crash_under(known, 1, {0}, {common, bad});
+    crash_under(known, 1, {0}, {common, innocent});
+    CHECK(permission(known, {1'000}, innocent) == segment_permission::trial);
+    crash_under(known, 2, {700}, {common, bad}, true);
+    CHECK(permission(known, {700}, innocent) == segment_permission::allowed);
+    CHECK(permission(known, {700}, bad) == segment_permission::refused);
+    SUBCASE("until an answer shows that it does not")
+    {
+        note_segment_answered(known, bad, start + milliseconds{800});
+        CHECK(permission(known, {800}, innocent) == segment_permission::trial);
+    }
+    SUBCASE("not those at which it was not aboard")
+    {
+        crash_under(known, 3, {800}, {common, innocent});
+        CHECK(permission(known, {800}, innocent) == segment_permission::wait);
+    }
+}
+
+TEST_CASE("two suspects that were tried at the same time are tried again, one after the other")
+{
+    segment_suspects known;
+    const auto answer_common = [&](milliseconds after) {
+        note_segment_answered(known, common, start + after);
+    };
+    answer_common({0});
+    for (std::int64_t i = 0; i < 2; ++i) {
+        crash_under(known, i, milliseconds{700 * i}, {common, bad}, i > 0);
+        crash_under(known, i, milliseconds{700 * i}, {common, innocent}, i > 0);
+        answer_common(milliseconds{700 * i});
+    }
+    CHECK(verdict(known, {700}, {common, bad}).remaining == milliseconds{600});
+    CHECK(verdict(known, {700}, {common, innocent}).remaining == milliseconds{960});
+    SUBCASE("a third crash tells which it is")
+    {
+        crash_under(known, 2, {1'400}, {common, bad}, true);
+        answer_common({1'400});
+        CHECK(permission(known, {1'400}, innocent) == segment_permission::allowed);
+        CHECK(verdict(known, {1'400}, {common, bad}).remaining == milliseconds{600'000});
+    }
+    SUBCASE("an answer does as well")
+    {
+        note_segment_answered(known, innocent, start + milliseconds{1'400});
+        CHECK(verdict(known, {1'400}, {common, bad}).permission == segment_permission::refused);
+    }
+}
+
 TEST_CASE("a segment that comes with another new one each time is tried once")
 {
     segment_suspects known;
