The trial of a prompt with two suspected segments comes a turn later, which its test awaits

The test gave both segments one crash; since suspects of one crash are tried in turn, the second one's trial is due 320 ms after the crash at the test's times, not 200 ms. What it checks is as before.

--- a/tests/entry/suspects/segment_guard_test.cpp
+++ b/tests/entry/suspects/segment_guard_test.cpp
@@ -91,7 +91,8 @@
 {
     guarded_daemon daemon;
     daemon.lose_target(crashing);
-    daemon.wait({300});
+    // Both segments of the prompt are suspected, and the second one's turn comes later.
+    daemon.wait({400});
     std::shared_ptr<segment_trial> trial = daemon.guard.segments().begin(crashing, "a");
     CHECK(trial != nullptr);
     CHECK(daemon.permission(crashing) == segment_permission::wait);
