--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -15,6 +15,7 @@
 #include "route/retry_budget.hpp"
 #include "route/return_time.hpp"
 #include "route/sharer_count.hpp"
+#include "target/ended_processes.hpp"
 #include "target/engine_use.hpp"
 #include "target/kept_rests.hpp"
 #include "target/leaving.hpp"
@@ -70,6 +71,10 @@
     shared_suspects suspects;
     //! Prompt segments of requests under which targets died.
     segment_suspects segments;
+    //! Processes of targets that daemons found ended.
+    ended_processes ended;
+    //! Called when one more is known.
+    std::function<void()> on_ended;
     //! Called when there is news for the daemons that follow this one.
     std::function<void()> on_change;
     //! Called when there is news of suspects for the store.
--- a/src/entry/peers/peer_exchange.cpp
+++ b/src/entry/peers/peer_exchange.cpp
@@ -45,6 +45,7 @@
     told.suspects_sequence = knows_numbers ? this->reader_suspects : -1;
     const segment_update segments = segment_updates_since(
         this->context.segments, knows_numbers ? std::optional(this->told_segments) : std::nullopt, now);
+    told.ended = ended_reports(this->context);
     told.segments = segments.reports;
     told.told_segments = segments.sequence;
     told.segments_sequence = knows_numbers ? this->reader_segments : -1;
--- a/src/entry/peers/peer_messages.hpp
+++ b/src/entry/peers/peer_messages.hpp
@@ -4,6 +4,7 @@
 #include "common/clock.hpp"
 #include "common/ids.hpp"
 #include "entry/context/store_position.hpp"
+#include "entry/suspects/suspect_messages.hpp"
 #include "request/segment_suspects.hpp"
 #include "request/suspects.hpp"
 #include "target/engine_use.hpp"
@@ -51,6 +52,8 @@
     //! The same of suspected segments of prompts.
     std::vector<segment_report> segments;
     std::int64_t segments_sequence = -1;
+    //! Processes of targets that the asker knows to have ended.
+    std::vector<ended_report> ended;
     //! Of the asker alone, and not sent: up to which of its own changes `suspects` and `segments` tell.
     std::int64_t told_suspects = 0;
     std::int64_t told_segments = 0;
--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -113,6 +113,7 @@
     }
     learn_suspects(this->context, question->suspects, "peer");
     learn_segments(this->context, question->segments, "peer");
+    learn_ended(this->context, question->ended, "peer");
     for (const auto& [target, started] : question->leaving) {
         note_leaving(this->context, {target, started}, "peer");
     }
--- a/src/entry/placement/placer.cpp
+++ b/src/entry/placement/placer.cpp
@@ -33,6 +33,8 @@
 {
     this->self.holder = context_in.settings.vm;
     this->self.process = process;
+    // Engines that have ended are registered for some seconds more, in which no path may be left.
+    context_in.on_ended = [this] { this->plan(); };
 }
 
 void placer::start()
@@ -153,7 +155,7 @@
 {
     std::vector<registered_target> engines;
     for (const auto& [id, target] : this->context.targets) {
-        if (target.service != service) {
+        if (target.service != service || has_ended(this->context.ended, id, target.started, now)) {
             continue;
         }
         engines.push_back(target);
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -255,7 +255,9 @@
         this->sent_count -= unreachable ? 1 : 0;
         note_failure(this->context.conditions[first.id],
                      unreachable ? target_failure::unreachable : target_failure::broken, now);
-        if (!unreachable) {
+        if (unreachable) {
+            this->tools.guard.note_unreachable(first.id, first.started);
+        } else {
             this->consider_death(*this->successor, first);
         }
     } else if (this->successor->facts.did_not_run) {
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -326,6 +326,7 @@
         this->excluded.insert(first.id);
     } else if (end == exchange_end::not_sent) {
         note_failure(this->context.conditions[first.id], target_failure::unreachable, now);
+        this->tools.guard.note_unreachable(first.id, first.started);
     } else {
         this->maybe_ran = true;
         this->consider_death(*this->current, first);
--- a/src/entry/suspects/crash_guard.hpp
+++ b/src/entry/suspects/crash_guard.hpp
@@ -13,6 +13,11 @@
 
     //! A request was on a target that broke off or was given up.
     void note_lost(const possible_death& death) { this->deaths.consider(death); }
+    //! A connection to the target's process could not be made.
+    void note_unreachable(const target_id& target, incarnation started)
+    {
+        this->deaths.consider_ended(target, started);
+    }
     //! The request went on after a loss, so that others need not know of it unless another target dies.
     void note_goes_on(request_fingerprint request);
     //! A target ran the request to a good end. A failure does not count: targets give those without running
--- a/src/entry/suspects/death_watch.cpp
+++ b/src/entry/suspects/death_watch.cpp
@@ -1,8 +1,10 @@
 #include "entry/suspects/death_watch.hpp"
 
 #include "adapters/log.hpp"
+#include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionstep {
 namespace {
@@ -54,16 +56,43 @@
     }
     this->forget_old();
     const crash_id process = crash_id_of(death.target, death.started);
-    finding& found = this->findings[process];
+    finding& found = this->finding_of(process, death.target, death.started);
     if (found.dead_at) {
         this->report(death);
         return;
     }
     found.waiting.push_back(death);
-    if (found.waiting.size() == 1) {
-        this->context.channels.check(known->second.address, check_timeout,
-                                     [this, process](connect_result result) { this->take(process, result); });
+    this->check(process, known->second.address);
+}
+
+void death_watch::consider_ended(const target_id& target, incarnation started)
+{
+    const auto known = this->context.targets.find(target);
+    if (known == this->context.targets.end() || known->second.leaving || known->second.started != started) {
+        return;
+    }
+    this->forget_old();
+    const crash_id process = crash_id_of(target, started);
+    if (!this->finding_of(process, target, started).dead_at) {
+        this->check(process, known->second.address);
+    }
+}
+
+death_watch::finding& death_watch::finding_of(crash_id process, const target_id& target, incarnation started)
+{
+    finding& found = this->findings[process];
+    found.target = target;
+    found.started = started;
+    return found;
+}
+
+void death_watch::check(crash_id process, const endpoint& at)
+{
+    if (std::exchange(this->findings.at(process).is_checking, true)) {
+        return;
     }
+    this->context.channels.check(at, check_timeout,
+                                 [this, process](connect_result result) { this->take(process, result); });
 }
 
 std::size_t death_watch::unconfirmed(request_fingerprint request) const
@@ -96,7 +125,8 @@
     }
     std::vector<possible_death> waiting = std::move(found->second.waiting);
     found->second.waiting.clear();
-    log_event("target_checked", {{"target", waiting.front().target.value},
+    found->second.is_checking = false;
+    log_event("target_checked", {{"target", found->second.target.value},
                                  {"found", name_of(result)},
                                  {"requests", static_cast<std::int64_t>(waiting.size())}});
     if (result != connect_result::refused) {
@@ -105,15 +135,29 @@
         return;
     }
     found->second.dead_at = event_loop::now();
+    this->note_ended(found->second);
     for (const possible_death& death : waiting) {
         this->report(death);
     }
 }
 
+// A target of another data centre may be alive behind a cut that refuses connections.
+void death_watch::note_ended(const finding& found)
+{
+    const auto known = this->context.targets.find(found.target);
+    if (known != this->context.targets.end() &&
+        known->second.data_centre == this->context.settings.data_centre) {
+        tell_ended(this->context, found.target, found.started);
+    }
+}
+
 // What accepts connections may be the next process already, or something on the way to it.
 void death_watch::keep_doubts(std::vector<possible_death> deaths)
 {
     const time_point until = event_loop::now() + doubt_time;
+    if (deaths.empty()) {
+        return;
+    }
     const bool is_first = this->doubts.empty();
     for (possible_death& death : deaths) {
         if (this->doubts.size() < most_doubts) {
--- a/src/entry/suspects/death_watch.hpp
+++ b/src/entry/suspects/death_watch.hpp
@@ -46,6 +46,8 @@
     std::function<void(const possible_death&)> on_death;
 
     void consider(const possible_death& death);
+    //! A connection to the target's process could not be made, so it may have ended with no request aboard.
+    void consider_ended(const target_id& target, incarnation started);
     //! The request was run further than where its targets may have died.
     void clear(request_fingerprint request);
     //! Targets that are being checked on which the request was.
@@ -56,6 +58,9 @@
 private:
     //! What is known of one process of a target.
     struct finding {
+        target_id target;
+        incarnation started;
+        bool is_checking = false;
         //! Requests that wait for the answer to an open check.
         std::vector<possible_death> waiting;
         //! When it was found dead, if it was.
@@ -68,7 +73,10 @@
         time_point until;
     };
 
+    finding& finding_of(crash_id process, const target_id& target, incarnation started);
+    void check(crash_id process, const endpoint& at);
     void take(crash_id process, connect_result result);
+    void note_ended(const finding& found);
     void keep_doubts(std::vector<possible_death> deaths);
     void settle_doubts();
     void report(const possible_death& death);
--- a/src/entry/suspects/suspect_messages.cpp
+++ b/src/entry/suspects/suspect_messages.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr const char* segment_key_prefix = "segment/";
+constexpr const char* ended_key_prefix = "ended/";
 
 // Clocks of vms differ by seconds, which is little beside the time for which a suspicion lasts.
 milliseconds age_of(std::int64_t ms)
@@ -138,6 +139,72 @@
     return {row.segment, {{row.crash, age_of(now.count - row.at.count), row.is_alone, row.is_cleared}}};
 }
 
+json ended_json(const std::vector<ended_report>& reports)
+{
+    json list = json::array();
+    for (const ended_report& report : reports) {
+        list.push_back(
+            {{"id", report.target.value}, {"started", report.started.value}, {"age_ms", report.age.count}});
+    }
+    return list;
+}
+
+std::vector<ended_report> parse_ended(const json& message, const char* name)
+{
+    std::vector<ended_report> reports;
+    for (const json& item : message.value(name, json::array())) {
+        const std::string id = item.is_object() ? string_or(item, "id", "") : "";
+        if (!id.empty()) {
+            reports.push_back(
+                {target_id(id), {integer_or(item, "started", 0)}, age_of(integer_or(item, "age_ms", 0))});
+        }
+    }
+    return reports;
+}
+
+std::string key_of(const ended_row& row)
+{
+    return absl::StrCat(ended_key_prefix, row.target.value, "/", row.started.value);
+}
+
+bool is_ended_key(std::string_view key)
+{
+    return key.starts_with(ended_key_prefix);
+}
+
+// Daemons that know no such rows take it for one of a request that they never meet.
+std::string to_text(const ended_row& row)
+{
+    return dump({{"fingerprint", 0},
+                 {"takedown", 0},
+                 {"target", row.target.value},
+                 {"started", row.started.value},
+                 {"at_ms", row.at.count}});
+}
+
+absl::StatusOr<ended_row> parse_ended_row(std::string_view text)
+{
+    const absl::StatusOr<json> parsed = parse_json(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const absl::StatusOr<std::string> target = string_member(*parsed, "target");
+    const absl::StatusOr<std::int64_t> started = integer_member(*parsed, "started");
+    const absl::StatusOr<std::int64_t> at = integer_member(*parsed, "at_ms");
+    absl::Status status = target.status();
+    status.Update(started.status());
+    status.Update(at.status());
+    if (!status.ok()) {
+        return status;
+    }
+    return ended_row{target_id(*target), {*started}, {*at}};
+}
+
+ended_report report_of(const ended_row& row, wall_time now)
+{
+    return {row.target, row.started, age_of(now.count - row.at.count)};
+}
+
 std::string key_of(const suspect_row& row)
 {
     const std::string last = row.finished ? "finished" : std::to_string(row.takedown.value);
--- a/src/entry/suspects/suspect_messages.hpp
+++ b/src/entry/suspects/suspect_messages.hpp
@@ -41,6 +41,35 @@
 //! The row as a report, as of a civil time.
 segment_report report_of(const segment_row& row, wall_time now);
 
+//! A process of a target that a daemon found ended.
+struct ended_report {
+    target_id target;
+    incarnation started;
+    //! The time since it was found.
+    milliseconds age;
+};
+
+//! Ended processes as they stand in messages between daemons.
+json ended_json(const std::vector<ended_report>& reports);
+//! The ended processes of a message; what can't be read is left out.
+std::vector<ended_report> parse_ended(const json& message, const char* name);
+
+//! A row of the store: one process that was found ended. Never changed, and useless after some seconds.
+struct ended_row {
+    target_id target;
+    incarnation started;
+    //! By the writer's civil clock.
+    wall_time at;
+};
+
+std::string key_of(const ended_row& row);
+//! Whether a row with that key is about an ended process.
+bool is_ended_key(std::string_view key);
+std::string to_text(const ended_row& row);
+absl::StatusOr<ended_row> parse_ended_row(std::string_view text);
+//! The row as a report, as of a civil time.
+ended_report report_of(const ended_row& row, wall_time now);
+
 //! A row of the store: one death under a request, or that the request was answered whole. Never changed.
 struct suspect_row {
     request_fingerprint request;
--- a/src/entry/suspects/suspect_rows.cpp
+++ b/src/entry/suspects/suspect_rows.cpp
@@ -13,6 +13,20 @@
 // The store takes a hundred entries in a call.
 constexpr std::size_t most_writes = 64;
 constexpr milliseconds removal_interval{60'000};
+// Longer than clocks of vms differ; what is in these rows counts for some seconds.
+constexpr milliseconds ended_row_lifetime{60'000};
+
+// Takes a row over as a report, and when it was written.
+template <class Row, class Report>
+absl::Status take_parsed(const absl::StatusOr<Row>& row, const std::string& key, wall_time now,
+                         std::vector<Report>& reports, std::map<std::string, wall_time>& stored)
+{
+    if (row.ok()) {
+        stored[key] = row->at;
+        reports.push_back(report_of(*row, now));
+    }
+    return row.status();
+}
 
 wall_time civil_time_of(time_point at)
 {
@@ -101,42 +115,49 @@
     });
 }
 
-void suspect_rows::take(const std::vector<stored_row>& rows)
+absl::Status suspect_rows::take_row(const stored_row& row, told_rows& told)
 {
-    std::vector<suspect_report> reports;
-    std::vector<segment_report> segments;
     const wall_time now = event_loop::wall_now();
+    if (is_segment_key(row.key)) {
+        return take_parsed(parse_segment_row(row.value), row.key, now, told.segments, this->stored);
+    }
+    if (is_ended_key(row.key)) {
+        return take_parsed(parse_ended_row(row.value), row.key, now, told.ended, this->stored);
+    }
+    return take_parsed(parse_suspect_row(row.value), row.key, now, told.requests, this->stored);
+}
+
+void suspect_rows::take(const std::vector<stored_row>& rows)
+{
+    told_rows told;
     for (const stored_row& row : rows) {
         if (row.is_removed) {
             this->stored.erase(row.key);
             continue;
         }
-        absl::Status status;
-        if (is_segment_key(row.key)) {
-            const absl::StatusOr<segment_row> parsed = parse_segment_row(row.value);
-            status = parsed.status();
-            if (parsed.ok()) {
-                this->stored[row.key] = parsed->at;
-                segments.push_back(report_of(*parsed, now));
-            }
-        } else {
-            const absl::StatusOr<suspect_row> parsed = parse_suspect_row(row.value);
-            status = parsed.status();
-            if (parsed.ok()) {
-                this->stored[row.key] = parsed->at;
-                reports.push_back(report_of(*parsed, now));
-            }
-        }
+        const absl::Status status = this->take_row(row, told);
         if (!status.ok()) {
             log_event("suspect_row_unreadable",
                       {{"key", row.key}, {"reason", std::string(status.message())}});
         }
     }
     // What a request is cleared by counts only once its deaths are known.
-    std::stable_partition(reports.begin(), reports.end(),
+    std::stable_partition(told.requests.begin(), told.requests.end(),
                           [](const suspect_report& one) { return !one.finished; });
-    learn_suspects(this->context, reports, "store");
-    learn_segments(this->context, segments, "store");
+    learn_suspects(this->context, told.requests, "store");
+    learn_segments(this->context, told.segments, "store");
+    learn_ended(this->context, told.ended, "store");
+}
+
+void suspect_rows::add_missing_ended(std::vector<kept_row>& missing) const
+{
+    const std::int64_t now = event_loop::wall_now().count;
+    for (const ended_report& report : ended_reports(this->context)) {
+        const ended_row row{report.target, report.started, {now - report.age.count}};
+        if (missing.size() < most_writes && !this->stored.contains(key_of(row))) {
+            missing.push_back({key_of(row), to_text(row), row.at});
+        }
+    }
 }
 
 void suspect_rows::add_missing_suspects(std::vector<kept_row>& missing) const
@@ -182,10 +203,11 @@
     }
 }
 
-// A segment concerns more requests than a fingerprint, so its rows go first.
+// What concerns most requests goes first.
 std::vector<suspect_rows::kept_row> suspect_rows::missing_rows() const
 {
     std::vector<kept_row> missing;
+    this->add_missing_ended(missing);
     this->add_missing_segments(missing);
     this->add_missing_suspects(missing);
     return missing;
@@ -236,17 +258,23 @@
                      });
 }
 
+milliseconds suspect_rows::lifetime_of(std::string_view key) const
+{
+    if (is_segment_key(key)) {
+        return this->context.segments.limits.lifetime;
+    }
+    return is_ended_key(key) ? ended_row_lifetime : this->context.suspects.table.limits.lifetime;
+}
+
 void suspect_rows::remove_lapsed()
 {
     if (this->is_writing || !this->is_known || !this->holds_lease || !this->holds_lease()) {
         return;
     }
     const std::int64_t now = event_loop::wall_now().count;
-    const milliseconds lifetime = this->context.suspects.table.limits.lifetime;
-    const milliseconds segment_lifetime = this->context.segments.limits.lifetime;
     std::vector<conditional_write> removals;
     for (const auto& [key, at] : this->stored) {
-        const std::int64_t oldest = now - (is_segment_key(key) ? segment_lifetime : lifetime).count;
+        const std::int64_t oldest = now - this->lifetime_of(key).count;
         if (at.count < oldest && removals.size() < most_writes) {
             conditional_write removal;
             removal.row = {suspects_table, key, "", 0, true};
--- a/src/entry/suspects/suspect_rows.hpp
+++ b/src/entry/suspects/suspect_rows.hpp
@@ -39,11 +39,20 @@
     void follow();
     void retry(const store_answer& answer);
     void take(const std::vector<stored_row>& rows);
+    //! What rows tell, for the daemon's state.
+    struct told_rows {
+        std::vector<suspect_report> requests;
+        std::vector<segment_report> segments;
+        std::vector<ended_report> ended;
+    };
+    absl::Status take_row(const stored_row& row, told_rows& told);
+    [[nodiscard]] milliseconds lifetime_of(std::string_view key) const;
     void write();
     void remove_lapsed();
     void send(const std::vector<conditional_write>& writes, std::function<void(bool is_written)> done);
     //! Rows that are to be written; a few at a time.
     [[nodiscard]] std::vector<kept_row> missing_rows() const;
+    void add_missing_ended(std::vector<kept_row>& missing) const;
     void add_missing_suspects(std::vector<kept_row>& missing) const;
     void add_missing_segments(std::vector<kept_row>& missing) const;
 
--- a/src/entry/suspects/suspect_sharing.cpp
+++ b/src/entry/suspects/suspect_sharing.cpp
@@ -15,6 +15,17 @@
     }
 }
 
+// Daemons that do not read the store place no layers.
+void note_news_of_ended(const entry_context& context)
+{
+    if (context.on_suspects) {
+        context.on_suspects();
+    }
+    if (context.on_ended) {
+        context.on_ended();
+    }
+}
+
 void log_learnt(entry_context& context, request_fingerprint request, std::string_view origin)
 {
     const time_point now = event_loop::now();
@@ -46,6 +57,47 @@
     }
 }
 
+void tell_ended(entry_context& context, const target_id& target, incarnation started)
+{
+    const time_point now = event_loop::now();
+    if (!note_ended(context.ended, target, started, now, now)) {
+        return;
+    }
+    log_event("target_ended", {{"target", target.value}, {"started", started.value}, {"from", "check"}});
+    note_news_of_ended(context);
+    if (context.on_urgent) {
+        context.on_urgent();
+    }
+}
+
+void learn_ended(entry_context& context, const std::vector<ended_report>& reports, std::string_view origin)
+{
+    const time_point now = event_loop::now();
+    bool has_changes = false;
+    for (const ended_report& report : reports) {
+        if (note_ended(context.ended, report.target, report.started, now - report.age, now)) {
+            has_changes = true;
+            log_event("target_ended",
+                      {{"target", report.target.value}, {"started", report.started.value}, {"from", origin}});
+        }
+    }
+    if (has_changes) {
+        note_news_of_ended(context);
+    }
+}
+
+std::vector<ended_report> ended_reports(const entry_context& context)
+{
+    const time_point now = event_loop::now();
+    std::vector<ended_report> reports;
+    for (const auto& [target, process] : context.ended.newest) {
+        if (has_ended(context.ended, target, process.started, now)) {
+            reports.push_back({target, process.started, now - process.found_at});
+        }
+    }
+    return reports;
+}
+
 void learn_segments(entry_context& context, const std::vector<segment_report>& reports,
                     std::string_view origin)
 {
--- a/tests/entry/suspects/death_watch_test.cpp
+++ b/tests/entry/suspects/death_watch_test.cpp
@@ -23,10 +23,12 @@
         this->deaths.on_death = [this](const possible_death& death) { this->died.push_back(death); };
     }
 
-    void register_at(const endpoint& address, bool leaving, incarnation started = first_start)
+    void register_at(const endpoint& address, bool leaving, incarnation started = first_start,
+                     const std::string& data_centre = "")
     {
         registered_target target;
         target.id = target_id("t");
+        target.data_centre = data_centre_id(data_centre);
         target.address = address;
         target.leaving = leaving;
         target.started = started;
@@ -125,3 +127,41 @@
     run_until(watched.loop, [] { return false; }, {300});
     CHECK(watched.died.empty());
 }
+
+TEST_CASE("a process where nobody listens any more is known to have ended, also with no request aboard")
+{
+    watched_target watched;
+    int told = 0;
+    watched.context.on_ended = [&told] { ++told; };
+    const auto ended = [&] {
+        return has_ended(watched.context.ended, target_id("t"), first_start, event_loop::now());
+    };
+    SUBCASE("under a request")
+    {
+        watched.register_at(nobody(watched.loop), false);
+        watched.lose(1);
+        watched.wait();
+        CHECK(ended());
+        CHECK(told == 1);
+    }
+    SUBCASE("when a connection could not be made")
+    {
+        watched.register_at(nobody(watched.loop), false);
+        watched.deaths.consider_ended(target_id("t"), first_start);
+        watched.deaths.consider_ended(target_id("t"), first_start);
+        watched.wait();
+        CHECK(ended());
+        CHECK(told == 1);
+        CHECK(watched.died.empty());
+    }
+    SUBCASE("not the next process, nor one of another data centre, which a cut may keep away")
+    {
+        watched.register_at(nobody(watched.loop), false, incarnation{200});
+        watched.deaths.consider_ended(target_id("t"), first_start);
+        watched.register_at(nobody(watched.loop), false, first_start, "elsewhere");
+        watched.lose(1);
+        watched.wait();
+        CHECK_FALSE(ended());
+        CHECK(told == 0);
+    }
+}
--- a/tests/entry/suspects/segment_guard_test.cpp
+++ b/tests/entry/suspects/segment_guard_test.cpp
@@ -37,6 +37,8 @@
             const scripted_server closed(this->loop, [](raw_connection& /*connection*/) {});
             target.address = closed.address();
         }
+        // Where this daemon tells nobody that it has ended.
+        target.data_centre = data_centre_id("elsewhere");
         this->context.targets[target.id] = target;
         this->guard.note_lost({target.id,
                                target.started,
--- a/tests/entry/suspects/suspect_messages_test.cpp
+++ b/tests/entry/suspects/suspect_messages_test.cpp
@@ -102,3 +102,23 @@
     CHECK(report_of(cleared, {5'200}).crashes.front().is_cleared);
     CHECK_FALSE(parse_segment_row("{}").ok());
 }
+
+TEST_CASE("ended processes are read as they were written, from messages and rows")
+{
+    const std::vector<ended_report> reports{{target_id("e/1"), {70}, {80}}};
+    const json message = {{"ended", ended_json(reports)}};
+    const std::vector<ended_report> read = parse_ended(message, "ended");
+    REQUIRE(read.size() == 1);
+    CHECK(read.front().target == reports.front().target);
+    CHECK(read.front().started == reports.front().started);
+    CHECK(read.front().age == reports.front().age);
+    CHECK(parse_ended({{"ended", json::array({1, "x", json::object()})}}, "ended").empty());
+    const ended_row row{target_id("e/1"), {70}, {5'000}};
+    const absl::StatusOr<ended_row> parsed = parse_ended_row(to_text(row));
+    REQUIRE(parsed.ok());
+    CHECK(key_of(*parsed) == key_of(row));
+    CHECK(is_ended_key(key_of(row)));
+    CHECK(report_of(*parsed, {5'300}).age == milliseconds{300});
+    CHECK(parse_suspect_row(to_text(row)).ok());
+    CHECK_FALSE(parse_ended_row("{}").ok());
+}
