One daemon alone tries a suspected segment, by a claim in the store

Cause: each daemon began its trial after a time of its own, drawn at its start. The news of a crash takes some 0.2 s between data centres, and the trial itself up to 0.5 s at busy engines, so that several were due before the first one's end was known.

Ruled out: a wider spread (the times would have to lie 0.7 s apart for each daemon, and innocent segments would wait for as long), telling each other of trials that begin (that news is no faster than the other).

Change: before a trial a daemon writes a row on condition that nobody did so for the same segment after the same crashes. While the store does not answer each daemon decides for itself, as before. Segments that were answered need no claim.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -33,9 +33,9 @@
         : settings_path(std::move(settings_path_in)), context(this->loop, dialect, std::move(settings)),
           store(this->context), watch(this->context, this->store), process(this->context.random()),
           rows(this->context, this->store, this->process),
-          placement(this->context, this->store, this->process), streams(this->context),
-          relay(this->context, this->streams, this->store), peers(this->context, this->process),
-          follower(this->context, this->watch, this->rows),
+          placement(this->context, this->store, this->process), claims(this->context, this->store),
+          streams(this->context), relay(this->context, this->streams, this->store),
+          peers(this->context, this->process), follower(this->context, this->watch, this->rows),
           callers(this->loop, this->context.unread_bytes,
                   [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
           stopping(this->context, this->callers), readiness(this->loop), metrics(this->loop),
@@ -81,6 +81,9 @@
         this->follower.successors = [this] { return this->peers.successors(); };
         this->relay.on_early = [this] { this->follower.hurry(); };
         this->placement.may_contend = [this] { return this->follower.is_reader(); };
+        this->streams.guard.segments().claim = [this](const trial_name& trial) {
+            return this->claims.claim(trial);
+        };
         this->placement.on_unsure = [this] { this->rows.read_soon(); };
         this->stopping.on_exit = [this] { this->loop.stop(); };
         this->follower.start();
@@ -230,6 +233,7 @@
     std::uint64_t process;
     vm_rows rows;
     placer placement;
+    trial_claims claims;
     request_tools streams;
     request_relay relay;
     peer_port peers;
--- a/src/entry/store/store_client.cpp
+++ b/src/entry/store/store_client.cpp
@@ -80,6 +80,8 @@
         return "suspects";
     case store_reason::suspect_write:
         return "suspect_write";
+    case store_reason::trial:
+        return "trial";
     }
     return "unknown";
 }
--- a/src/entry/store/store_client.hpp
+++ b/src/entry/store/store_client.hpp
@@ -25,7 +25,8 @@
     own_row,        //!< Writing rows of daemons.
     lease,          //!< Writing the lease.
     suspects,       //!< The rows of requests that end targets, and their changes.
-    suspect_write   //!< Writing and removing those.
+    suspect_write,  //!< Writing and removing those.
+    trial           //!< Claiming the trial of a suspected segment.
 };
 
 std::string_view name_of(store_reason reason);
--- a/src/entry/suspects/segment_guard.cpp
+++ b/src/entry/suspects/segment_guard.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds tell_interval{100};
 // Until a trial, or the check of a target that may have died, is likely to be over.
 constexpr milliseconds open_trial_time{200};
+// Until the store has told whether another daemon runs a trial.
+constexpr milliseconds claim_time{20};
 // Daemons whose trials lie as far apart as the first one lies from the crash, and the limit of that for many.
 constexpr double daemons_for_stagger = 4;
 constexpr double longest_stagger = 20;
@@ -89,7 +91,37 @@
                (this->deaths.is_checking(segment.fingerprint) &&
                 !was_segment_answered(this->context.segments, segment.fingerprint, now));
     });
-    return is_open ? segment_verdict{segment_permission::wait, open_trial_time} : told;
+    if (is_open) {
+        return {segment_permission::wait, open_trial_time};
+    }
+    return told.permission == segment_permission::trial ? this->claimed_verdict(segments) : told;
+}
+
+segment_verdict segment_guard::claimed_verdict(const std::vector<prompt_segment>& segments)
+{
+    switch (this->claim_trials(segments)) {
+    case claim_state::granted:
+        return {segment_permission::trial, {0}};
+    case claim_state::pending:
+        return {segment_permission::wait, claim_time};
+    case claim_state::refused:
+        return {segment_permission::wait, open_trial_time};
+    }
+    return {segment_permission::trial, {0}};
+}
+
+claim_state segment_guard::claim_trials(const std::vector<prompt_segment>& segments)
+{
+    claim_state strictest = claim_state::granted;
+    const time_point now = event_loop::now();
+    for (const prompt_segment& segment : segments) {
+        const std::optional<trial_name> trial =
+            exclusive_trial(this->context.segments, segment.fingerprint, now);
+        if (trial && this->claim) {
+            strictest = std::max(strictest, this->claim(*trial));
+        }
+    }
+    return strictest;
 }
 
 std::shared_ptr<segment_trial> segment_guard::begin(const std::vector<prompt_segment>& segments,
--- a/src/entry/suspects/segment_guard.hpp
+++ b/src/entry/suspects/segment_guard.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "entry/suspects/death_watch.hpp"
+#include "entry/suspects/trial_claims.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -17,6 +19,9 @@
 public:
     segment_guard(entry_context& context, const death_watch& deaths);
 
+    //! Claims a trial for this daemon alone; daemons without it decide for themselves.
+    std::function<claim_state(const trial_name&)> claim;
+
     //! A target died while a request awaited the first part of its answer there.
     void note_crash(const possible_death& death);
     //! The answer to a request with the segments began, so that none of them crashes targets.
@@ -30,6 +35,9 @@
 
 private:
     [[nodiscard]] bool is_being_tried(const prompt_segment& segment) const;
+    segment_verdict claimed_verdict(const std::vector<prompt_segment>& segments);
+    //! The strictest answer to the claims of the trials that a request with the segments would be.
+    claim_state claim_trials(const std::vector<prompt_segment>& segments);
     void tell_later(segment_fingerprint segment);
     void tell_due();
     void spread_trials();
--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -338,6 +338,21 @@
     return strictest;
 }
 
+std::optional<trial_name> exclusive_trial(const segment_suspects& known, segment_fingerprint segment,
+                                          time_point now)
+{
+    const auto found = known.suspects.find(segment);
+    if (found == known.suspects.end() || was_answered(known, segment, found->second, now) ||
+        suspicion_level(known, segment, now) <= 0) {
+        return std::nullopt;
+    }
+    trial_name trial{segment, 0};
+    for (const auto& [id, crash] : found->second.crashes) {
+        trial.crashes ^= crash.is_cleared ? 0 : id.value;
+    }
+    return trial;
+}
+
 void share_segment(segment_suspects& known, segment_fingerprint segment)
 {
     const auto found = known.suspects.find(segment);
--- a/src/request/segment_suspects.hpp
+++ b/src/request/segment_suspects.hpp
@@ -97,6 +97,13 @@
     milliseconds remaining{0};
 };
 
+//! Names a trial of a segment, the same at all daemons that know of the same crashes.
+struct trial_name {
+    segment_fingerprint segment;
+    //! A digest of the crashes that no answer has cleared.
+    std::int64_t crashes = 0;
+};
+
 //! A crash of a target while a request of this daemon awaited the first part of its answer there.
 struct observed_crash {
     crash_id id;
@@ -120,6 +127,11 @@
 segment_verdict verdict_of(const segment_suspects& known, const std::vector<prompt_segment>& segments,
                            time_point now);
 
+//! The trial of a suspected segment, which one daemon alone is to run; nullopt if it is not suspected, or was
+//! answered before, so that it is seldom the cause and many requests wait.
+std::optional<trial_name> exclusive_trial(const segment_suspects& known, segment_fingerprint segment,
+                                          time_point now);
+
 //! Tells other daemons the current state of the suspect.
 void share_segment(segment_suspects& known, segment_fingerprint segment);
 //! Merges what another daemon reported; true if that changed the suspect, which is shared then. The order of
