Two crashes of the only segment that was aboard at both prove it, without a third one

What callers saw: two requests with the segment that were sent before the first crash was known cost two engines, and the trial 4 to 8 s later a third.

Cause: crashes within half a second counted as one round, whatever else was aboard.

Change: where no other segment that was never answered was aboard at each of them, the segment is refused as after a trial. Where targets crash one after the other for another reason, a segment that was aboard at few of them is still in doubt, as before. The test of the longer wait has two suspects now, for which it still holds, and two cases are new; they fail on the code before.

--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -115,15 +115,33 @@
     return rounds;
 }
 
-int level_of(int rounds, std::size_t crashes, bool is_answered)
+int level_of_answered(int rounds)
+{
+    return rounds < rounds_beyond_chance ? rounds - 1 : rounds;
+}
+
+// `is_only_suspect`: nothing else was aboard at all of the crashes, which come too close together for a
+// trial.
+int level_of_unanswered(int rounds, std::size_t crashes, bool is_only_suspect)
 {
-    if (is_answered) {
-        return rounds < rounds_beyond_chance ? rounds - 1 : rounds;
-    }
     if (rounds > 1) {
         return rounds + 1;
     }
-    return crashes >= many_crashes ? level_of_doubt + 1 : std::min(static_cast<int>(crashes), level_of_doubt);
+    const bool is_proved = crashes >= many_crashes || (crashes > 1 && is_only_suspect);
+    return is_proved ? level_of_doubt + 1 : std::min(static_cast<int>(crashes), level_of_doubt);
+}
+
+// Whether no other segment that was never answered was aboard at each crash of the suspect.
+bool is_only_suspect(const segment_suspects& known, segment_fingerprint segment,
+                     const segment_suspect& suspect, time_point now)
+{
+    return std::ranges::none_of(known.suspects, [&](const auto& entry) {
+        const bool is_aboard_all = std::ranges::all_of(suspect.crashes, [&](const auto& crash) {
+            return crash.second.is_cleared || is_open(entry.second, crash.first);
+        });
+        return entry.first != segment && is_aboard_all &&
+               !was_answered(known, entry.first, entry.second, now);
+    });
 }
 
 // Whether the segment was aboard at a good part of the crashes around its own. Where targets crash one after
@@ -314,7 +332,10 @@
         return 0;
     }
     const int rounds = rounds_of(open, part_of(known.limits.propagation_time, round_length));
-    const int level = level_of(rounds, open.size(), was_answered(known, segment, found->second, now));
+    const int level =
+        was_answered(known, segment, found->second, now)
+            ? level_of_answered(rounds)
+            : level_of_unanswered(rounds, open.size(), is_only_suspect(known, segment, found->second, now));
     const bool is_doubtful = level > level_of_doubt && !stands_out(known, found->second, open);
     return is_doubtful ? level_of_doubt : level;
 }
--- a/tests/request/segment_suspects_test.cpp
+++ b/tests/request/segment_suspects_test.cpp
@@ -76,18 +76,43 @@
 TEST_CASE("the trial waits longer when several targets crashed before anybody could know")
 {
     segment_suspects known;
-    crash(known, 1, {0});
-    crash(known, 2, {10});
-    crash(known, 3, {300});
-    CHECK(permission(known, {300}) == segment_permission::refused);
-    CHECK(verdict(known, {300}).remaining == milliseconds{4'000});
-    CHECK(permission(known, {4'300}) == segment_permission::trial);
+    for (std::int64_t i = 0; i < 3; ++i) {
+        crash_under(known, i, {i * 150}, {bad, innocent});
+    }
+    CHECK(verdict(known, {300}, {bad, innocent}).permission == segment_permission::refused);
+    CHECK(verdict(known, {300}, {bad, innocent}).remaining == milliseconds{4'000});
+    CHECK(verdict(known, {4'300}, {bad, innocent}).permission == segment_permission::trial);
+    SUBCASE("not one that tells which of them it is")
+    {
+        CHECK(permission(known, {300}) == segment_permission::wait);
+        CHECK(permission(known, {900}) == segment_permission::trial);
+    }
     SUBCASE("many of them block it like a crash after a trial")
     {
-        crash(known, 4, {310});
-        crash(known, 5, {320});
-        CHECK(verdict(known, {320}).remaining == milliseconds{60'000});
+        crash_under(known, 4, {310}, {bad, innocent});
+        crash_under(known, 5, {320}, {bad, innocent});
+        CHECK(verdict(known, {320}, {bad, innocent}).remaining == milliseconds{60'000});
+    }
+    SUBCASE("the only one that was aboard at each needs no trial")
+    {
+        note_segment_answered(known, innocent, start + milliseconds{310});
+        CHECK(verdict(known, {310}).remaining == milliseconds{59'990});
+        CHECK(permission(known, {310}, innocent) == segment_permission::allowed);
+    }
+}
+
+TEST_CASE(
+    "the only segment that was aboard at two crashes is not tried, unless many others crashed beside it")
+{
+    segment_suspects known;
+    crash(known, 1, {0});
+    crash(known, 2, {10});
+    crash(known, 2, {10}, innocent);
+    CHECK(verdict(known, {10}).remaining == milliseconds{60'000});
+    for (std::int64_t i = 10; i < 15; ++i) {
+        crash(known, i, {10}, segment_fingerprint{i});
     }
+    CHECK(verdict(known, {10}).remaining == milliseconds{4'000});
 }
 
 TEST_CASE("an answer clears the crashes before it")
