No segment is tried while the store is away, unless it is away for long

Cause: while the store is away nobody holds the lease, and an engine that returns can't register, so that one that ends is not replaced; yet each daemon tried suspects by itself then.

--- a/src/entry/suspects/trial_claims.hpp
+++ b/src/entry/suspects/trial_claims.hpp
@@ -4,6 +4,7 @@
 #include "request/segment_suspects.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace dandelionstep {
@@ -19,8 +20,8 @@
 };
 
 //! Lets one daemon of the whole system try a suspected segment at a time: each would lose a target to it. A
-//! claim is a row that is written on condition, and lapses when it was not renewed for some time. While the
-//! store can't tell, each daemon decides for itself.
+//! claim is a row that is written on condition, and lapses when it was not renewed for some time. Where the
+//! store can't tell for long, each daemon decides for itself.
 class trial_claims {
 public:
     trial_claims(entry_context& context, store_client& store) : context(context), store(store) {}
@@ -35,6 +36,8 @@
         //! The row as it was seen last, and since when it has not changed.
         std::int64_t row_version = 0;
         time_point unchanged_since{0};
+        //! Since when the store does not answer.
+        std::optional<time_point> undecided_since;
     };
 
     void ask(const std::string& key, claim_record& record);
