The last holder of a layer is not risked for the trial of a suspected segment

Cause: a trial asked only how long ago the crash was, not what it would cost.

Change: a trial waits while some layer has one usable engine (a plain service: one target), for 6 s at most, in which engines that ended are back or replaced. Requests with the segment are told when to come back meanwhile.

The new case of entry.suspects.segment_guard fails without it.

--- a/src/entry/calls/call_runner.cpp
+++ b/src/entry/calls/call_runner.cpp
@@ -75,7 +75,8 @@
 // While an attempt runs, no other one waits beside it.
 bool call_carrier::passes_segment_guard()
 {
-    const segment_verdict verdict = this->tools.guard.segments().verdict(this->request.segments);
+    const segment_verdict verdict =
+        this->tools.guard.segments().verdict(this->request.service, this->request.segments);
     const segment_decision decided =
         decide(this->waits_for_segments, verdict, this->request.route->latency_objective, event_loop::now());
     if (decided.action == segment_action::send) {
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -84,14 +84,14 @@
     if (this->tools.guard.held_for(this->request.fingerprint) > milliseconds{0}) {
         return true;
     }
-    return this->tools.guard.segments().verdict(this->request.segments).permission ==
+    return this->tools.guard.segments().verdict(this->request.service, this->request.segments).permission ==
            segment_permission::refused;
 }
 
 bool stream_carrier::is_checking() const
 {
     return this->tools.guard.is_checking(this->request.fingerprint) ||
-           this->tools.guard.segments().verdict(this->request.segments).permission ==
+           this->tools.guard.segments().verdict(this->request.service, this->request.segments).permission ==
                segment_permission::wait;
 }
 
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -96,7 +96,8 @@
 {
     const milliseconds objective = this->request.route->latency_objective;
     const milliseconds longest = this->maybe_ran ? objective * objectives_to_wait : objective;
-    const segment_verdict verdict = this->tools.guard.segments().verdict(this->request.segments);
+    const segment_verdict verdict =
+        this->tools.guard.segments().verdict(this->request.service, this->request.segments);
     const segment_decision decided = decide(this->waits_for_segments, verdict, longest, event_loop::now());
     switch (decided.action) {
     case segment_action::send:
--- a/src/entry/suspects/segment_guard.cpp
+++ b/src/entry/suspects/segment_guard.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
+#include "target/uncovered_layers.hpp"
 
 #include <algorithm>
 
@@ -13,6 +14,8 @@
 constexpr milliseconds tell_interval{100};
 // Until a trial, or the check of a target that may have died, is likely to be over.
 constexpr milliseconds open_trial_time{200};
+// The last holder of a layer is not risked for a trial until others must have come back, if they do.
+constexpr milliseconds longest_sparing{6'000};
 // Until the store has told whether another daemon runs a trial.
 constexpr milliseconds claim_time{20};
 // Daemons whose trials lie as far apart as the first one lies from the crash, and the limit of that for many.
@@ -78,7 +81,7 @@
         this->own_draw * std::clamp(daemons / daemons_for_stagger, 1.0, longest_stagger);
 }
 
-segment_verdict segment_guard::verdict(const std::vector<prompt_segment>& segments)
+segment_verdict segment_guard::verdict(const service_id& service, const std::vector<prompt_segment>& segments)
 {
     const time_point now = event_loop::now();
     this->spread_trials();
@@ -92,22 +95,40 @@
                 !was_segment_answered(this->context.segments, segment.fingerprint, now));
     });
     if (is_open) {
-        return {segment_permission::wait, open_trial_time};
+        return {segment_permission::wait, open_trial_time, {0}};
     }
-    return told.permission == segment_permission::trial ? this->claimed_verdict(segments) : told;
+    if (told.permission != segment_permission::trial) {
+        return told;
+    }
+    if (told.due_for < longest_sparing && !this->can_spare_target(service)) {
+        return {segment_permission::wait, longest_sparing - told.due_for, {0}};
+    }
+    return this->claimed_verdict(segments);
+}
+
+bool segment_guard::can_spare_target(const service_id& service) const
+{
+    std::int64_t layers = 0;
+    if (this->context.config) {
+        const auto configured = this->context.config->services.find(service);
+        const bool is_known = configured != this->context.config->services.end();
+        layers = is_known && configured->second.engine ? configured->second.engine->layers : 0;
+    }
+    return least_holders(this->context.targets, this->context.conditions, service, layers,
+                         event_loop::now()) > 1;
 }
 
 segment_verdict segment_guard::claimed_verdict(const std::vector<prompt_segment>& segments)
 {
     switch (this->claim_trials(segments)) {
     case claim_state::granted:
-        return {segment_permission::trial, {0}};
+        return {segment_permission::trial, {0}, {0}};
     case claim_state::pending:
-        return {segment_permission::wait, claim_time};
+        return {segment_permission::wait, claim_time, {0}};
     case claim_state::refused:
-        return {segment_permission::wait, open_trial_time};
+        return {segment_permission::wait, open_trial_time, {0}};
     }
-    return {segment_permission::trial, {0}};
+    return {segment_permission::trial, {0}, {0}};
 }
 
 claim_state segment_guard::claim_trials(const std::vector<prompt_segment>& segments)
--- a/src/entry/suspects/segment_guard.hpp
+++ b/src/entry/suspects/segment_guard.hpp
@@ -27,14 +27,17 @@
     //! The answer to a request with the segments began, so that none of them crashes targets.
     void note_answer_begun(const std::vector<prompt_segment>& segments);
 
-    //! Whether a request with the segments may be sent to a target now.
-    [[nodiscard]] segment_verdict verdict(const std::vector<prompt_segment>& segments);
+    //! Whether a request to the service with the segments may be sent to a target now.
+    [[nodiscard]] segment_verdict verdict(const service_id& service,
+                                          const std::vector<prompt_segment>& segments);
     //! To be called when such a request is sent; null when nothing is suspected.
     std::shared_ptr<segment_trial> begin(const std::vector<prompt_segment>& segments,
                                          std::string_view attempt_id);
 
 private:
     [[nodiscard]] bool is_being_tried(const prompt_segment& segment) const;
+    //! Whether a target of the service can be spared, should a trial cost it.
+    [[nodiscard]] bool can_spare_target(const service_id& service) const;
     segment_verdict claimed_verdict(const std::vector<prompt_segment>& segments);
     //! The strictest answer to the claims of the trials that a request with the segments would be.
     claim_state claim_trials(const std::vector<prompt_segment>& segments);
--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace dandelionstep {
@@ -280,14 +281,15 @@
     }
     const milliseconds remaining = hold - (now - last.at);
     if (remaining <= milliseconds{0}) {
-        return {segment_permission::trial, {0}};
+        return {segment_permission::trial, {0}, milliseconds{0} - remaining};
     }
-    return {level == 1 ? segment_permission::wait : segment_permission::refused, remaining};
+    return {level == 1 ? segment_permission::wait : segment_permission::refused, remaining, {0}};
 }
 
 bool is_stricter(const segment_verdict& a, const segment_verdict& b)
 {
-    return std::pair(a.permission, a.remaining) > std::pair(b.permission, b.remaining);
+    return std::tuple(a.permission, a.remaining, b.due_for) >
+           std::tuple(b.permission, b.remaining, a.due_for);
 }
 
 } // namespace
--- a/src/request/segment_suspects.hpp
+++ b/src/request/segment_suspects.hpp
@@ -95,6 +95,8 @@
     segment_permission permission = segment_permission::allowed;
     //! The time until a trial is permitted; zero unless waiting or refused.
     milliseconds remaining{0};
+    //! The time since one has been permitted; zero unless it is.
+    milliseconds due_for{0};
 };
 
 //! Names a trial of a segment, the same at all daemons that know of the same crashes.
--- a/src/target/uncovered_layers.hpp
+++ b/src/target/uncovered_layers.hpp
@@ -12,4 +12,9 @@
 std::int64_t uncovered_layers(const target_registry& registry, const target_conditions& conditions,
                               const service_id& service, std::int64_t layers, time_point now);
 
+//! Number of usable engines of the service that hold the layer which fewest hold; of a service without
+//! layers, the number of its usable targets.
+std::int64_t least_holders(const target_registry& registry, const target_conditions& conditions,
+                           const service_id& service, std::int64_t layers, time_point now);
+
 } // namespace dandelionstep
--- a/tests/entry/suspects/segment_guard_test.cpp
+++ b/tests/entry/suspects/segment_guard_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+const service_id service("assistant");
 const std::vector<prompt_segment> common{{segment_id("common"), {1}}};
 const std::vector<prompt_segment> crashing{{segment_id("common"), {1}}, {segment_id("bad"), {2}}};
 
@@ -26,6 +27,16 @@
         // Short, so that no test waits for long.
         this->context.segments.limits.propagation_time = {400};
         this->context.on_urgent = [this] { ++this->told; };
+        this->add_target("spare");
+        this->add_target("another");
+    }
+
+    void add_target(const std::string& id)
+    {
+        registered_target target;
+        target.id = target_id(id);
+        target.service = service;
+        this->context.targets[target.id] = target;
     }
 
     // A target that was registered, and is gone when the request's connection breaks.
@@ -59,7 +70,7 @@
 
     segment_permission permission(const std::vector<prompt_segment>& segments)
     {
-        return this->guard.segments().verdict(segments).permission;
+        return this->guard.segments().verdict(service, segments).permission;
     }
 };
 
@@ -146,3 +157,23 @@
         CHECK(daemon.told == 1);
     }
 }
+
+TEST_CASE("the last target of a service is not risked for a trial until others must have come back")
+{
+    guarded_daemon daemon;
+    daemon.lose_target(crashing);
+    daemon.wait({400});
+    CHECK(daemon.permission(crashing) == segment_permission::trial);
+    daemon.context.targets.erase(target_id("spare"));
+    CHECK(daemon.permission(crashing) == segment_permission::wait);
+    SUBCASE("one is back")
+    {
+        daemon.add_target("spare");
+        CHECK(daemon.permission(crashing) == segment_permission::trial);
+    }
+    SUBCASE("none is")
+    {
+        CHECK(run_until(daemon.loop, [&] { return daemon.permission(crashing) == segment_permission::trial; },
+                        {7'000}));
+    }
+}
--- a/tests/target/uncovered_layers_test.cpp
+++ b/tests/target/uncovered_layers_test.cpp
@@ -47,3 +47,22 @@
     note_unresponsive(conditions[target_id("whole")], now);
     CHECK(uncovered_layers(registry, conditions, assistant, layers, now) == layers);
 }
+
+TEST_CASE("the layer that fewest engines hold tells how many may be lost")
+{
+    target_registry registry;
+    target_conditions conditions;
+    const time_point now{1'000};
+    CHECK(least_holders(registry, conditions, assistant, layers, now) == 0);
+    add_engine(registry, "first", {0, 8});
+    add_engine(registry, "second", {0, 4});
+    CHECK(least_holders(registry, conditions, assistant, layers, now) == 1);
+    add_engine(registry, "third", {4, 8});
+    CHECK(least_holders(registry, conditions, assistant, layers, now) == 2);
+    CHECK(least_holders(registry, conditions, assistant, 0, now) == 3);
+    registry[target_id("third")].leaving = true;
+    CHECK(least_holders(registry, conditions, assistant, layers, now) == 1);
+    note_unresponsive(conditions[target_id("first")], now);
+    CHECK(least_holders(registry, conditions, assistant, layers, now) == 0);
+    CHECK(least_holders(registry, conditions, assistant, 0, now) == 1);
+}
