A segment that was aboard at all crashes is not tried again because others were at one of them each

Cause: whether a refused segment is tried once more asked only if each of its crashes had another possible cause. By chance each had one, a different one each time; one cause of all is likelier.

Change: another suspect must have been aboard at two of its crashes at least. The new case fails on the code before.

--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -220,19 +220,23 @@
     });
 }
 
-// Whether another suspect that was never answered was aboard at the crash, and no less speaks against it.
-bool has_other_cause(const segment_suspects& known, segment_fingerprint segment, crash_id crash,
-                     const segment_evidence& least, time_point now)
+// The crashes of the suspect, of those that no answer has cleared, that another one may have caused. Where
+// the suspect crashed a target alone, one against which less speaks did not.
+std::set<crash_id> crashes_caused_by(const segment_suspect& other, const segment_suspect& suspect)
 {
-    return std::ranges::any_of(known.suspects, [&](const auto& entry) {
-        return entry.first != segment && is_open(entry.second, crash) && evidence_of(entry.second) >= least &&
-               !was_answered(known, entry.first, entry.second, now);
-    });
+    const bool is_as_strong = evidence_of(other) >= evidence_of(suspect);
+    std::set<crash_id> caused;
+    for (const auto& [id, crash] : suspect.crashes) {
+        if (!crash.is_cleared && is_open(other, id) && (is_as_strong || !crash.is_alone)) {
+            caused.insert(id);
+        }
+    }
+    return caused;
 }
 
 // Whether a request with the segment can tell if that is the cause: no other segment of its prompt can be it,
-// and another suspect may have been the cause of each crash. A segment that was tried so already is no longer
-// in doubt, unless as strong a suspect was aboard then.
+// and other suspects may have been the causes of all crashes. One cause of all of them is likelier than
+// another for each.
 bool would_tell(const segment_suspects& known, segment_fingerprint segment,
                 const std::vector<prompt_segment>& of_request, time_point now)
 {
@@ -240,11 +244,17 @@
         return false;
     }
     const segment_suspect& suspect = known.suspects.at(segment);
-    const segment_evidence own = evidence_of(suspect);
-    return std::ranges::all_of(suspect.crashes, [&](const auto& entry) {
-        const segment_evidence least = entry.second.is_alone ? own : segment_evidence{};
-        return entry.second.is_cleared || has_other_cause(known, segment, entry.first, least, now);
-    });
+    std::size_t most_caused = 0;
+    std::set<crash_id> all_caused;
+    for (const auto& [id, other] : known.suspects) {
+        if (id == segment || was_answered(known, id, other, now)) {
+            continue;
+        }
+        const std::set<crash_id> caused = crashes_caused_by(other, suspect);
+        most_caused = std::max(most_caused, caused.size());
+        all_caused.insert(caused.begin(), caused.end());
+    }
+    return most_caused > 1 && std::ssize(all_caused) == evidence_of(suspect).open;
 }
 
 bool share_open_crash(const segment_suspect& a, const segment_suspect& b)
--- a/tests/request/segment_suspects_test.cpp
+++ b/tests/request/segment_suspects_test.cpp
@@ -251,6 +251,18 @@
     }
 }
 
+TEST_CASE(
+    "a segment that was aboard at several crashes is not tried again as others were at one of them each")
+{
+    segment_suspects known;
+    crash_under(known, 1, {0}, {bad});
+    crash_under(known, 1, {0}, {innocent});
+    crash_under(known, 2, {700}, {bad}, false);
+    crash_under(known, 2, {700}, {segment_fingerprint{9}});
+    CHECK(permission(known, {2'000}) == segment_permission::refused);
+    CHECK(permission(known, {2'000}, innocent) == segment_permission::trial);
+}
+
 TEST_CASE("two suspects that were tried at the same time are tried again, one after the other")
 {
     segment_suspects known;
