A stream that ends with its connection tells of its engine's death like one that breaks off

Cause: the kernel closes the connections of a process that ends in order. For a stream without a length that looks like its end; that it had brought nothing, or ended inside an event, was seen, and it was resumed, but taken for an engine's mistake, so that nobody asked whether the engine had died.

Class: two ends of one answer that are told apart for the caller and not for the suspects.

Change: such an end is checked like a broken connection. Stand-ins can send streams that end with their connection.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
@@ -111,6 +112,14 @@
     }
 }
 
+// The library frames answers to older callers so.
+void http_reply::end_with_connection()
+{
+    if (this->raw != nullptr) {
+        this->raw->minor = 0;
+    }
+}
+
 void http_reply::write(std::string_view part)
 {
     if (this->raw == nullptr) {
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -29,6 +29,8 @@
     void send(int status, const std::string& body, const std::string& content_type = "application/json");
     void add_header(const std::string& name, const std::string& value);
     void start_stream(int status, const std::string& content_type);
+    //! Has the stream that is started next end with its connection, with neither a length nor chunks.
+    void end_with_connection();
     void write(std::string_view part);
     void end_stream();
     //! Breaks the connection without an answer.
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -24,6 +24,10 @@
     const stream_attempt& ended = *this->current;
     if (ended.is_stream && this->has_ended_well()) {
         this->complete();
+    } else if (ended.is_stream && ends_with_connection(ended.head)) {
+        // Its engine may have died: the connection of a process that ends is closed in order.
+        this->consider_death(ended, ended.path.front());
+        this->leave_faulty();
     } else if (!ended.is_stream && ended.facts.did_not_run) {
         this->refused_by_engine();
     } else if (this->request.caller->started() || ended.facts.is_encoded ||
--- a/tests/process/entry_crashing_segment_proof_test.cpp
+++ b/tests/process/entry_crashing_segment_proof_test.cpp
@@ -189,6 +189,13 @@
     check_recognised(plan, {crashing_segment}, streams_of);
 }
 
+TEST_CASE("streams that end with their connection look answered when their engine crashes, and crash the next")
+{
+    entry_plan plan = plan_of_two_data_centres();
+    plan.streams_end_with_connection = true;
+    check_recognised(plan, {crashing_segment}, streams_of);
+}
+
 TEST_CASE("streams that share one of two segments go on crashing engines")
 {
     check_recognised(plan_of_two_data_centres(), {"bad01", "bad02"}, streams_of);
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -72,6 +72,7 @@
     run_replica_command->add_option("--stall-ms", replica.stall_ms);
     run_replica_command->add_option("--crashes-on", replica.crashes_on, "Text of requests that end it");
     run_replica_command->add_flag("--crashes-later-engines", replica.crashes_later_engines);
+    run_replica_command->add_flag("--streams-end-with-connection", replica.streams_end_with_connection);
 
     CLI11_PARSE(app, argument_count, arguments);
     if (run_platform_command->parsed()) {
--- a/tests/standins/replica_standin.cpp
+++ b/tests/standins/replica_standin.cpp
@@ -442,6 +442,9 @@
         ++stream->next;
         this->streams[stream->attempt] = stream;
         this->sign(request, reply);
+        if (this->options.streams_end_with_connection) {
+            reply->end_with_connection();
+        }
         reply->start_stream(status_ok, "text/event-stream");
         reply->on_gone([this, watched = std::weak_ptr(stream)] {
             if (const auto gone = watched.lock()) {
--- a/tests/standins/replica_standin.hpp
+++ b/tests/standins/replica_standin.hpp
@@ -28,6 +28,8 @@
     std::string crashes_on;
     //! Whether it ends the later engines of its path instead of the first one.
     bool crashes_later_engines = false;
+    //! Whether streams have neither a length nor chunks.
+    bool streams_end_with_connection = false;
 };
 
 //! The data of event `index` of the stream that answers the body; the same on every replica.
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -152,6 +152,9 @@
     if (this->plan.crashes_later_engines) {
         arguments.emplace_back("--crashes-later-engines");
     }
+    if (this->plan.streams_end_with_connection) {
+        arguments.emplace_back("--streams-end-with-connection");
+    }
     const auto seen = this->plan.replica_seen_at.find(id);
     if (seen != this->plan.replica_seen_at.end()) {
         arguments.insert(arguments.end(), {"--registered", to_string(seen->second)});
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -57,6 +57,7 @@
     //! engine of a path, or the later ones. None when empty.
     std::string crashes_on;
     bool crashes_later_engines = false;
+    bool streams_end_with_connection = false;
     //! Called with the address of the store and of each replica when it has started.
     std::function<void(const std::string& name, const endpoint& at)> on_address;
 };
