A stream that ends inside an event has been broken off, whatever frames it

What callers saw: a stream in chunks, or with a length, whose engine ended it in the middle of an event was passed on as complete, with the cut event.

Cause: only where it ended with its connection, or went on with another one, was a cut event taken for a break; for the first answer in chunks it was passed on as the engine's own end.

Change: bytes after the last whole event that are more than line ends and comments break the stream off: it is resumed after its last whole event where it may be, and ends without a proper end where not.

--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -41,8 +41,8 @@
     }
 }
 
-// A cut event may be the last of a body that its engine ended, but not of one that ended with its connection,
-// as that also ends when the engine dies, nor of one that goes on with another.
+// A stream that ends inside an event has been broken off. One that ended with its connection, which also ends
+// when the engine dies, or that goes on with another, must have no bytes after its last event at all.
 bool stream_carrier::has_ended_well() const
 {
     const stream_attempt& ended = *this->current;
@@ -56,7 +56,7 @@
     if (ends_with_connection(ended.head)) {
         return !is_cut && ended.events > 0;
     }
-    return !is_cut || !ended.goes_on;
+    return ended.goes_on ? !is_cut : !is_inside_event(this->splitter);
 }
 
 // Its engine brings what is no part of the stream.
--- a/src/request/event_splitter.cpp
+++ b/src/request/event_splitter.cpp
@@ -165,6 +165,19 @@
     return !splitter.events_only || !classify_lines(splitter.pending).has_other_text;
 }
 
+bool is_inside_event(const event_splitter& splitter)
+{
+    bool is_line_start = true;
+    for (const char one : splitter.pending) {
+        const bool is_line_end = one == '\n' || one == '\r';
+        if (is_line_start && !is_line_end && one != ':') {
+            return true;
+        }
+        is_line_start = is_line_end;
+    }
+    return false;
+}
+
 void discard_partial_event(event_splitter& splitter)
 {
     splitter.pending.clear();
--- a/src/request/event_splitter.hpp
+++ b/src/request/event_splitter.hpp
@@ -44,6 +44,9 @@
 //! Whether the pending bytes may be the beginning of an event.
 bool may_be_partial_event(const event_splitter& splitter);
 
+//! Whether the pending bytes hold a line of an event: more than line ends and comments.
+bool is_inside_event(const event_splitter& splitter);
+
 //! Discards the incomplete event, its error flags and comments that were held back, for a stream that is
 //! requested again.
 void discard_partial_event(event_splitter& splitter);
--- a/tests/process/entry_resumed_streams_proof_test.cpp
+++ b/tests/process/entry_resumed_streams_proof_test.cpp
@@ -157,6 +157,9 @@
     return {
         {"in mid event", absl::StrCat(stream_head(), chunk(events(1, 2) + "id: 3\nda"))},
         {"in mid event until the end", open_stream(events(1, 2) + "id: 3\nda")},
+        {"in mid event at the end of the chunks", chunked_stream(events(1, 2) + "id: 3\nda")},
+        {"in mid event at the end of its length",
+         signed_answer(200, events(1, 2) + "id: 3\nda", events_type)},
         {"in mid chunk", absl::StrCat(stream_head(), chunk(events(1, 2)), "40\r\nid: 3\nda")},
         {"an error's head in a chunk", absl::StrCat(stream_head(), chunk(events(1, 2)), chunk(head))},
         {"an error's head at the end", chunked_stream(events(1, 2) + head)},
--- a/tests/request/event_splitter_test.cpp
+++ b/tests/request/event_splitter_test.cpp
@@ -216,3 +216,19 @@
     forwarded += take_events(splitter, three_events);
     CHECK(forwarded == sent + three_events);
 }
+
+TEST_CASE("a body that ends with a comment or with line ends does not end inside an event")
+{
+    for (const std::string pending : {"", "\n", "\r\n", ": over\n", ":", ": over\n\r\n"}) {
+        CAPTURE(pending);
+        event_splitter splitter;
+        splitter.pending = pending;
+        CHECK_FALSE(is_inside_event(splitter));
+    }
+    for (const std::string pending : {"i", "id: 3", "data: x\n", ": over\ndata", "\ndata: x"}) {
+        CAPTURE(pending);
+        event_splitter splitter;
+        splitter.pending = pending;
+        CHECK(is_inside_event(splitter));
+    }
+}
