The store comes back from an older copy: its era is noticed in any answer, and everything is read and written again

Cause: a version alone was taken for an order in time wherever one was compared, and nothing read the header that tells the store's era.

Change: - Each answer's era is read before anything else of it, errors included. A later one than the known one ends all that rests on versions: positions, the lease, claims, the directory's row versions. An answer of an older era is dropped; a write that was sent in one era and answered in another is taken for unsure. An era that is no number is logged and taken for none; one that goes down is not believed. - Followers and readers of other data centres learn the era from each other's messages, which older daemons read as before; positions of another era than the known one are not followed. - The first full read of an era takes no registration that is not known, or tells less than what is known: the next heartbeat tells which of them live. Fencing numbers hold the era and the row's version: a write of an older era may replace the row of the present holder. - Readers write their rows and the suspects again, spread over 0.3 and 1 s.

Weighed: fencing numbers by the era alone.

--- a/src/entry/context/dialect.hpp
+++ b/src/entry/context/dialect.hpp
@@ -5,6 +5,7 @@
 #include "entry/context/entry_settings.hpp"
 #include "route/entry_config.hpp"
 #include "target/target_registry.hpp"
+#include "vm/store_era.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -172,6 +173,8 @@
     //! The engine for whose sake a new path was refused, if the refusal names one.
     std::optional<endpoint> (*parse_path_refusal)(std::string_view text);
 
+    //! The era that an answer of the store tells, 0 if none; fails if it can't be read.
+    absl::StatusOr<store_era> (*read_era)(const http_headers& headers);
     store_names (*names)();
     outgoing_call (*rows_call)(const std::string& table, const std::string& from_key);
     outgoing_call (*changes_call)(const std::string& table, std::int64_t after_version, milliseconds wait);
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -87,6 +87,12 @@
     time_point reader_answered_at{0};
     //! From where the store's changes go on that are not known yet.
     store_position position;
+    //! The newest era of the store that is known, and since when.
+    store_era era;
+    time_point era_began_at{0};
+    //! Called when a new one has begun: what was read of the store may be gone, and versions of the one
+    //! before mean nothing any more.
+    std::function<void()> on_new_era;
     //! Whether the registry was read at least once.
     bool targets_known = false;
     target_conditions conditions;
--- a/src/entry/context/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -52,6 +52,7 @@
     append_count(text, "dandelionstep_entry_sent_to_resting_total", metrics.sent_to_resting);
     append_count(text, "dandelionstep_entry_deaths_under_requests_total", metrics.deaths_under_requests);
     append_count(text, "dandelionstep_entry_deaths_before_answers_total", metrics.deaths_before_answers);
+    append_count(text, "dandelionstep_entry_store_eras_total", metrics.store_eras);
     append_count(text, "dandelionstep_entry_segment_trials_total", metrics.segment_trials);
     append_count(text, "dandelionstep_entry_segment_refusals_total", metrics.segment_refusals);
     append_count(text, "dandelionstep_entry_leaving_by_answer_total", metrics.leaving_by_answer);
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -31,6 +31,8 @@
     //! Requests that tried a suspected segment, and requests that were refused for one.
     std::int64_t segment_trials = 0;
     std::int64_t segment_refusals = 0;
+    //! Eras of the store that began after the first one.
+    std::int64_t store_eras = 0;
     //! Targets that were known to leave by an answer first, and answers that asked for a rest.
     std::int64_t leaving_by_answer = 0;
     std::int64_t rests = 0;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -75,6 +75,7 @@
         this->push.readers = [this] {
             return this->follower.is_reader() ? this->rows.readers_elsewhere() : std::vector<peer>();
         };
+        this->context.on_new_era = [this] { this->begin_era(); };
         this->rows.holds_lease = [this] { return this->placement.is_holder(); };
         this->watch.holds_lease = [this] { return this->placement.is_holder(); };
         this->rows.followers = [this] { return this->peers.followers(); };
@@ -161,6 +162,7 @@
         std::map<std::string, std::int64_t>& gauges = this->context.metrics.gauges;
         gauges["config_version"] = this->context.config ? this->context.config->version.value : -1;
         gauges["live_daemons"] = this->context.daemons;
+        gauges["store_era"] = this->context.era.value;
         gauges["retry_sharers"] = retry_sharers(this->context);
         gauges["follows_reader"] = this->follower.is_following() ? 1 : 0;
         gauges["followers"] = static_cast<std::int64_t>(this->peers.followers().size());
@@ -199,6 +201,17 @@
         log_event("reloaded", {{"store", to_string(next.store)}});
     }
 
+    // The store came back from an older copy.
+    void begin_era()
+    {
+        this->placement.begin_era();
+        this->claims.begin_era();
+        this->rows.begin_era();
+        this->watch.begin_era();
+        this->push.push_soon();
+        this->context.on_change();
+    }
+
     void begin_stop()
     {
         if (this->context.stop) {
--- a/src/entry/peers/peer_exchange.cpp
+++ b/src/entry/peers/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/peers/peer_port.hpp"
 #include "entry/registry/known_state.hpp"
+#include "entry/store/store_history.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
@@ -30,6 +31,7 @@
     told.left = wish.left;
     told.reads_store = wish.reads_store;
     told.only_tells = wish.only_tells;
+    told.era = this->context.era;
     const bool knows_numbers = wish.same_reader && this->reader_process != 0;
     if (!knows_numbers) {
         told.registry_digest = registry_digest(this->context.targets, this->context.unconfirmed);
@@ -75,7 +77,7 @@
     }
     this->take_targets(answer);
     this->context.targets_as_of = targets_as_of;
-    this->context.position = answer.position;
+    this->take_position(answer.position);
     know_daemons(this->context, answer.daemons, answer.siblings);
     if (answer.uses) {
         this->context.others = *answer.uses;
@@ -83,6 +85,13 @@
     }
 }
 
+// Versions of an older era mean nothing any more.
+void peer_exchange::take_position(const store_position& told)
+{
+    note_store_era(this->context, told.era, "peer");
+    this->context.position = told.era == this->context.era ? told : store_position{this->context.era, 0, 0};
+}
+
 // Those that are registered, said so themselves, and are not told yet.
 leaving_marks peer_exchange::untold_leaving() const
 {
--- a/src/entry/peers/peer_exchange.hpp
+++ b/src/entry/peers/peer_exchange.hpp
@@ -41,6 +41,7 @@
 
 private:
     void take_targets(const peer_answer& answer);
+    void take_position(const store_position& told);
     [[nodiscard]] leaving_marks untold_leaving() const;
 
     entry_context& context;
--- a/src/entry/peers/peer_messages.cpp
+++ b/src/entry/peers/peer_messages.cpp
@@ -122,6 +122,9 @@
     if (!question.leaving.empty()) {
         message["leaving"] = leaving_json(question.leaving);
     }
+    if (question.era.value != 0) {
+        message["era"] = question.era.value;
+    }
     message["suspects_sequence"] = question.suspects_sequence;
     if (!question.suspects.empty()) {
         message["suspects"] = suspects_json(question.suspects);
@@ -162,6 +165,7 @@
     question.config_version = integer_or(*parsed, "config_version", -1);
     question.takes_packed = boolean_or(*parsed, "takes_packed", false);
     question.wait = {integer_or(*parsed, "wait_ms", 0)};
+    question.era = {std::max<std::int64_t>(0, integer_or(*parsed, "era", 0))};
     question.uses = parse_uses(*parsed);
     question.leaving = parse_leaving(*parsed);
     question.suspects = parse_suspects(*parsed, "suspects");
@@ -197,6 +201,7 @@
                     {"config_age_ms", answer.config_age.count},
                     {"targets_age_ms", answer.targets_age.count},
                     {"reaches_store", answer.reaches_store},
+                    {"era", answer.position.era.value},
                     {"config_position", answer.position.config},
                     {"targets_position", answer.position.targets},
                     {"daemons", answer.daemons},
@@ -258,6 +263,7 @@
         store_age.ok()) {
         answer.store_age = milliseconds{*store_age};
     }
+    answer.position.era = {std::max<std::int64_t>(0, integer_or(*parsed, "era", 0))};
     answer.position.config = integer_or(*parsed, "config_position", 0);
     answer.position.targets = integer_or(*parsed, "targets_position", 0);
     answer.successors = parse_peers(*parsed, "successors");
--- a/src/entry/peers/peer_messages.hpp
+++ b/src/entry/peers/peer_messages.hpp
@@ -52,6 +52,8 @@
     //! The same of suspected segments of prompts.
     std::vector<segment_report> segments;
     std::int64_t segments_sequence = -1;
+    //! The store's era that the asker knows; 0 if none.
+    store_era era;
     //! Whether it only tells what the asker knows, and wants no answer.
     bool only_tells = false;
     //! Processes of targets that the asker knows to have ended.
--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -4,6 +4,7 @@
 #include "entry/registry/known_state.hpp"
 #include "entry/registry/registry_messages.hpp"
 #include "entry/registry/target_notices.hpp"
+#include "entry/store/store_history.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
 
 #include <algorithm>
@@ -111,6 +112,7 @@
         caller->answer(status_bad_request, {}, "");
         return;
     }
+    note_store_era(this->context, question->era, "peer");
     learn_suspects(this->context, question->suspects, "peer");
     learn_segments(this->context, question->segments, "peer");
     learn_ended(this->context, question->ended, "peer");
--- a/src/entry/peers/suspect_push.cpp
+++ b/src/entry/peers/suspect_push.cpp
@@ -39,6 +39,7 @@
     peer_question message;
     message.vm = this->context.settings.vm;
     message.only_tells = true;
+    message.era = this->context.era;
     const suspect_update suspects = updates_since(this->context.suspects, told.suspects, now);
     message.suspects = suspects.reports;
     message.told_suspects = suspects.sequence;
--- a/src/entry/peers/vm_rows.cpp
+++ b/src/entry/peers/vm_rows.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds retry_pause{600};
 // Daemons that began to read together find each other within this time.
 constexpr milliseconds first_read_time{1'500};
+// Readers of all data centres learn of a new era in the same moment.
+constexpr milliseconds era_spread{300};
 // The first renewals come sooner, as they tell how many follow.
 constexpr std::int64_t early_renewals = 3;
 constexpr milliseconds early_interval{2'500};
@@ -64,6 +66,19 @@
     this->renew_timer = {};
 }
 
+void vm_rows::begin_era()
+{
+    dandelionstep::begin_era(this->directory);
+    this->newest_version = 0;
+    if (!this->keeping || this->stopped) {
+        return;
+    }
+    ++this->generation;
+    const auto spread = static_cast<std::int64_t>(this->context.draw() * era_spread.count);
+    this->read_after({spread});
+    this->renew_timer = this->context.loop.run_after({spread}, [this] { this->renew(); });
+}
+
 void vm_rows::stop()
 {
     this->stopped = true;
--- a/src/entry/peers/vm_rows.hpp
+++ b/src/entry/peers/vm_rows.hpp
@@ -39,6 +39,8 @@
     void keep();
     //! Stops that, as another daemon does so for this one. Its row lapses.
     void pause();
+    //! Reads the rows again and writes this daemon's own, as the store came back from an older copy.
+    void begin_era();
     //! Removes this daemon's row.
     void stop();
     //! Reads the rows soon, for example after a write whose outcome is not known.
--- a/src/entry/placement/placer.cpp
+++ b/src/entry/placement/placer.cpp
@@ -45,6 +45,16 @@
     });
 }
 
+void placer::begin_era()
+{
+    if (this->is_holder()) {
+        log_event("lease_lost",
+                  {{"fencing_number", this->lease.known.fencing_number}, {"era", this->context.era.value}});
+    }
+    dandelionstep::begin_era(this->lease, this->context.era, event_loop::now());
+    this->plan();
+}
+
 void placer::stop()
 {
     this->stopped = true;
@@ -103,6 +113,7 @@
     if (this->stopped || !should_write_lease(this->lease, this->times, this->self, now)) {
         return;
     }
+    this->lease.era = this->context.era;
     const lease_record next = next_lease(this->lease, this->self);
     conditional_write write;
     write.row = {own_table, lease_key, to_text(next), 0, false};
@@ -112,7 +123,7 @@
     this->store.call(this->context.dialect.write_call({write}), write_timeout, store_reason::lease,
                      [this, next, now, held](const store_answer& answer) {
                          this->lease.writing = false;
-                         if (answer.result == store_result::ok) {
+                         if (answer.result == store_result::ok && !answer.has_crossed_eras) {
                              note_lease_written(this->lease, next, answer.rows.version, this->times, now,
                                                 event_loop::now());
                              if (!held) {
@@ -120,15 +131,16 @@
                              }
                              return;
                          }
-                         if (answer.result == store_result::conflict) {
+                         if (answer.result == store_result::conflict && !answer.has_crossed_eras) {
                              this->take_rows(answer.rows);
                          } else if (this->on_unsure) {
                              this->on_unsure();
                          }
-                         log_event(
-                             "lease_write_failed",
-                             {{"result", answer.result == store_result::conflict ? "conflict" : "no_answer"},
-                              {"held", held ? "yes" : "no"}});
+                         log_event("lease_write_failed",
+                                   {{"result", answer.has_crossed_eras                   ? "older_era"
+                                               : answer.result == store_result::conflict ? "conflict"
+                                                                                         : "no_answer"},
+                                    {"held", held ? "yes" : "no"}});
                      });
 }
 
--- a/src/entry/placement/placer.hpp
+++ b/src/entry/placement/placer.hpp
@@ -25,6 +25,8 @@
     std::function<bool()> may_contend;
     //! Called when the rows should be read again soon.
     std::function<void()> on_unsure;
+    //! Gives the lease up, as the store came back from an older copy: it has to be taken anew.
+    void begin_era();
     //! Lets another daemon take the lease over at once.
     void stop();
 
--- a/src/entry/registry/config_watch.cpp
+++ b/src/entry/registry/config_watch.cpp
@@ -36,6 +36,13 @@
     this->context.config_watched_until = {0};
 }
 
+// What is known stays in force unless the store has a newer version.
+void config_watch::begin_era()
+{
+    this->pause();
+    this->timer = this->context.loop.run_after({0}, [this] { this->read_config(); });
+}
+
 void config_watch::read_config()
 {
     const store_names names = this->context.dialect.names();
--- a/src/entry/registry/config_watch.hpp
+++ b/src/entry/registry/config_watch.hpp
@@ -19,6 +19,8 @@
     //! Begins after the changes that are known, where the context's position tells them.
     void start();
     void pause();
+    //! Reads the configuration again, as the store came back from an older copy.
+    void begin_era();
 
 private:
     void read_config();
--- a/src/entry/registry/store_watch.cpp
+++ b/src/entry/registry/store_watch.cpp
@@ -33,6 +33,15 @@
     this->suspects.start();
 }
 
+void store_watch::begin_era()
+{
+    if (this->is_reading) {
+        this->config.begin_era();
+        this->targets.begin_era();
+        this->suspects.begin_era();
+    }
+}
+
 void store_watch::pause()
 {
     this->is_reading = false;
--- a/src/entry/registry/store_watch.hpp
+++ b/src/entry/registry/store_watch.hpp
@@ -27,6 +27,8 @@
     void start_for_others();
     //! To be called when there is news of suspects.
     void write_suspects_soon() { this->suspects.write_soon(); }
+    //! Reads everything again, as the store came back from an older copy.
+    void begin_era();
     //! Stops reading, as the same is learnt from another daemon.
     void pause();
     //! To be called when the configuration or the targets may have become known.
--- a/src/entry/registry/target_watch.cpp
+++ b/src/entry/registry/target_watch.cpp
@@ -4,6 +4,7 @@
 #include "entry/registry/known_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionstep {
 namespace {
@@ -42,6 +43,27 @@
     this->forget_doubts();
 }
 
+void target_watch::begin_era()
+{
+    this->calls.pause();
+    this->reads_copy = this->context.targets_known;
+    this->outdated_rows = 0;
+    this->timer = this->context.loop.run_after({0}, [this] { this->read_targets(""); });
+}
+
+// A registration that isn't known was removed since the copy was made, or its next heartbeat tells that it
+// lives. One that is known may have said since that it leaves, or which layers it holds.
+bool target_watch::is_outdated(const stored_row& row) const
+{
+    const absl::StatusOr<registered_target> parsed = this->context.dialect.parse_target(row.key, row.value);
+    if (!parsed.ok()) {
+        return false;
+    }
+    const auto known = this->context.targets.find(parsed->id);
+    return known == this->context.targets.end() || known->second.started != parsed->started ||
+           parsed->heartbeat_sequence < known->second.heartbeat_sequence;
+}
+
 void target_watch::read_targets(const std::string& from_key)
 {
     if (from_key.empty()) {
@@ -66,7 +88,11 @@
             }
             for (const stored_row& row : answer.rows.rows) {
                 this->seen.insert(target_id(row.key));
-                this->take_target_row(row);
+                if (this->reads_copy && this->is_outdated(row)) {
+                    ++this->outdated_rows;
+                } else {
+                    this->take_target_row(row);
+                }
             }
             if (const std::optional<std::string> next = next_page_key(answer.rows)) {
                 this->read_targets(*next);
@@ -87,6 +113,12 @@
     for (const target_id& id : missing) {
         this->remove_target(id);
     }
+    if (std::exchange(this->reads_copy, false)) {
+        log_event("registry_reread", {{"era", this->context.era.value},
+                                      {"rows", static_cast<std::int64_t>(this->seen.size())},
+                                      {"outdated", this->outdated_rows},
+                                      {"missing", static_cast<std::int64_t>(missing.size())}});
+    }
     std::erase_if(this->unreadable,
                   [this](const auto& entry) { return !this->seen.contains(target_id(entry.first)); });
     this->context.position.targets = this->full_read_version;
@@ -204,7 +236,7 @@
         return;
     }
     if (this->is_doubtful(known->second)) {
-        this->context.unconfirmed.try_emplace(id, this->store.last_outage().ended + lapse_grace);
+        this->context.unconfirmed.try_emplace(id, this->doubts_end());
         this->await_doubtful();
         return;
     }
@@ -213,11 +245,20 @@
     drop_target(this->context, id);
 }
 
+// When a registration that is not back by then is taken for gone.
+time_point target_watch::doubts_end() const
+{
+    return std::max(this->store.last_outage().ended, this->context.era_began_at) + lapse_grace;
+}
+
 // Whether the target may have lost its registration to an outage of the store and may still bring it back.
 bool target_watch::is_doubtful(const registered_target& target) const
 {
     const store_outage& outage = this->store.last_outage();
     const time_point now = event_loop::now();
+    if (now < this->context.era_began_at + lapse_grace && !target.leaving) {
+        return true;
+    }
     const auto heartbeat = this->heartbeats.find(target.id);
     const time_point seen = heartbeat == this->heartbeats.end() ? this->taken_over_as_of : heartbeat->second;
     return now < outage.ended + lapse_grace && !target.leaving &&
--- a/src/entry/registry/target_watch.hpp
+++ b/src/entry/registry/target_watch.hpp
@@ -22,6 +22,8 @@
     //! Begins after the changes that are known, where the context's position tells them.
     void start();
     void pause();
+    //! Reads the registrations again, as the store came back from an older copy.
+    void begin_era();
 
 private:
     void read_targets(const std::string& from_key);
@@ -29,6 +31,9 @@
     void take_changes(const stored_rows& changes, time_point asked_at);
     void poll_targets_after(time_point last_began);
     void take_target_row(const stored_row& row);
+    //! Whether the row, from a copy of the store, tells less than what is known.
+    [[nodiscard]] bool is_outdated(const stored_row& row) const;
+    [[nodiscard]] time_point doubts_end() const;
     void note_unreadable(const stored_row& row, std::string_view reason);
     void note_heartbeat(const stored_row& row);
     void remove_target(const target_id& id);
@@ -52,6 +57,10 @@
     time_point taken_over_as_of{0};
     std::int64_t full_read_version = 0;
     time_point full_read_began{0};
+    //! Whether the full read in progress is the first one since the store came back from an older copy, and
+    //! how many of its rows told less than what was known.
+    bool reads_copy = false;
+    std::int64_t outdated_rows = 0;
     event_loop::timer timer;
     event_loop::timer doubt_timer;
 };
--- a/src/entry/store/store_client.cpp
+++ b/src/entry/store/store_client.cpp
@@ -1,7 +1,7 @@
 #include "entry/store/store_client.hpp"
 
 #include "adapters/log.hpp"
-#include "entry/context/http_calls.hpp"
+#include "entry/store/store_history.hpp"
 
 #include <algorithm>
 
@@ -114,7 +114,7 @@
 {
     if (this->must_hold_back()) {
         this->context.loop.post([done = std::move(done), asked_at = event_loop::now()] {
-            done({store_result::refused, {}, true, asked_at});
+            done({store_result::refused, {}, true, asked_at, false});
         });
         return;
     }
@@ -124,8 +124,14 @@
     }
     const std::string reason_name(name_of(reason));
     const auto take = [this, reason_name, number = ++this->last_number, asked_at = event_loop::now(),
-                       done = std::move(done)](const http_answer& answered) {
-        store_answer answer{result_of(answered), {}, false, asked_at};
+                       asked_in = this->context.era, done = std::move(done)](const http_answer& answered) {
+        store_answer answer{result_of(answered), {}, false, asked_at, false};
+        if (!this->take_era(answered)) {
+            // It says nothing of the store as it is now.
+            done({store_result::unsure, {}, false, asked_at, true});
+            return;
+        }
+        answer.has_crossed_eras = asked_in.value != 0 && asked_in != this->context.era;
         if (answer.result == store_result::ok || answer.result == store_result::conflict) {
             absl::StatusOr<stored_rows> rows = this->context.dialect.parse_rows(answered.body);
             if (rows.ok()) {
@@ -142,6 +148,23 @@
     send_call(this->context, this->context.settings.store, call, timeout, take);
 }
 
+// An answer of an older era was late on its way. The store promises that none comes to a call that is made
+// later, and is not believed if one does: the daemon goes on with what it knows, as in an outage.
+bool store_client::take_era(const http_answer& answered)
+{
+    const absl::StatusOr<store_era> era = this->context.dialect.read_era(answered.headers);
+    if (!era.ok()) {
+        log_event("store_era_unreadable", {{"reason", std::string(era.status().message())}});
+        return true;
+    }
+    if (era->value != 0 && *era < this->context.era) {
+        log_event("store_era_outdated", {{"era", era->value}, {"known", this->context.era.value}});
+        return false;
+    }
+    note_store_era(this->context, *era, "store");
+    return true;
+}
+
 bool store_client::is_from_before_pause(std::int64_t number) const
 {
     return this->holds_back() && number <= this->last_before_pause;
--- a/src/entry/store/store_client.hpp
+++ b/src/entry/store/store_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/context/entry_context.hpp"
+#include "entry/context/http_calls.hpp"
 
 #include <functional>
 
@@ -46,6 +47,9 @@
     bool held_back = false;
     //! When it was asked.
     time_point asked_at{0};
+    //! Whether the store has come back from an older copy since it was asked. What was read is true all the
+    //! same; what was written may have met another row than the one that was meant.
+    bool has_crossed_eras = false;
 };
 
 //! The daemon's only client of the store. While the store does not answer it makes one call now and then,
@@ -70,6 +74,8 @@
     [[nodiscard]] const store_outage& last_outage() const { return this->outage; }
 
 private:
+    //! Whether the answer is of the present era; notes a new one.
+    bool take_era(const http_answer& answered);
     void note(const store_answer& answer, std::int64_t number);
     void note_failure(time_point asked_at);
     void note_return();
--- a/src/entry/suspects/suspect_rows.cpp
+++ b/src/entry/suspects/suspect_rows.cpp
@@ -10,6 +10,8 @@
 
 // Several suspects of one death are written by one call.
 constexpr milliseconds write_pause{60};
+// Readers of all data centres learn of a new era in the same moment, and write the same rows.
+constexpr milliseconds era_spread{1'000};
 // The store takes a hundred entries in a call.
 constexpr std::size_t most_writes = 64;
 constexpr milliseconds removal_interval{60'000};
@@ -59,6 +61,19 @@
     this->removal_timer = {};
 }
 
+void suspect_rows::begin_era()
+{
+    this->is_known = false;
+    if (!this->is_reading) {
+        return;
+    }
+    this->calls.pause();
+    this->is_writing = false;
+    this->write_timer = {};
+    const auto spread = static_cast<std::int64_t>(this->context.draw() * era_spread.count);
+    this->timer = this->context.loop.run_after({spread}, [this] { this->read(""); });
+}
+
 void suspect_rows::read(const std::string& from_key)
 {
     if (from_key.empty()) {
--- a/src/entry/suspects/suspect_rows.hpp
+++ b/src/entry/suspects/suspect_rows.hpp
@@ -24,6 +24,8 @@
 
     void start();
     void pause();
+    //! Reads the rows again, and writes those that are missing, as the store came back from an older copy.
+    void begin_era();
     //! To be called when a suspect is to be told.
     void write_soon();
 
--- a/src/entry/suspects/trial_claims.cpp
+++ b/src/entry/suspects/trial_claims.cpp
@@ -48,6 +48,11 @@
     return record.state;
 }
 
+void trial_claims::begin_era()
+{
+    this->claims.clear();
+}
+
 void trial_claims::ask(const std::string& key, claim_record& record)
 {
     record.state = claim_state::pending;
@@ -60,6 +65,9 @@
 
 void trial_claims::take(const std::string& key, const store_answer& answer)
 {
+    if (answer.has_crossed_eras) {
+        return;
+    }
     const time_point now = event_loop::now();
     claim_record& record = this->claims[key];
     switch (answer.result) {
--- a/src/entry/suspects/trial_claims.hpp
+++ b/src/entry/suspects/trial_claims.hpp
@@ -28,6 +28,8 @@
 
     //! Claims the trial unless that was done lately. Crashes and answers end all claims from before.
     claim_state claim(const trial_name& trial);
+    //! Forgets the claims, as the store came back from an older copy.
+    void begin_era();
 
 private:
     struct claim_record {
--- a/src/vm/lease.hpp
+++ b/src/vm/lease.hpp
@@ -3,6 +3,7 @@
 #include "absl/status/statusor.h"
 #include "common/clock.hpp"
 #include "common/ids.hpp"
+#include "vm/store_era.hpp"
 
 #include <cstdint>
 #include <string>
@@ -15,7 +16,7 @@
     vm_id holder;
     //! Identifies the holder's process; a restarted daemon on the same VM has another one.
     std::uint64_t process = 0;
-    //! Increases with each new holder.
+    //! Increases with each new holder; those of a later era of the store are above all earlier ones.
     std::int64_t fencing_number = 0;
     //! Increases with each renewal and each takeover.
     std::int64_t renewals = 0;
@@ -41,8 +42,15 @@
 struct lease_state {
     //! The newest row that this daemon has read or written.
     lease_record known;
-    //! Version of the row in the store; 0 if there is no row.
+    //! The store's era, in which the lease has to be taken anew, when it began, and the row that was known
+    //! before: its holder may not know of the new era yet.
+    store_era era;
+    time_point era_began_at{0};
+    lease_record before_era;
+    //! Version of the row in the store, in this era; 0 if there is no row.
     std::int64_t row_version = 0;
+    //! The store's newest version, in this era, when the row or its absence was read last.
+    std::int64_t newest_version = 0;
     //! Whether the row, or its absence, has been read at least once.
     bool is_known = false;
     //! When this daemon last saw the row change.
@@ -55,6 +63,10 @@
     bool writing = false;
 };
 
+//! Records that the store came back from an older copy: the row may be one of before, and this daemon holds
+//! the lease no longer.
+void begin_era(lease_state& state, store_era era, time_point now);
+
 //! Records that there was no row when the store was at `version`.
 void note_lease_absent(lease_state& state, std::int64_t version, time_point now);
 
--- a/src/vm/vm_directory.cpp
+++ b/src/vm/vm_directory.cpp
@@ -80,13 +80,27 @@
 void note_vm(vm_directory& directory, const vm_record& record, std::int64_t row_version, time_point now)
 {
     vm_directory::entry& entry = directory.entries[record.vm];
-    if (row_version > entry.row_version) {
+    if (row_version <= entry.row_version) {
+        return;
+    }
+    const bool is_copy = entry.is_of_earlier_era && record.process == entry.record.process &&
+                         record.renewals <= entry.record.renewals;
+    entry.row_version = row_version;
+    entry.is_of_earlier_era = false;
+    if (!is_copy) {
         entry.record = record;
-        entry.row_version = row_version;
         entry.changed_at = now;
     }
 }
 
+void begin_era(vm_directory& directory)
+{
+    for (auto& [vm, entry] : directory.entries) {
+        entry.row_version = 0;
+        entry.is_of_earlier_era = true;
+    }
+}
+
 void keep_only(vm_directory& directory, const std::vector<vm_id>& read)
 {
     const std::set<vm_id> kept(read.begin(), read.end());
--- a/src/vm/vm_directory.hpp
+++ b/src/vm/vm_directory.hpp
@@ -47,12 +47,17 @@
         std::int64_t row_version = 0;
         //! When this daemon last saw the row change.
         time_point changed_at;
+        //! Whether the row was read in an earlier era of the store, and not since.
+        bool is_of_earlier_era = false;
     };
     std::map<vm_id, entry> entries;
 };
 
 //! Records a row as it was read.
 void note_vm(vm_directory& directory, const vm_record& record, std::int64_t row_version, time_point now);
+//! Records that the store came back from an older copy: versions begin anew, and rows that it holds already
+//! are no sign of life.
+void begin_era(vm_directory& directory);
 //! Removes the VMs whose rows were not among those read.
 void keep_only(vm_directory& directory, const std::vector<vm_id>& read);
 
--- a/tests/standins/faults.cpp
+++ b/tests/standins/faults.cpp
@@ -37,4 +37,11 @@
     return left > 0;
 }
 
+std::int64_t fault_switches::take_number(const char* name)
+{
+    const std::int64_t value = this->number(name);
+    this->values.erase(name);
+    return value;
+}
+
 } // namespace dandelionstep::standins
--- a/tests/standins/faults.hpp
+++ b/tests/standins/faults.hpp
@@ -23,6 +23,8 @@
     [[nodiscard]] bool lists(const char* name, const std::string& value) const;
     //! Counts a switch down; true while it was above 0.
     bool take(const char* name);
+    //! The value of a switch that works once; 0 when it is not set.
+    std::int64_t take_number(const char* name);
 
 private:
     json values = json::object();
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -56,6 +56,7 @@
     row_store_options row_store;
     CLI::App* run_row_store_command = app.add_subcommand("row-store", "The users' store of rows");
     run_row_store_command->add_option("--addresses", row_store.addresses, "Loopback addresses to listen at");
+    run_row_store_command->add_flag("!--without-era", row_store.tells_era, "Its answers do not tell its era");
 
     replica_options replica;
     std::string store_address;
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -41,6 +42,9 @@
 struct feed_change {
     row_name name;
     std::int64_t version = 0;
+    //! When it was made, and the row before it.
+    time_point at;
+    std::optional<kept_row> before;
 };
 
 struct waiting_feed {
@@ -97,6 +101,9 @@
             this->history.clear();
             this->oldest_known = this->counter;
         }
+        if (const std::int64_t age = this->faults.take_number("restore_ms"); age > 0) {
+            this->restore(milliseconds{age});
+        }
         if (request.path == "/calls") {
             reply->send(status_ok, dump({{"count", this->daemons_calls}}));
             return;
@@ -114,11 +121,10 @@
         }
         const bool is_list =
             request.path == "/rows-get" && !request.parameter("Table").starts_with("dandelionstep");
-        if (!is_outside && this->faults.lists("busy_at", request.header("Host"))) {
-            reply->send(status_unavailable, "{}");
-            return;
-        }
-        if (!is_outside && (this->faults.on("busy") || (is_list && this->faults.on("lists_busy")))) {
+        const bool is_busy = this->faults.lists("busy_at", request.header("Host")) ||
+                             this->faults.on("busy") || (is_list && this->faults.on("lists_busy"));
+        if (!is_outside && is_busy) {
+            this->tell_era(reply);
             reply->send(status_unavailable, "{}");
             return;
         }
@@ -126,6 +132,39 @@
                     [this, request, reply] { this->answer(request, reply); });
     }
 
+    void tell_era(const std::shared_ptr<http_reply>& reply) const
+    {
+        if (this->options.tells_era) {
+            reply->add_header("Store-Era", std::to_string(this->era));
+        }
+    }
+
+    // Undoes the latest writes. Calls that wait are cut, as the store was away meanwhile.
+    void restore(milliseconds age)
+    {
+        const time_point copied = event_loop::now() - age;
+        while (!this->history.empty() && this->history.back().at > copied) {
+            const feed_change& change = this->history.back();
+            if (change.before) {
+                this->rows[change.name] = *change.before;
+            } else {
+                this->rows.erase(change.name);
+            }
+            this->history.pop_back();
+        }
+        this->last_changes.clear();
+        for (const feed_change& change : this->history) {
+            this->last_changes[change.name] = change.version;
+        }
+        this->counter = this->history.empty() ? std::max<std::int64_t>(1, this->oldest_known)
+                                              : this->history.back().version;
+        ++this->era;
+        for (const std::shared_ptr<waiting_feed>& feed : this->feeds) {
+            feed->reply->drop();
+        }
+        this->feeds.clear();
+    }
+
     void after(milliseconds pause, const event_loop::callback& run)
     {
         if (pause.count <= 0) {
@@ -141,6 +180,7 @@
 
     void answer(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
+        this->tell_era(reply);
         if (request.path == "/rows-get") {
             this->get(request, reply);
         } else if (request.path == "/rows-feed") {
@@ -218,7 +258,7 @@
     {
         const std::string table = request.parameter("Table");
         const std::int64_t after = number_of(request, "AfterRevision");
-        if (after < this->oldest_known) {
+        if (after < this->oldest_known || after > this->counter) {
             reply->send(status_gone, "{}");
             return;
         }
@@ -311,12 +351,13 @@
         ++this->counter;
         for (const json& put : body.value("Puts", json::array())) {
             const row_name name = name_in(put);
-            this->rows[name] = {string_or(put, "Value", ""), this->counter};
             this->note_change(name);
+            this->rows[name] = {string_or(put, "Value", ""), this->counter};
         }
         for (const json& removal : body.value("Remove", json::array())) {
-            if (this->rows.erase(name_in(removal)) > 0) {
+            if (this->rows.contains(name_in(removal))) {
                 this->note_change(name_in(removal));
+                this->rows.erase(name_in(removal));
             }
         }
         this->wake_feeds();
@@ -324,7 +365,12 @@
 
     void note_change(const row_name& name)
     {
-        this->history.push_back({name, this->counter});
+        const auto found = this->rows.find(name);
+        std::optional<kept_row> before;
+        if (found != this->rows.end()) {
+            before = found->second;
+        }
+        this->history.push_back({name, this->counter, event_loop::now(), std::move(before)});
         this->last_changes[name] = this->counter;
     }
 
@@ -355,6 +401,7 @@
     std::vector<std::shared_ptr<http_reply>> unanswered;
     std::int64_t daemons_calls = 0;
     std::int64_t counter = 1;
+    std::int64_t era = 1;
     // Changes up to this version can no longer be asked for.
     std::int64_t oldest_known = 0;
 };
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -57,6 +57,15 @@
     return plan.own_store_addresses ? plan.daemons.size() : 1;
 }
 
+std::vector<std::string> store_arguments(const entry_plan& plan)
+{
+    std::vector<std::string> arguments{"row-store", "--addresses", std::to_string(store_addresses(plan))};
+    if (!plan.store_tells_era) {
+        arguments.emplace_back("--without-era");
+    }
+    return arguments;
+}
+
 std::string daemon_name(std::size_t index)
 {
     return absl::StrCat("daemon", index);
@@ -92,12 +101,9 @@
 
 entry_cluster::entry_cluster(entry_plan plan_in) : plan(std::move(plan_in))
 {
-    this->processes.emplace(
-        std::piecewise_construct, std::forward_as_tuple("store"),
-        std::forward_as_tuple(
-            "dandelionstep-standin",
-            std::vector<std::string>{"row-store", "--addresses", std::to_string(store_addresses(this->plan))},
-            this->folder.path("store.log")));
+    this->processes.emplace(std::piecewise_construct, std::forward_as_tuple("store"),
+                            std::forward_as_tuple("dandelionstep-standin", store_arguments(this->plan),
+                                                  this->folder.path("store.log")));
     this->read_port("store");
     for (const replica_plan& replica : this->plan.replicas) {
         this->start_replica(replica.id);
