--- a/tests/entry/suspects/suspect_rows_test.cpp
+++ b/tests/entry/suspects/suspect_rows_test.cpp
@@ -2,6 +2,7 @@
 #include "entry/suspects/suspect_rows.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
 #include "support/child_process.hpp"
+#include "support/entry_cluster.hpp"
 #include "support/scripted_peer.hpp"
 
 #include <algorithm>
@@ -151,3 +152,24 @@
     store_reader latest(loop, at);
     CHECK(run_until(loop, [&] { return latest.open_crashes() == 1; }));
 }
+
+TEST_CASE("suspects are gone with the store's latest writes, and a daemon that starts later knows none")
+{
+    const scratch_folder folder;
+    child_process store("dandelionstep-standin", {"row-store"}, folder.path("store.log"));
+    const endpoint at = address_of(store);
+    event_loop loop;
+    store_reader here(loop, at);
+    here.context.on_new_era = [&here] { here.rows.begin_era(); };
+    run_until(loop, [] { return false; }, {300});
+    here.see_death(1);
+    here.see_crash(2);
+    store_reader before(loop, at);
+    REQUIRE(run_until(loop, [&] { return before.deaths() == 1 && before.open_crashes() == 1; }));
+    post_json(at, "/faults", {{"restore_ms", 60'000}});
+    REQUIRE(run_until(loop, [&] { return here.context.era == store_era{2}; }));
+    // Until the rows are written again, within the spread of that.
+    run_until(loop, [] { return false; }, {1'500});
+    store_reader late(loop, at);
+    CHECK(run_until(loop, [&] { return late.deaths() == 1 && late.open_crashes() == 1; }));
+}
--- a/tests/process/entry_store_calls_test.cpp
+++ b/tests/process/entry_store_calls_test.cpp
@@ -50,6 +50,15 @@
     return followers;
 }
 
+std::size_t count_in_era(entry_cluster& cluster, std::int64_t era)
+{
+    std::size_t counted = 0;
+    for (std::size_t i = 0; i < daemons; ++i) {
+        counted += cluster.gauge_of(i, "store_era") == era ? 1 : 0;
+    }
+    return counted;
+}
+
 std::optional<std::size_t> find_reader(entry_cluster& cluster)
 {
     for (std::size_t i = 0; i < daemons; ++i) {
@@ -158,6 +167,19 @@
     CHECK(takes_new_key(cluster, "key-back", daemons));
     CHECK(await_one_reader(cluster));
 
+    MESSAGE("the store comes back from an older copy");
+    const std::int64_t before_restore = calls_so_far(cluster);
+    const time_point restored = event_loop::now();
+    cluster.set_faults("store", {{"restore_ms", 1'000}});
+    CHECK(eventually([&] { return count_in_era(cluster, 2) == daemons; }, {2'000}));
+    MESSAGE("all know the new era after ", (event_loop::now() - restored).count, " ms");
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const std::int64_t calls_since = calls_so_far(cluster) - before_restore;
+    MESSAGE("calls since: ", calls_since);
+    CHECK(calls_since <= calls_of_readers((event_loop::now() - restored).count / 1'000 + 1));
+    CHECK(takes_new_key(cluster, "key-restored", daemons));
+    CHECK(await_one_reader(cluster));
+
     MESSAGE("the reader is killed");
     reader = *find_reader(cluster);
     daemon_of(cluster, reader).kill();
--- a/tests/soak/fault_run.hpp
+++ b/tests/soak/fault_run.hpp
@@ -48,6 +48,7 @@
     void have_rest();
     void strike_by_copy();
     void have_refusals_repeated();
+    void strike_by_restore();
     bool is_sound(const std::string& id);
     void change_config();
     void heal();
@@ -61,6 +62,8 @@
     //! Draws what replicas say in their answers, and what comes once more over their connections.
     std::mt19937_64 answer_random;
     std::mt19937_64 copy_random;
+    //! Draws when the store comes back from an older copy.
+    std::mt19937_64 restore_random;
     // Proxies outlive the processes that connect through them.
     std::map<std::string, std::unique_ptr<fault_proxy>> proxies;
     std::unique_ptr<testing::entry_cluster> cluster;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,8 +15,8 @@
 bool tell(const std::string& phase, std::uint64_t seed, const soak_result& result)
 {
     std::cout << phase << " seed " << seed << ": " << result.requests << " requests, " << result.served
-              << " served, " << result.refused << " refused, " << result.violations.size() << " violations"
-              << std::endl;
+              << " served, " << result.refused << " refused, " << result.restores << " restores, "
+              << result.violations.size() << " violations" << std::endl;
     if (result.violations.empty()) {
         return true;
     }
--- a/tests/soak/soak_check.cpp
+++ b/tests/soak/soak_check.cpp
@@ -34,6 +34,7 @@
                            .callers = 4,
                            .stops_in_series = all_troubles,
                            .repeats_refusals = all_troubles,
+                           .restores_store = all_troubles,
                            .keep_logs_in = {}}));
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -34,7 +34,7 @@
 
 soak_run::soak_run(const soak_options& options_in)
     : options(options_in), random(options_in.seed), answer_random(~options_in.seed),
-      copy_random(options_in.seed + copies_apart)
+      copy_random(options_in.seed + copies_apart), restore_random(options_in.seed + 2 * copies_apart)
 {
     entry_plan plan = usual_entry_plan();
     plan.daemons.assign(options_in.daemons, "n");
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -17,6 +17,8 @@
     bool stops_in_series = true;
     //! Whether plain replicas' refusals come once more over kept connections.
     bool repeats_refusals = true;
+    //! Whether the store comes back from older copies.
+    bool restores_store = true;
     //! Where the logs of a run that broke a promise are kept, a folder for each seed; nowhere when empty.
     std::string keep_logs_in;
 };
@@ -29,6 +31,8 @@
     std::vector<std::string> actions;
     std::int64_t requests = 0;
     std::int64_t served = 0;
+    //! How often the store came back from an older copy.
+    std::int64_t restores = 0;
     //! Of those asked on days of planned work.
     std::int64_t refused = 0;
 };
--- a/tests/soak/soak_strikes.cpp
+++ b/tests/soak/soak_strikes.cpp
@@ -33,6 +33,9 @@
         if (this->options.repeats_refusals) {
             this->strike_by_copy();
         }
+        if (this->options.restores_store) {
+            this->strike_by_restore();
+        }
         this->tend_until(std::chrono::steady_clock::now() +
                          std::chrono::milliseconds(100 + this->below(600)));
     }
@@ -270,6 +273,20 @@
     });
 }
 
+// The operator writes again what the store has lost; replicas do so with their heartbeats.
+void soak_run::strike_by_restore()
+{
+    std::swap(this->random, this->restore_random);
+    if (this->below(3) == 0) {
+        const std::uint64_t age_ms = 200 + this->below(most_fault_ms);
+        this->note(absl::StrCat("store comes back from a copy of ", age_ms, " ms"));
+        this->cluster->set_faults("store", {{"restore_ms", age_ms}});
+        ++this->result.restores;
+        this->later([this] { this->cluster->repeat_config(); });
+    }
+    std::swap(this->random, this->restore_random);
+}
+
 // Each configuration has one more key, and not the one before.
 void soak_run::change_config()
 {
--- a/tests/standins/row_store_standin.cpp
+++ b/tests/standins/row_store_standin.cpp
@@ -95,15 +95,15 @@
     void receive(const received_request& request, const std::shared_ptr<http_reply>& reply)
     {
         if (this->faults.handle(request, reply)) {
+            if (const std::int64_t age = this->faults.take_number("restore_ms"); age > 0) {
+                this->restore(milliseconds{age});
+            }
             return;
         }
         if (this->faults.take("forget")) {
             this->history.clear();
             this->oldest_known = this->counter;
         }
-        if (const std::int64_t age = this->faults.take_number("restore_ms"); age > 0) {
-            this->restore(milliseconds{age});
-        }
         if (request.path == "/calls") {
             reply->send(status_ok, dump({{"count", this->daemons_calls}}));
             return;
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -16,13 +16,8 @@
 #include <utility>
 
 namespace dandelionstep::testing {
-namespace {
 
-constexpr milliseconds ask_timeout{15'000};
-// The HTTP client names the address as the host.
-constexpr const char* host = "127.0.0.1";
-
-http_result post(const endpoint& to, const std::string& path, const json& body, http_headers headers = {})
+http_result post_json(const endpoint& to, const std::string& path, const json& body, http_headers headers)
 {
     http_request request;
     request.method = "POST";
@@ -32,6 +27,12 @@
     return call(to, std::move(request));
 }
 
+namespace {
+
+constexpr milliseconds ask_timeout{15'000};
+// The HTTP client names the address as the host.
+constexpr const char* host = "127.0.0.1";
+
 http_result get(const endpoint& to, const std::string& path)
 {
     http_request request;
@@ -252,7 +253,13 @@
     if (change) {
         change(config);
     }
-    this->write_row("operator", "op", "config", dump(config));
+    this->newest_config = dump(config);
+    this->repeat_config();
+}
+
+void entry_cluster::repeat_config()
+{
+    this->write_row("operator", "op", "config", this->newest_config);
 }
 
 void entry_cluster::write_row(const std::string& writer, const std::string& table, const std::string& key,
@@ -265,10 +272,10 @@
                                       const std::string& key, const std::string& encoded)
 {
     const json row = {{"Table", table}, {"part", ""}, {"Key", key}, {"Value", encoded}};
-    const http_result written =
-        post(this->addresses.at("store"), "/rows-tx",
-             {{"ExpectedRevision", json::array()}, {"Puts", json::array({row})}, {"Remove", json::array()}},
-             {{"Writer", writer}});
+    const http_result written = post_json(
+        this->addresses.at("store"), "/rows-tx",
+        {{"ExpectedRevision", json::array()}, {"Puts", json::array({row})}, {"Remove", json::array()}},
+        {{"Writer", writer}});
     if (written.status != 200) {
         throw std::runtime_error("the row " + key + " was not written");
     }
@@ -277,10 +284,10 @@
 void entry_cluster::remove_row(const std::string& writer, const std::string& table, const std::string& key)
 {
     const json row = {{"Table", table}, {"part", ""}, {"Key", key}};
-    const http_result removed =
-        post(this->addresses.at("store"), "/rows-tx",
-             {{"ExpectedRevision", json::array()}, {"Puts", json::array()}, {"Remove", json::array({row})}},
-             {{"Writer", writer}});
+    const http_result removed = post_json(
+        this->addresses.at("store"), "/rows-tx",
+        {{"ExpectedRevision", json::array()}, {"Puts", json::array()}, {"Remove", json::array({row})}},
+        {{"Writer", writer}});
     if (removed.status != 200) {
         throw std::runtime_error("the row " + key + " was not removed");
     }
@@ -412,7 +419,7 @@
 
 void entry_cluster::set_faults(const std::string& name, const json& faults)
 {
-    post(this->address_of(name), "/faults", faults);
+    post_json(this->address_of(name), "/faults", faults);
 }
 
 void entry_cluster::keep_logs(const std::string& in)
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -77,6 +77,10 @@
     std::chrono::steady_clock::time_point ended_at;
 };
 
+//! Posts to a stand-in, for example fault switches or the rows of a writer.
+http_result post_json(const endpoint& to, const std::string& path, const json& body,
+                      http_headers headers = {});
+
 //! A request of a caller with the key that is always valid; `extra` headers go before the usual ones.
 http_request caller_request(const std::string& method, const std::string& path, const std::string& attempt,
                             const std::string& body = "", http_headers extra = {});
@@ -91,6 +95,8 @@
     void start_daemon(std::size_t index);
     //! Writes the configuration with the next version; `change` may alter it first.
     void write_config(const std::function<void(json&)>& change = {});
+    //! Writes the newest configuration again, as the operator does when the store has lost it.
+    void repeat_config();
     //! Writes `value` into the store, as `writer` would.
     void write_row(const std::string& writer, const std::string& table, const std::string& key,
                    const std::string& value);
@@ -163,6 +169,7 @@
     std::map<std::string, endpoint> addresses;
     std::vector<daemon_addresses> daemons;
     std::int64_t config_version = 0;
+    std::string newest_config;
 };
 
 //! Whether the body is the whole stream that answers the request's body: every event once and in order.
--- a/tests/vm/vm_directory_test.cpp
+++ b/tests/vm/vm_directory_test.cpp
@@ -159,3 +159,34 @@
     CHECK(readers.front().vm == vm_id("c"));
     CHECK(readers.back().vm == vm_id("d"));
 }
+
+TEST_CASE("rows that a copy of the store holds make daemons that are gone look alive")
+{
+    vm_directory directory;
+    const vm_self self{vm_id("self"), data_centre_id("n"), {}};
+    vm_record gone = record_of("gone", "n");
+    gone.process = 3;
+    gone.renewals = 9;
+    vm_record alive = record_of("alive", "n");
+    alive.process = 4;
+    alive.renewals = 5;
+    note_vm(directory, gone, 50, {0});
+    note_vm(directory, alive, 51, {0});
+    const time_point later = time_point{0} + vm_renew_interval * 3;
+    begin_era(directory);
+    gone.renewals = 8;
+    note_vm(directory, gone, 30, later);
+    note_vm(directory, alive, 31, later);
+    CHECK(count_vms(directory, self, later).all == 1);
+    alive.renewals = 6;
+    note_vm(directory, alive, 32, later);
+    CHECK(count_vms(directory, self, later).all == 2);
+    SUBCASE("a process that began behind the copy is another one")
+    {
+        vm_record next = record_of("gone", "n");
+        next.process = 7;
+        next.renewals = 1;
+        note_vm(directory, next, 33, later);
+        CHECK(count_vms(directory, self, later).all == 3);
+    }
+}
