--- a/tests/process/entry_crashing_segment_proof_test.cpp
+++ b/tests/process/entry_crashing_segment_proof_test.cpp
@@ -189,7 +189,8 @@
     check_recognised(plan, {crashing_segment}, streams_of);
 }
 
-TEST_CASE("streams that end with their connection look answered when their engine crashes, and crash the next")
+TEST_CASE(
+    "streams that end with their connection look answered when their engine crashes, and crash the next")
 {
     entry_plan plan = plan_of_two_data_centres();
     plan.streams_end_with_connection = true;
