--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -54,6 +54,7 @@
     std::int64_t alone = 0;
     std::int64_t open = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): takes the 0 in it for a pointer
     friend auto operator<=>(const segment_evidence&, const segment_evidence&) = default;
 };
 
--- a/tests/entry/peers/peer_messages_test.cpp
+++ b/tests/entry/peers/peer_messages_test.cpp
@@ -38,6 +38,9 @@
     question.wait = {600};
     question.at = {"10.0.0.9", 7'340};
     question.capacity = 48.5;
+    question.era = {3};
+    question.only_tells = true;
+    question.ended = {{target_id("e"), {70}, {80}}};
     question.left = vm_id("vm-2");
     question.reads_store = true;
     question.registry_digest = 17'000'000'000'000'000'003ULL;
@@ -64,6 +67,10 @@
     CHECK(read->wait == milliseconds{600});
     CHECK(read->at == question.at);
     CHECK(read->capacity == 48.5);
+    CHECK(read->era == question.era);
+    CHECK(read->only_tells);
+    REQUIRE(read->ended.size() == 1);
+    CHECK(read->ended.front().started == question.ended.front().started);
     CHECK(read->left == question.left);
     CHECK(read->reads_store);
     CHECK(read->registry_digest == question.registry_digest);
@@ -86,7 +93,7 @@
     answer.store_age = milliseconds{-120};
     answer.daemons = 84;
     answer.siblings = 21;
-    answer.position = {41, 43};
+    answer.position = {{3}, 41, 43};
     answer.successors = {{vm_id("vm-3"), {"10.0.0.3", 7'340}}, {vm_id("vm-4"), {"10.0.0.4", 7'340}}};
     answer.better = peer{vm_id("vm-5"), {"10.0.0.5", 7'340}};
     answer.uses = engine_uses{{target_id("i-1"), {3, 1, 4'000.5, 12.25}}};
--- a/tests/entry/registry/registry_eras_test.cpp
+++ b/tests/entry/registry/registry_eras_test.cpp
@@ -88,7 +88,7 @@
     void restore(time_point since)
     {
         const milliseconds age = event_loop::now() - since;
-        post_json(this->at, "/faults", {{"restore_ms", age.count}});
+        post_json(this->at, "/faults", json{{"restore_ms", age.count}});
         REQUIRE(run_until(this->loop, [this] { return this->context.era_began_at > time_point{0}; }));
         this->wait({100});
     }
@@ -185,6 +185,6 @@
     reader.context.era = {1};
     reader.context.position = {{1}, 0, 0};
     reader.mark();
-    post_json(reader.at, "/faults", {{"restore_ms", 1}});
+    post_json(reader.at, "/faults", json{{"restore_ms", 1}});
     CHECK(run_until(reader.loop, [&] { return reader.knows(engine); }));
 }
--- a/tests/entry/suspects/suspect_rows_test.cpp
+++ b/tests/entry/suspects/suspect_rows_test.cpp
@@ -1,3 +1,4 @@
+#include "common/json.hpp"
 #include "dialect.hpp"
 #include "entry/suspects/suspect_rows.hpp"
 #include "entry/suspects/suspect_sharing.hpp"
@@ -166,7 +167,7 @@
     here.see_crash(2);
     store_reader before(loop, at);
     REQUIRE(run_until(loop, [&] { return before.deaths() == 1 && before.open_crashes() == 1; }));
-    post_json(at, "/faults", {{"restore_ms", 60'000}});
+    post_json(at, "/faults", json{{"restore_ms", 60'000}});
     REQUIRE(run_until(loop, [&] { return here.context.era == store_era{2}; }));
     // Until the rows are written again, within the spread of that.
     run_until(loop, [] { return false; }, {1'500});
