--- a/review/tools/world.hpp
+++ b/review/tools/world.hpp
@@ -225,6 +225,9 @@
     std::thread keeper;
 };
 
+//! A request of a consumer on the streaming route; `parts` as in `Dandelionstep-Prompt-Prefix`.
+std::string draft_request(const std::string& attempt, const std::string& parts);
+
 //! The lines of `record.txt`, with the time since the beginning.
 class record_file {
 public:
