--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
 // One part of a prompt crashes each engine that begins to write an answer on it. It stands behind a long
 // history.
-#include "world.hpp"
+#include "../tools/world.hpp"
 
 #include <algorithm>
 #include <csignal>
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-compile=(g++ -std=c++20 -O2 -Wall -Wextra -Itools -pthread)
+compile=(g++ -std=c++20 -O2 -Wall -Wextra -pthread)
 "${compile[@]}" -c tools/world.cpp -o bin/world.o
 for source in [1-5]/case.cpp; do
   "${compile[@]}" "$source" bin/world.o -o "bin/case$(dirname "$source")"
