--- a/src/entry/context/entry_context.cpp
+++ b/src/entry/context/entry_context.cpp
@@ -21,6 +21,19 @@
     return {memory_mb * bytes_per_mb / memory_per_answers, 0};
 }
 
+bool entry_context::controls_load() const
+{
+    switch (this->settings.load_control) {
+    case load_control_mode::on:
+        return true;
+    case load_control_mode::off:
+        return false;
+    case load_control_mode::automatic:
+        break;
+    }
+    return this->config && this->config->calls_for_load_control;
+}
+
 time_point config_known_at(const entry_context& context, time_point now)
 {
     return std::max(context.config_as_of, std::min(now, context.config_watched_until));
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -139,6 +139,9 @@
           random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
     {}
 
+    //! Whether requests are scheduled by priority, cost and remaining work.
+    [[nodiscard]] bool controls_load() const;
+
     //! Uniform in [0, 1).
     double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 };
--- a/src/entry/context/entry_settings.hpp
+++ b/src/entry/context/entry_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "common/clock.hpp"
 #include "common/ids.hpp"
+#include "route/load_control.hpp"
 #include "target/endpoint.hpp"
 #include "vm/vm_capacity.hpp"
 
@@ -48,6 +49,8 @@
     std::int64_t max_row_bytes = 65'536;
     //! What the vm has for this daemon.
     vm_capacity capacity;
+    //! Set on the command line; not part of the settings file.
+    load_control_mode load_control = load_control_mode::automatic;
     //! Whether all daemons start for the first time: nobody reads the store yet.
     bool is_first_start = false;
     std::int64_t memory_mb = 128;
--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "route/local_path.hpp"
 #include "route/moving_weight.hpp"
+#include "route/path_outlook.hpp"
 
 #include <algorithm>
 
@@ -65,9 +66,7 @@
     return candidate;
 }
 
-} // namespace
-
-std::vector<hop> choose_path(entry_context& context, const path_wish& wish)
+std::vector<path_candidate> candidates_for(entry_context& context, const path_wish& wish)
 {
     const entry_service& service = *wish.service;
     const time_point now = event_loop::now();
@@ -84,8 +83,14 @@
                                                                   : new_request_cost_factor(context.draw());
         }
     }
+    return candidates;
+}
+
+std::vector<path_part> choose_parts(const entry_context& context, const path_wish& wish,
+                                    const std::vector<path_candidate>& candidates)
+{
     path_query query;
-    query.profile = &*service.engine;
+    query.profile = &*wish.service->engine;
     query.from_layer = wish.from_layer;
     query.to_layer = wish.to_layer;
     query.moved_tokens = static_cast<double>(wish.moved_tokens);
@@ -96,11 +101,41 @@
     }
     local_path_limits limits;
     limits.event_gap_ms = local_gap_share * static_cast<double>(wish.gap_objective.count);
-    std::vector<hop> chosen;
-    for (const path_part& part : choose_layer_path(query, candidates, limits)) {
-        chosen.push_back({part.target->id, part.target->address, part.layers, part.target->started});
+    return choose_layer_path(query, candidates, limits);
+}
+
+std::vector<hop> hops_of(const std::vector<path_part>& parts)
+{
+    std::vector<hop> hops;
+    for (const path_part& part : parts) {
+        hops.push_back({part.target->id, part.target->address, part.layers, part.target->started});
+    }
+    return hops;
+}
+
+} // namespace
+
+std::vector<hop> choose_path(entry_context& context, const path_wish& wish)
+{
+    return hops_of(choose_parts(context, wish, candidates_for(context, wish)));
+}
+
+path_estimate plan_path(entry_context& context, const path_wish& wish)
+{
+    const std::vector<path_candidate> candidates = candidates_for(context, wish);
+    const std::vector<path_part> parts = choose_parts(context, wish, candidates);
+    path_estimate estimate;
+    estimate.path = hops_of(parts);
+    if (parts.empty()) {
+        return estimate;
     }
-    return chosen;
+    const path_outlook outlook =
+        outlook_of(*wish.service->engine, parts, candidates,
+                   {static_cast<double>(wish.prompt_tokens), static_cast<double>(wish.total_tokens)});
+    estimate.use = outlook.use;
+    estimate.first_event = milliseconds{static_cast<std::int64_t>(outlook.first_event_ms)};
+    estimate.event_gap = milliseconds{static_cast<std::int64_t>(outlook.event_gap_ms)};
+    return estimate;
 }
 
 bool is_offered(const entry_context& context, const hop& part)
--- a/src/entry/engines/path_choice.hpp
+++ b/src/entry/engines/path_choice.hpp
@@ -22,8 +22,27 @@
     std::int64_t moved_tokens = 0;
     //! Longest pause between events for which the stream is on time.
     milliseconds gap_objective{200};
+    //! Tokens of a new request's prompt, and of its prompt and answer together; 0 if unknown.
+    std::int64_t prompt_tokens = 0;
+    std::int64_t total_tokens = 0;
 };
 
+//! A path and how a new request is expected to fare on it now.
+struct path_estimate {
+    //! Empty if there is no path.
+    std::vector<hop> path;
+    //! Highest share in use of the KV cache of its engines, or of the first one's entry slots, with the
+    //! request; may exceed 1.
+    double use = 0;
+    //! Until the first event arrives at this daemon.
+    milliseconds first_event{0};
+    //! Between two events of the answer.
+    milliseconds event_gap{0};
+};
+
+//! Chooses a path as choose_path does and estimates how the request fares on it.
+path_estimate plan_path(entry_context& context, const path_wish& wish);
+
 //! Chooses engines for the layers; empty when there is no path.
 std::vector<hop> choose_path(entry_context& context, const path_wish& wish);
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -197,6 +197,7 @@
         next.callers = this->context.settings.callers;
         next.readiness = this->context.settings.readiness;
         next.peers = this->context.settings.peers;
+        next.load_control = this->context.settings.load_control;
         this->context.settings = next;
         log_event("reloaded", {{"store", to_string(next.store)}});
     }
--- a/src/entry/registry/known_state.cpp
+++ b/src/entry/registry/known_state.cpp
@@ -98,12 +98,14 @@
     if (parsed->version <= known) {
         return false;
     }
+    parsed->calls_for_load_control = needs_load_control(*parsed);
     log_event("config_applied",
               {{"version", parsed->version.value},
                {"before", known.value},
                {"from", origin},
                {"hosts", static_cast<std::int64_t>(parsed->routes.size())},
                {"keys", static_cast<std::int64_t>(parsed->keys.size())},
+               {"calls_for_load_control", parsed->calls_for_load_control ? "yes" : "no"},
                {"idle_timeout_ms", parsed->bounds.idle_timeout},
                {"header_timeout_ms", parsed->bounds.header_timeout},
                {"max_body_bytes", static_cast<std::int64_t>(parsed->bounds.max_body_bytes)}});
--- a/src/route/entry_config.hpp
+++ b/src/route/entry_config.hpp
@@ -124,6 +124,8 @@
     std::unordered_map<std::string, key_owner> keys;
     //! Whether any organisation is configured; if not, callers need no keys.
     bool has_organisations = false;
+    //! Whether its routes and services call for load control (see load_control.hpp).
+    bool calls_for_load_control = false;
     caller_bounds bounds;
 };
 
