A response without a length is whole only if its target still listens

Cause: the system closes the connections of a process that ends in order, and any orderly end of the connection completed a response without a length, so that half a response was passed on as a whole one. Streams asked about a death only when no event, or half of one, had come; calls and dandelionstepd never asked.

An orderly end of such a response is now followed, 20 ms later, by a connection to its target: accepted, the response is whole; refused or silent, it is broken, and the death of the target is looked into as after a reset. It is done where the bytes are read (channel_pool, http_client), so that calls, streams, kept connections, calls to the store and dandelionstepd share it. A reset was and is broken at once; a half-close of a target that lives is its own end. Responses with a length or in chunks are not delayed.

A target that closes its listening socket before it has finished such responses has them taken for cut.

--- a/src/adapters/channel_exchange.cpp
+++ b/src/adapters/channel_exchange.cpp
@@ -11,6 +11,12 @@
 namespace dandelionstep {
 namespace {
 
+// The system closes the sockets of a process that ends one after the other, the listening one among the last.
+// On a busy machine 2 of some 100 such ends were taken for the target's own when this was checked at once.
+constexpr milliseconds end_check_delay{20};
+// A process that listens accepts within some milliseconds.
+constexpr milliseconds end_check_timeout{250};
+
 // The time for which the target says that it keeps an idle connection.
 milliseconds idle_timeout_of(const http_head& head)
 {
@@ -160,6 +166,7 @@
 {
     this->release_head(*doomed);
     doomed->active = false;
+    doomed->end_timer = {};
     bufferevent_disable(doomed->raw, EV_READ | EV_WRITE);
     bufferevent_setcb(doomed->raw, nullptr, nullptr, nullptr, nullptr);
     this->loop.post([doomed = std::move(doomed)] {});
@@ -180,11 +187,12 @@
 {
     ended->active = false;
     ended->connect_timer = {};
+    ended->end_timer = {};
     this->release_head(*ended);
     const auto on_end = std::move(ended->callbacks.on_end);
     ended->callbacks = {};
     if (on_end) {
-        on_end(how, ended->was_used && !ended->is_overlong);
+        on_end(how, ended->was_used && !ended->is_overlong && !ended->is_cut);
     }
 }
 
@@ -282,14 +290,65 @@
     }
     // Only a response without a length is ended by the end of its connection.
     if (in_order && self.reader.end_of_input() && !self.skipping && self.active) {
-        const std::shared_ptr<exchange> kept = this->remove(self);
-        if (kept) {
-            this->discard(kept);
-            this->finish(kept, exchange_end::complete);
+        this->confirm_end(self);
+        return;
+    }
+    this->fail(self);
+}
+
+// The system closes the connections of a process that ends in order as well, so the response is whole only if
+// its target still listens. Nothing else tells the two apart.
+void channel_pool::state::confirm_end(exchange& self)
+{
+    const auto found = this->running.find(&self);
+    if (found == this->running.end()) {
+        return;
+    }
+    bufferevent_disable(self.raw, EV_READ | EV_WRITE);
+    const auto confirm = [this, watched = std::weak_ptr(found->second),
+                          alive = std::weak_ptr(this->alive)](connect_result result) {
+        const std::shared_ptr<exchange> kept = watched.lock();
+        if (kept && !alive.expired() && kept->active) {
+            this->end_confirmed(*kept, result == connect_result::reached);
         }
+    };
+    self.end_timer = this->loop.run_after(
+        end_check_delay, [this, confirm, to = self.to] { this->check(to, end_check_timeout, confirm); });
+}
+
+void channel_pool::state::end_confirmed(exchange& self, bool is_own_end)
+{
+    if (is_own_end) {
+        const std::shared_ptr<exchange> kept = this->remove(self);
+        this->discard(kept);
+        this->finish(kept, exchange_end::complete);
         return;
     }
+    ++this->counts.unconfirmed_ends;
+    self.is_cut = true;
     this->fail(self);
 }
 
+void channel_pool::state::check(const endpoint& to, milliseconds timeout,
+                                std::function<void(connect_result)> done)
+{
+    const std::shared_ptr<exchange> made = this->connect(to);
+    made->checked = std::move(done);
+    made->active = true;
+    this->running.emplace(made.get(), made);
+    const auto end_later = [this, watched = std::weak_ptr(made),
+                            alive = std::weak_ptr(this->alive)](connect_result result) {
+        const std::shared_ptr<exchange> kept = watched.lock();
+        if (kept && !alive.expired() && kept->checked) {
+            this->end_check(*kept, result);
+        }
+    };
+    if (this->start_connecting(*made)) {
+        made->connect_timer =
+            this->loop.run_after(timeout, [end_later] { end_later(connect_result::silent); });
+    } else {
+        this->loop.post([end_later] { end_later(connect_result::refused); });
+    }
+}
+
 } // namespace dandelionstep
--- a/src/adapters/channel_pool.cpp
+++ b/src/adapters/channel_pool.cpp
@@ -40,6 +40,7 @@
     used->bytes_sent = false;
     used->skipping = false;
     used->is_overlong = false;
+    used->is_cut = false;
     used->response_bytes = 0;
     this->self->running.emplace(used.get(), used);
     const auto fail_later = [owner = this->self.get(), watched = std::weak_ptr(used),
@@ -64,23 +65,7 @@
 
 void channel_pool::check(const endpoint& to, milliseconds timeout, std::function<void(connect_result)> done)
 {
-    const std::shared_ptr<exchange> made = this->self->connect(to);
-    made->checked = std::move(done);
-    made->active = true;
-    this->self->running.emplace(made.get(), made);
-    const auto end_later = [owner = this->self.get(), watched = std::weak_ptr(made),
-                            alive = std::weak_ptr(this->self->alive)](connect_result result) {
-        const std::shared_ptr<exchange> kept = watched.lock();
-        if (kept && !alive.expired() && kept->checked) {
-            owner->end_check(*kept, result);
-        }
-    };
-    if (this->self->start_connecting(*made)) {
-        made->connect_timer =
-            this->self->loop.run_after(timeout, [end_later] { end_later(connect_result::silent); });
-    } else {
-        this->self->loop.post([end_later] { end_later(connect_result::refused); });
-    }
+    this->self->check(to, timeout, std::move(done));
 }
 
 bool channel_pool::was_sent(const std::weak_ptr<exchange>& running)
--- a/src/adapters/channel_pool.hpp
+++ b/src/adapters/channel_pool.hpp
@@ -16,7 +16,7 @@
 
 //! How an exchange with a target ended.
 enum class exchange_end {
-    complete,  //!< A whole response was received.
+    complete,  //!< A whole response was received; one without a length only if its target still listens.
     not_sent,  //!< No byte of the request left this process.
     withdrawn, //!< The same, as it was not to be sent any more when its connection was made.
     broken,    //!< The connection ended, or the bytes were no response; the request may have arrived.
@@ -66,6 +66,8 @@
     std::int64_t reused = 0;
     std::int64_t skipped_responses = 0;
     std::int64_t overlong_responses = 0;
+    //! Responses without a length that ended in order while their target could not be reached.
+    std::int64_t unconfirmed_ends = 0;
 };
 
 //! Told of a response that was longer than it may be, with the bytes of it that had come.
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_client.hpp"
 
+#include "adapters/channel_pool.hpp"
 #include "adapters/log.hpp"
 #include "adapters/socket_state.hpp"
 
@@ -22,6 +23,12 @@
 constexpr int connection_timeout_seconds = 600;
 constexpr int first_final_status = 200;
 constexpr int first_error_status = 300;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+// The system closes the sockets of a process that ends one after the other, the listening one among the last.
+constexpr milliseconds end_check_delay{20};
+// A process that listens accepts within some milliseconds.
+constexpr milliseconds end_check_timeout{250};
 
 evhttp_cmd_type method_of(std::string_view name)
 {
@@ -52,6 +59,20 @@
            is_open_and_silent(bufferevent_getfd(stream));
 }
 
+bool has_no_body(int status)
+{
+    return status == status_no_content || status == status_not_modified;
+}
+
+// Whether the end of the connection alone ended the response.
+bool ended_with_connection(evhttp_request* raw)
+{
+    const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+    return !has_no_body(evhttp_request_get_response_code(raw)) &&
+           evhttp_find_header(headers, "Content-Length") == nullptr &&
+           evhttp_find_header(headers, "Transfer-Encoding") == nullptr;
+}
+
 } // namespace
 
 std::string http_result::header(std::string_view name) const
@@ -106,6 +127,8 @@
     std::unique_ptr<http_connection> connection;
     evhttp_request* raw = nullptr;
     event_loop::timer deadline;
+    //! Until it is asked whether the end of the connection was the target's own.
+    event_loop::timer end_timer;
     part_callback part;
     done_callback done;
     http_result result;
@@ -118,12 +141,14 @@
 struct http_client::pool {
     event_loop& loop;
     std::shared_ptr<byte_budget> bodies;
+    //! Makes the connections that tell whether a target still listens.
+    channel_pool checks;
     std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle;
     std::unordered_map<const exchange*, std::shared_ptr<exchange>> running;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     pool(event_loop& loop_in, std::shared_ptr<byte_budget> bodies_in)
-        : loop(loop_in), bodies(std::move(bodies_in))
+        : loop(loop_in), bodies(std::move(bodies_in)), checks(loop_in)
     {}
 
     std::unique_ptr<http_connection> connect(const endpoint& to)
@@ -194,6 +219,7 @@
         this->running.erase(found);
         kept->raw = nullptr;
         kept->deadline = {};
+        kept->end_timer = {};
         kept->result.failure = failure;
         kept->result.bytes_sent = kept->connection && kept->connection->bytes_sent;
         if (kept->connection) {
@@ -296,9 +322,36 @@
         if (!is_whole) {
             log_overlong(*self);
         }
+        if (is_whole && ended_with_connection(raw)) {
+            self->raw = nullptr;
+            self->owner->confirm_end(*self);
+            return;
+        }
         self->owner->finish(*self, is_whole ? http_failure::none : http_failure::broken);
     }
 
+    // The system closes the connections of a process that ends in order as well, so the response is whole
+    // only if its target still listens.
+    void confirm_end(exchange& ended)
+    {
+        const auto found = this->running.find(&ended);
+        if (found == this->running.end()) {
+            return;
+        }
+        const auto confirm = [this, watched = std::weak_ptr(found->second),
+                              watch = std::weak_ptr(this->alive)](connect_result result) {
+            const std::shared_ptr<exchange> kept = watched.lock();
+            if (kept && !watch.expired()) {
+                this->checks.forget(kept->to);
+                const bool is_own_end = result == connect_result::reached;
+                this->finish(*kept, is_own_end ? http_failure::none : http_failure::broken);
+            }
+        };
+        ended.end_timer = this->loop.run_after(end_check_delay, [this, confirm, to = ended.to] {
+            this->checks.check(to, end_check_timeout, confirm);
+        });
+    }
+
     std::shared_ptr<exchange> start(const endpoint& to, http_request& request, part_callback part,
                                     done_callback done)
     {
@@ -382,6 +435,7 @@
     }
     self->cancelled = true;
     self->deadline = {};
+    self->end_timer = {};
     // The caller may be inside this exchange's callback, so both end from the queue.
     this->connections->loop.post(
         [self, pool = this->connections.get(), watch = std::weak_ptr(this->connections->alive)] {
--- a/src/adapters/internal/channel_exchange.hpp
+++ b/src/adapters/internal/channel_exchange.hpp
@@ -32,6 +32,8 @@
     std::function<void(connect_result)> checked;
     http_head head;
     event_loop::timer connect_timer;
+    //! Until it is asked whether the end of the connection was the target's own.
+    event_loop::timer end_timer;
     time_point idle_since;
     milliseconds idle_timeout = default_idle_timeout;
     bool connected = false;
@@ -42,6 +44,8 @@
     bool active = false;
     bool skipping = false;
     bool is_overlong = false;
+    //! Whether its response ended with the connection and its target could not be reached right after.
+    bool is_cut = false;
     std::size_t response_bytes = 0;
     //! Bytes of the response's head that are held of the budget.
     std::size_t head_bytes = 0;
@@ -129,6 +133,10 @@
     void complete(exchange& self);
     void fail(exchange& self);
     void closed(exchange& self, bool in_order);
+    //! Ends an exchange whose response has no length, once it is known whether its target still listens.
+    void confirm_end(exchange& self);
+    void end_confirmed(exchange& self, bool is_own_end);
+    void check(const endpoint& to, milliseconds timeout, std::function<void(connect_result)> done);
 
     // idle_channels.cpp
     //! The idle connection that was used last, if one may carry the next request; null otherwise.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -174,6 +174,7 @@
         gauges["target_connections_opened"] = this->context.channels.counts().opened;
         gauges["responses_skipped"] = this->context.channels.counts().skipped_responses;
         gauges["responses_overlong"] = this->context.channels.counts().overlong_responses;
+        gauges["responses_cut_by_death"] = this->context.channels.counts().unconfirmed_ends;
         gauges["answer_bytes_held"] = static_cast<std::int64_t>(this->context.answer_bytes->held);
         gauges["unread_bytes_held"] = static_cast<std::int64_t>(this->context.unread_bytes->held);
         gauges["log_lines_dropped"] =
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -133,6 +133,78 @@
     }
 }
 
+// Half of a response that its target's death cut was taken for a whole one, as both end in order.
+TEST_CASE("a response without a length is whole only if its target still listens")
+{
+    struct end_case {
+        std::string what;
+        std::function<void(scripted_server&, raw_connection&)> end;
+        exchange_end expected;
+    };
+    const std::vector<end_case> table{
+        {"closed", [](scripted_server&, raw_connection& c) { c.close(); }, exchange_end::complete},
+        {"half closed", [](scripted_server&, raw_connection& c) { c.end_writing(); }, exchange_end::complete},
+        {"reset", [](scripted_server&, raw_connection& c) { c.reset(); }, exchange_end::broken},
+        {"died",
+         [](scripted_server& server, raw_connection& c) {
+             server.stop_listening();
+             c.close();
+         },
+         exchange_end::broken},
+    };
+    for (const end_case& one : table) {
+        for (const bool is_kept : {false, true}) {
+            CAPTURE(one.what);
+            CAPTURE(is_kept);
+            event_loop loop;
+            bool answers_plainly = is_kept;
+            std::unique_ptr<scripted_server> server;
+            server = std::make_unique<scripted_server>(loop, [&](raw_connection& connection) {
+                if (!has_whole_request(connection)) {
+                    return;
+                }
+                if (std::exchange(answers_plainly, false)) {
+                    connection.write(plain_answer);
+                    return;
+                }
+                connection.write("HTTP/1.1 200 OK\r\n\r\nok");
+                one.end(*server, connection);
+            });
+            channel_pool pool(loop);
+            if (is_kept) {
+                CHECK(exchange_once(loop, pool, server->address()).end == exchange_end::complete);
+            }
+            const observed seen = exchange_once(loop, pool, server->address());
+            CHECK(seen.end == one.expected);
+            CHECK(seen.ends == 1);
+            if (one.what == "died") {
+                // The end is the target's fault, not that of a connection that had gone stale.
+                CHECK_FALSE(seen.reused);
+                CHECK(pool.counts().unconfirmed_ends == 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("an exchange may be cancelled while it is asked whether its target still listens")
+{
+    event_loop loop;
+    scripted_server server(loop, [](raw_connection& connection) {
+        if (has_whole_request(connection)) {
+            connection.write("HTTP/1.1 200 OK\r\n\r\nok");
+            connection.close();
+        }
+    });
+    observed seen;
+    channel_pool pool(loop);
+    const auto running = pool.send(server.address(), plain_request, {}, watch(seen));
+    REQUIRE(run_until(loop, [&] { return seen.body == "ok"; }));
+    run_until(loop, [] { return false; }, {5});
+    pool.cancel(running);
+    run_until(loop, [] { return false; }, {100});
+    CHECK(seen.ends == 0);
+}
+
 TEST_CASE("a refused connection proves that nothing was sent")
 {
     event_loop loop;
--- a/tests/adapters/http_client_test.cpp
+++ b/tests/adapters/http_client_test.cpp
@@ -242,6 +242,39 @@
     CHECK(ask(loop, client, target.server.address()).body == "second");
 }
 
+// Half of a response that its target's death cut was taken for a whole one, as both end in order.
+TEST_CASE("an answer without a length is whole only if its target still listens")
+{
+    for (const bool dies : {false, true}) {
+        for (const bool in_parts : {false, true}) {
+            CAPTURE(dies);
+            CAPTURE(in_parts);
+            event_loop loop;
+            http_client client(loop);
+            std::unique_ptr<scripted_server> server;
+            server = std::make_unique<scripted_server>(loop, [&](raw_connection& connection) {
+                connection.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+                if (dies) {
+                    server->stop_listening();
+                }
+                connection.close();
+            });
+            std::vector<http_result> results;
+            std::string parts;
+            const auto done = [&](const http_result& result) { results.push_back(result); };
+            if (in_parts) {
+                client.stream(
+                    server->address(), plain_request(), [&](std::string_view part) { parts += part; }, done);
+            } else {
+                client.send(server->address(), plain_request(), done);
+            }
+            REQUIRE(run_until(loop, [&] { return !results.empty(); }));
+            CHECK(results.front().failure == (dies ? http_failure::broken : http_failure::none));
+            CHECK(parts + results.front().body == "half");
+        }
+    }
+}
+
 TEST_CASE("a request does not go to a kept connection on which something lies unread")
 {
     for (const bool is_end : {true, false}) {
--- a/tests/process/entry_cut_answers_proof_test.cpp
+++ b/tests/process/entry_cut_answers_proof_test.cpp
@@ -110,6 +110,36 @@
     }
 }
 
+// Such an answer ends in order when the process of its target ends.
+TEST_CASE("an answer without a length that its target's death cut is never handed on as whole")
+{
+    scripted_cluster cluster(3);
+    REQUIRE(cluster.become_ready());
+    const answer_form unframed{"unframed", "Connection: close\r\n", "whole answer"};
+    std::size_t deaths = 0;
+    cluster.handle = [&](const arrival& request) {
+        const std::string answer = whole_answer(request, unframed);
+        if (!request.head.header(attempt_header).starts_with("cut")) {
+            request.from->write(answer);
+            request.from->close();
+            return;
+        }
+        request.from->write(std::string_view(answer).substr(0, answer.size() - 6));
+        if (deaths < 2) {
+            ++deaths;
+            cluster.end_process(request.target, *request.from);
+        } else {
+            request.from->write("answer");
+            request.from->close();
+        }
+    };
+    CHECK(ask_reached(cluster, "POST", "/order/x", "good").body == "whole answer");
+    CHECK(ask_reached(cluster, "POST", "/order/x", "cut-order").status == 502);
+    // A lookup may run elsewhere.
+    CHECK(ask_reached(cluster, "GET", "/look/x", "cut-look").body == "whole answer");
+    CHECK(deaths == 2);
+}
+
 TEST_CASE("an answer that is cut behind an interim one is never handed on as whole")
 {
     scripted_cluster cluster(3);
--- a/tests/process/entry_resumed_streams_proof_test.cpp
+++ b/tests/process/entry_resumed_streams_proof_test.cpp
@@ -58,6 +58,8 @@
 struct engine_bytes {
     std::string name;
     std::string bytes;
+    //! Whether its process ends with them.
+    bool ends_process = false;
 };
 
 // Breaks off in the middle of the third event.
@@ -114,7 +116,11 @@
         }
         const std::size_t step = std::min(this->sent++, this->script.size() - 1);
         request.from->write(this->script[step].bytes);
-        request.from->close();
+        if (this->script[step].ends_process) {
+            this->cluster.end_process(request.target, *request.from);
+        } else {
+            request.from->close();
+        }
     }
 
     scripted_cluster cluster;
@@ -241,3 +247,17 @@
     CHECK_FALSE(answer.whole);
     CHECK(cluster.sent == 1);
 }
+
+// Such an answer ends in order when the process of its engine ends, and was taken for whole after any event.
+TEST_CASE("a stream without a length whose engine ends between two events goes on at the next one")
+{
+    stream_cluster cluster;
+    REQUIRE(cluster.become_ready());
+    cluster.script = {{"its own end", open_stream(events(1, 2))}};
+    CHECK(cluster.ask().body == events(1, 2));
+    cluster.script = {{"ends between events", open_stream(events(1, 2)), true}, going_on};
+    const raw_answer answer = cluster.ask();
+    CHECK(answer.body == events(1, events_in_stream));
+    CHECK(answer.whole);
+    CHECK(cluster.sent == 2);
+}
--- a/tests/support/scripted_cluster.cpp
+++ b/tests/support/scripted_cluster.cpp
@@ -104,6 +104,12 @@
     this->cluster->remove_row("replica", "servers", usual_id(target));
 }
 
+void scripted_cluster::end_process(std::size_t target, raw_connection& answering)
+{
+    this->targets.at(target)->stop_listening();
+    answering.close();
+}
+
 bool scripted_cluster::become_ready(const std::function<void(json&)>& change)
 {
     this->cluster->write_config(change);
--- a/tests/support/scripted_cluster.hpp
+++ b/tests/support/scripted_cluster.hpp
@@ -75,6 +75,8 @@
     //! Registers a target under its usual id, or under another one.
     void enter(std::size_t target, const registration& entry = {});
     void remove(std::size_t target);
+    //! Ends the connection in order and refuses new ones, as the system does for a process that ends.
+    void end_process(std::size_t target, raw_connection& answering);
     [[nodiscard]] endpoint address_of(std::size_t target) const
     {
         return this->targets.at(target)->address();
--- a/tests/support/scripted_peer.cpp
+++ b/tests/support/scripted_peer.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <stdexcept>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 namespace dandelionstep::testing {
@@ -134,7 +135,9 @@
         for (auto* pair : this->arguments) {
             delete pair;
         }
-        evconnlistener_free(this->listener);
+        if (this->listener != nullptr) {
+            evconnlistener_free(this->listener);
+        }
     }
     state(const state&) = delete;
     state& operator=(const state&) = delete;
@@ -166,6 +169,13 @@
     return static_cast<int>(this->self->connections.size());
 }
 
+void scripted_server::stop_listening()
+{
+    if (this->self->listener != nullptr) {
+        evconnlistener_free(std::exchange(this->self->listener, nullptr));
+    }
+}
+
 std::shared_ptr<raw_connection> connect_raw(event_loop& loop, const endpoint& to)
 {
     auto connection = std::make_shared<raw_connection>();
--- a/tests/support/scripted_peer.hpp
+++ b/tests/support/scripted_peer.hpp
@@ -45,6 +45,8 @@
 
     [[nodiscard]] endpoint address() const { return this->at; }
     [[nodiscard]] int accepted() const;
+    //! Refuses connections from now on, as if its process had ended; those that are open stay.
+    void stop_listening();
 
 private:
     struct state;
