No position of a prompt hides a segment that crashes targets

Cause: distinct_segments took the first 64 segments of a prompt, to bound the work for one request; one behind them was never suspected. The same bound hid that a crash under many streams with long prompts kept the loop busy: each death and each verdict looked at every suspect for every segment, and the table was looked through again for each suspect beyond its bound.

All segments count now; their number is bounded by that of a request's head. Suspects are indexed by crash, so that a verdict looks at the few that are tried first, a death that tells nothing new costs nothing more, and the table is trimmed an eighth at a time: answered segments first, and of equal ones chance decides anew after each crash. The segments of a prompt are shared by all that refer to them, and the death watch finds them by a set. Lines of segment_suspected keep within the log budget.

An older test demanded the bound of 64 ("of very many segments the first ones count"): it is the fault itself, and is replaced by one that demands all.

--- a/src/entry/requests/accepted_request.hpp
+++ b/src/entry/requests/accepted_request.hpp
@@ -24,7 +24,7 @@
     //! The same for each copy of the request that its caller sends, at whatever daemon.
     request_fingerprint fingerprint;
     //! The segments of its prompt that other requests may share.
-    std::vector<prompt_segment> segments;
+    segment_list segments;
     //! When its caller or its route give it up.
     time_point deadline;
 };
--- a/src/entry/suspects/death_watch.cpp
+++ b/src/entry/suspects/death_watch.cpp
@@ -18,12 +18,6 @@
 constexpr milliseconds doubt_interval{100};
 constexpr std::size_t most_doubts = 512;
 
-bool awaits_with(const possible_death& death, segment_fingerprint segment)
-{
-    return awaits_answer(death) &&
-           std::ranges::find(death.segments, segment, &prompt_segment::fingerprint) != death.segments.end();
-}
-
 std::string_view name_of(connect_result result)
 {
     switch (result) {
@@ -62,6 +56,11 @@
         return;
     }
     found.waiting.push_back(death);
+    if (awaits_answer(death)) {
+        for (const prompt_segment& segment : death.segments) {
+            found.awaiting.insert(segment.fingerprint.value);
+        }
+    }
     this->check(process, known->second.address);
 }
 
@@ -105,11 +104,8 @@
 
 bool death_watch::is_checking(segment_fingerprint segment) const
 {
-    return std::ranges::any_of(this->findings, [segment](const auto& one) {
-        return std::ranges::any_of(one.second.waiting, [segment](const possible_death& death) {
-            return awaits_with(death, segment);
-        });
-    });
+    return std::ranges::any_of(
+        this->findings, [segment](const auto& one) { return one.second.awaiting.contains(segment.value); });
 }
 
 void death_watch::clear(request_fingerprint request)
@@ -125,6 +121,7 @@
     }
     std::vector<possible_death> waiting = std::move(found->second.waiting);
     found->second.waiting.clear();
+    found->second.awaiting.clear();
     found->second.is_checking = false;
     log_event("target_checked", {{"target", found->second.target.value},
                                  {"found", name_of(result)},
--- a/src/entry/suspects/death_watch.hpp
+++ b/src/entry/suspects/death_watch.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace dandelionstep {
@@ -23,7 +24,7 @@
     crash_place place;
     std::string attempt_id;
     //! The segments of its prompt that other requests may share.
-    std::vector<prompt_segment> segments = {};
+    segment_list segments = {};
     //! Events that its attempt had brought; 0 for a call.
     std::int64_t attempt_events = 0;
     //! Whether it was sent to try segments that are suspected.
@@ -63,6 +64,8 @@
         bool is_checking = false;
         //! Requests that wait for the answer to an open check.
         std::vector<possible_death> waiting;
+        //! Segments of those of them that awaited their answers.
+        std::unordered_set<std::int64_t> awaiting;
         //! When it was found dead, if it was.
         std::optional<time_point> dead_at;
     };
--- a/src/entry/suspects/segment_guard.cpp
+++ b/src/entry/suspects/segment_guard.cpp
@@ -33,10 +33,10 @@
     const time_point now = event_loop::now();
     segment_suspects& known = this->context.segments;
     const crash_id crash = crash_id_of(death.target, death.started);
-    dandelionstep::note_crash(known, {crash, death.lost_at, death.segments, death.was_trial}, now);
-    for (const prompt_segment& segment : death.segments) {
+    for (const prompt_segment& segment :
+         dandelionstep::note_crash(known, {crash, death.lost_at, death.segments, death.was_trial}, now)) {
         const int level = suspicion_level(known, segment.fingerprint, now);
-        if (level > 0 || may_log(this->context.logs, log_weight::failure, now)) {
+        if (may_log(this->context.logs, log_weight::failure, now)) {
             log_event("segment_suspected", {{"segment", segment.id.value},
                                             {"fingerprint", segment.fingerprint.value},
                                             {"target", death.target.value},
--- a/src/request/prompt_segments.cpp
+++ b/src/request/prompt_segments.cpp
@@ -3,7 +3,8 @@
 #include "absl/strings/str_cat.h"
 #include "common/hash.hpp"
 
-#include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace dandelionstep {
 namespace {
@@ -11,8 +12,6 @@
 // Bounds the length of a log line, as callers may send any number of segments.
 constexpr std::size_t max_logged_segments = 8;
 constexpr std::size_t max_logged_characters = 32;
-// Bounds the work for one request, as its caller decides how many segments it lists.
-constexpr std::size_t max_segments = 64;
 
 } // namespace
 
@@ -20,11 +19,9 @@
                                               const std::vector<segment_id>& segments)
 {
     std::vector<prompt_segment> distinct;
+    std::unordered_set<std::string_view> seen;
     for (const segment_id& id : segments) {
-        if (distinct.size() == max_segments) {
-            break;
-        }
-        if (std::ranges::find(distinct, id, &prompt_segment::id) == distinct.end()) {
+        if (seen.insert(id.value).second) {
             // The length makes the text unambiguous.
             distinct.push_back({id,
                                 {content_digest(absl::StrCat("segment\n", service.value.size(), "\n",
--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -81,12 +81,13 @@
                   time_point now)
 {
     const segment_evidence own = evidence_of(suspect);
-    return std::ranges::any_of(known.suspects, [&](const auto& entry) {
-        if (!is_open(entry.second, crash)) {
+    return std::ranges::any_of(known.alone, [&](segment_fingerprint segment) {
+        const segment_suspect& strong = known.suspects.at(segment);
+        if (!is_open(strong, crash)) {
             return false;
         }
-        const segment_evidence other = evidence_of(entry.second);
-        return other.alone > 0 && other > own && !was_answered(known, entry.first, entry.second, now);
+        const segment_evidence other = evidence_of(strong);
+        return other.alone > 0 && other > own && !was_answered(known, segment, strong, now);
     });
 }
 
@@ -122,28 +123,48 @@
     return rounds < rounds_beyond_chance ? rounds - 1 : rounds;
 }
 
-// `is_only_suspect`: nothing else was aboard at all of the crashes, which come too close together for a
-// trial.
-int level_of_unanswered(int rounds, std::size_t crashes, bool is_only_suspect)
+// The crash of the suspect, of those that no answer has cleared, at which fewest others were aboard.
+const segment_crash_record* least_crowded(const segment_suspects& known, const segment_suspect& suspect)
 {
-    if (rounds > 1) {
-        return rounds + 1;
+    const segment_crash_record* least = nullptr;
+    for (const auto& [id, crash] : suspect.crashes) {
+        const segment_crash_record& record = known.crashes.at(id);
+        if (!crash.is_cleared && (least == nullptr || record.aboard.size() < least->aboard.size())) {
+            least = &record;
+        }
     }
-    const bool is_proved = crashes >= many_crashes || (crashes > 1 && is_only_suspect);
-    return is_proved ? level_of_doubt + 1 : std::min(static_cast<int>(crashes), level_of_doubt);
+    return least;
+}
+
+// Whether the other one was aboard at each crash of the suspect that no answer has cleared.
+bool is_aboard_all(const segment_suspect& other, const segment_suspect& suspect)
+{
+    return std::ranges::all_of(suspect.crashes, [&other](const auto& crash) {
+        return crash.second.is_cleared || is_open(other, crash.first);
+    });
 }
 
 // Whether no other segment that was never answered was aboard at each crash of the suspect.
 bool is_only_suspect(const segment_suspects& known, segment_fingerprint segment,
                      const segment_suspect& suspect, time_point now)
 {
-    return std::ranges::none_of(known.suspects, [&](const auto& entry) {
-        const bool is_aboard_all = std::ranges::all_of(suspect.crashes, [&](const auto& crash) {
-            return crash.second.is_cleared || is_open(entry.second, crash.first);
-        });
-        return entry.first != segment && is_aboard_all &&
-               !was_answered(known, entry.first, entry.second, now);
-    });
+    const segment_crash_record* least = least_crowded(known, suspect);
+    return least == nullptr || std::ranges::none_of(least->aboard, [&](segment_fingerprint id) {
+               const segment_suspect& other = known.suspects.at(id);
+               return id != segment && is_aboard_all(other, suspect) && !was_answered(known, id, other, now);
+           });
+}
+
+// Where nothing else was aboard at all of the crashes, no trial is needed.
+int level_of_unanswered(const segment_suspects& known, segment_fingerprint segment, int rounds,
+                        std::size_t crashes, time_point now)
+{
+    if (rounds > 1) {
+        return rounds + 1;
+    }
+    const bool is_proved = crashes >= many_crashes ||
+                           (crashes > 1 && is_only_suspect(known, segment, known.suspects.at(segment), now));
+    return is_proved ? level_of_doubt + 1 : std::min(static_cast<int>(crashes), level_of_doubt);
 }
 
 // Whether the segment was aboard at a good part of the crashes around its own. Where targets crash one after
@@ -151,19 +172,15 @@
 bool stands_out(const segment_suspects& known, const segment_suspect& suspect,
                 const std::vector<segment_crash>& open)
 {
-    std::set<crash_id> others;
-    for (const auto& [segment, other] : known.suspects) {
-        for (const auto& [id, crash] : other.crashes) {
-            const bool is_near = std::ranges::any_of(open, [&, at = crash.at](const segment_crash& own) {
-                const milliseconds apart = std::max(at, own.at) - std::min(at, own.at);
-                return apart <= known.limits.propagation_time;
-            });
-            if (is_near && !suspect.crashes.contains(id)) {
-                others.insert(id);
-            }
-        }
+    std::size_t others = 0;
+    for (const auto& [id, record] : known.crashes) {
+        const bool is_near = std::ranges::any_of(open, [&, at = record.at](const segment_crash& own) {
+            const milliseconds apart = std::max(at, own.at) - std::min(at, own.at);
+            return apart <= known.limits.propagation_time;
+        });
+        others += is_near && !suspect.crashes.contains(id) ? 1 : 0;
     }
-    return others.size() <= open.size() * max_other_crashes;
+    return others <= open.size() * max_other_crashes;
 }
 
 milliseconds part_of(milliseconds span, std::int64_t percent)
@@ -184,33 +201,173 @@
     return is_own ? own : own * 2 + stagger;
 }
 
+// Whether one is tried before the other, in an order on which all daemons agree.
+bool is_tried_before(const segment_suspects& known, segment_fingerprint a, segment_fingerprint b)
+{
+    const segment_evidence of_a = evidence_of(known.suspects.at(a));
+    const segment_evidence of_b = evidence_of(known.suspects.at(b));
+    return of_a != of_b ? of_a > of_b : a < b;
+}
+
+// Takes the suspect of the crash among those that are tried first, if it belongs there.
+void put_in_order(const segment_suspects& known, const segment_crash_record& record,
+                  segment_fingerprint segment)
+{
+    std::erase(record.first, segment);
+    const auto at = std::ranges::find_if(
+        record.first, [&](segment_fingerprint other) { return is_tried_before(known, segment, other); });
+    record.first.insert(at, segment);
+    record.first.resize(std::min(record.first.size(), static_cast<std::size_t>(max_turn)));
+}
+
+// The suspects of the crash that are tried first. They are looked for among all that were aboard from time to
+// time only, as hundreds of requests may ask at once.
+const std::vector<segment_fingerprint>& first_of(const segment_suspects& known, crash_id id, time_point now)
+{
+    constexpr milliseconds validity{1'000};
+    const segment_crash_record& record = known.crashes.at(id);
+    if (record.first_as_of && now - *record.first_as_of < validity) {
+        return record.first;
+    }
+    record.first.clear();
+    record.first_as_of = now;
+    for (const segment_fingerprint segment : record.aboard) {
+        const segment_suspect& suspect = known.suspects.at(segment);
+        if (is_open(suspect, id) && !was_answered(known, segment, suspect, now)) {
+            put_in_order(known, record, segment);
+        }
+    }
+    return record.first;
+}
+
+// To be called when an answer cleared the suspect, or it was not aboard any more.
+void leave_order(const segment_crash_record& record, segment_fingerprint segment)
+{
+    if (std::ranges::find(record.first, segment) != record.first.end()) {
+        record.first_as_of.reset();
+    }
+}
+
+void forget_crash(segment_suspects& known, segment_fingerprint segment, crash_id id)
+{
+    const auto found = known.crashes.find(id);
+    found->second.aboard.erase(segment);
+    leave_order(found->second, segment);
+    if (found->second.aboard.empty()) {
+        known.crashes.erase(found);
+    }
+}
+
 // Cleared crashes go first, then the oldest, so that the result of merging does not depend on the order.
-void limit_crashes(segment_suspect& suspect, std::size_t bound)
+void limit_crashes(segment_suspects& known, segment_fingerprint segment)
 {
-    while (suspect.crashes.size() > bound) {
-        suspect.crashes.erase(std::ranges::min_element(suspect.crashes, {}, [](const auto& entry) {
+    segment_suspect& suspect = known.suspects.at(segment);
+    while (suspect.crashes.size() > known.limits.max_crashes) {
+        const auto least = std::ranges::min_element(suspect.crashes, {}, [](const auto& entry) {
             return std::pair(!entry.second.is_cleared, entry.second.at);
-        }));
+        });
+        forget_crash(known, segment, least->first);
+        suspect.crashes.erase(least);
     }
 }
 
-bool less_suspicious(const segment_suspect& a, const segment_suspect& b)
+// What speaks against the suspect has changed, and so has its place among those of all its crashes.
+void renew_order(segment_suspects& known, segment_fingerprint segment, time_point now)
 {
-    const std::int64_t open_a = evidence_of(a).open;
-    const std::int64_t open_b = evidence_of(b).open;
-    return open_a != open_b ? open_a < open_b : last_crash(a) < last_crash(b);
+    const segment_suspect& suspect = known.suspects.at(segment);
+    const bool is_answered = was_answered(known, segment, suspect, now);
+    for (const auto& [id, crash] : suspect.crashes) {
+        const segment_crash_record& record = known.crashes.at(id);
+        if (is_answered || crash.is_cleared) {
+            leave_order(record, segment);
+        } else if (record.first_as_of) {
+            put_in_order(known, record, segment);
+        }
+    }
 }
 
-void put_crash(segment_suspects& known, segment_fingerprint segment, crash_id id, const segment_crash& crash)
+// False when that was known.
+bool put_crash(segment_suspects& known, segment_fingerprint segment, crash_id id, const segment_crash& crash,
+               time_point now)
 {
     segment_suspect& suspect = known.suspects[segment];
     const auto [found, is_new] = suspect.crashes.emplace(id, crash);
-    if (!is_new) {
-        found->second.is_own = found->second.is_own || crash.is_own;
-        found->second.is_alone = found->second.is_alone || crash.is_alone;
-        found->second.is_cleared = found->second.is_cleared || crash.is_cleared;
+    const segment_crash before = found->second;
+    found->second.is_own = before.is_own || crash.is_own;
+    found->second.is_alone = before.is_alone || crash.is_alone;
+    found->second.is_cleared = before.is_cleared || crash.is_cleared;
+    if (!is_new && found->second == before) {
+        return false;
+    }
+    const auto record = known.crashes.try_emplace(id, segment_crash_record{crash.at, {}, {}, {}}).first;
+    record->second.aboard.insert(segment);
+    if (crash.is_alone) {
+        known.alone.insert(segment);
+    }
+    limit_crashes(known, segment);
+    renew_order(known, segment, now);
+    return true;
+}
+
+void forget_suspect(segment_suspects& known, segment_fingerprint segment)
+{
+    const auto found = known.suspects.find(segment);
+    for (const auto& [id, crash] : found->second.crashes) {
+        forget_crash(known, segment, id);
+    }
+    known.alone.erase(segment);
+    known.suspects.erase(found);
+}
+
+// How much a suspect is worth keeping. Of those that differ in nothing else, chance decides after each crash
+// anew, so that no segment is overlooked each time.
+using suspect_worth = std::tuple<bool, std::int64_t, bool, std::uint64_t>;
+
+std::uint64_t mix(std::int64_t a, std::int64_t b)
+{
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15;
+    const std::uint64_t product =
+        (static_cast<std::uint64_t>(a) ^ static_cast<std::uint64_t>(b)) * multiplier;
+    return (product ^ (product >> 32U)) * multiplier;
+}
+
+suspect_worth worth_of(const segment_suspects& known, segment_fingerprint segment, time_point now)
+{
+    constexpr milliseconds recent{60'000};
+    const segment_suspect& suspect = known.suspects.at(segment);
+    return {!was_answered(known, segment, suspect, now), evidence_of(suspect).open,
+            now - last_crash(suspect) < recent, mix(segment.value, suspect.crashes.rbegin()->first.value)};
+}
+
+// Some more than necessary are removed at a time, as finding them takes a look at each.
+void limit_suspects(segment_suspects& known, time_point now)
+{
+    constexpr std::size_t parts_removed = 8;
+    const std::size_t most = known.limits.max_suspects;
+    if (known.suspects.size() <= most) {
+        return;
+    }
+    std::vector<std::pair<suspect_worth, segment_fingerprint>> all;
+    all.reserve(known.suspects.size());
+    for (const auto& [segment, suspect] : known.suspects) {
+        all.emplace_back(worth_of(known, segment, now), segment);
+    }
+    const std::size_t removed = all.size() - most + most / parts_removed;
+    std::ranges::nth_element(all, all.begin() + static_cast<std::ptrdiff_t>(removed));
+    all.resize(removed);
+    for (const auto& [worth, segment] : all) {
+        forget_suspect(known, segment);
+    }
+}
+
+void expire_at_times(segment_suspects& known, time_point now)
+{
+    constexpr milliseconds interval{1'000};
+    if (now - known.expired_at >= interval) {
+        expire(known, now);
+    } else {
+        limit_suspects(known, now);
     }
-    limit_crashes(suspect, known.limits.max_crashes);
 }
 
 bool were_others_answered(const segment_suspects& known, segment_fingerprint segment,
@@ -247,21 +404,22 @@
     const segment_suspect& suspect = known.suspects.at(segment);
     std::size_t most_caused = 0;
     std::set<crash_id> all_caused;
-    for (const auto& [id, other] : known.suspects) {
-        if (id == segment || was_answered(known, id, other, now)) {
-            continue;
+    std::set<segment_fingerprint> seen{segment};
+    for (const auto& [crash, facts] : suspect.crashes) {
+        for (const segment_fingerprint id : known.crashes.at(crash).aboard) {
+            const segment_suspect& other = known.suspects.at(id);
+            if (!seen.insert(id).second || was_answered(known, id, other, now)) {
+                continue;
+            }
+            const std::set<crash_id> caused = crashes_caused_by(other, suspect);
+            most_caused = std::max(most_caused, caused.size());
+            all_caused.insert(caused.begin(), caused.end());
+            if (most_caused > 1 && std::ssize(all_caused) == evidence_of(suspect).open) {
+                return true;
+            }
         }
-        const std::set<crash_id> caused = crashes_caused_by(other, suspect);
-        most_caused = std::max(most_caused, caused.size());
-        all_caused.insert(caused.begin(), caused.end());
     }
-    return most_caused > 1 && std::ssize(all_caused) == evidence_of(suspect).open;
-}
-
-bool share_open_crash(const segment_suspect& a, const segment_suspect& b)
-{
-    return std::ranges::any_of(
-        a.crashes, [&](const auto& entry) { return !entry.second.is_cleared && is_open(b, entry.first); });
+    return false;
 }
 
 // How many suspects of the same crashes are tried before this one, in an order on which all daemons agree.
@@ -272,14 +430,18 @@
     if (was_answered(known, segment, suspect, now)) {
         return 0;
     }
-    const segment_evidence own = evidence_of(suspect);
-    const auto before = std::ranges::count_if(known.suspects, [&](const auto& entry) {
-        const segment_evidence other = evidence_of(entry.second);
-        const bool is_before = other != own ? other > own : entry.first < segment;
-        return is_before && share_open_crash(suspect, entry.second) &&
-               !was_answered(known, entry.first, entry.second, now);
-    });
-    return std::min<std::int64_t>(before, max_turn);
+    std::set<segment_fingerprint> before;
+    for (const auto& [id, crash] : suspect.crashes) {
+        if (crash.is_cleared) {
+            continue;
+        }
+        for (const segment_fingerprint other : first_of(known, id, now)) {
+            if (is_tried_before(known, other, segment)) {
+                before.insert(other);
+            }
+        }
+    }
+    return std::min<std::int64_t>(std::ssize(before), max_turn);
 }
 
 segment_verdict verdict_at(const segment_suspects& known, segment_fingerprint segment, int level,
@@ -305,14 +467,22 @@
 
 } // namespace
 
-void note_crash(segment_suspects& known, const observed_crash& crash, time_point now)
+std::vector<prompt_segment> note_crash(segment_suspects& known, const observed_crash& crash, time_point now)
 {
+    const auto is_answered = [&](const prompt_segment& segment) {
+        return was_segment_answered(known, segment.fingerprint, now);
+    };
+    const auto unanswered =
+        std::ranges::ssize(crash.segments.get()) - std::ranges::count_if(crash.segments, is_answered);
+    std::vector<prompt_segment> changed;
     for (const prompt_segment& segment : crash.segments) {
-        const bool is_alone =
-            crash.was_trial && were_others_answered(known, segment.fingerprint, crash.segments, now);
-        put_crash(known, segment.fingerprint, crash.id, {crash.at, true, is_alone, false});
+        const bool is_alone = crash.was_trial && unanswered - (is_answered(segment) ? 0 : 1) == 0;
+        if (put_crash(known, segment.fingerprint, crash.id, {crash.at, true, is_alone, false}, now)) {
+            changed.push_back(segment);
+        }
     }
-    expire(known, now);
+    expire_at_times(known, now);
+    return changed;
 }
 
 bool note_segment_answered(segment_suspects& known, segment_fingerprint segment, time_point now)
@@ -325,6 +495,7 @@
     bool clears = false;
     for (auto& [id, crash] : found->second.crashes) {
         clears = !std::exchange(crash.is_cleared, true) || clears;
+        leave_order(known.crashes.at(id), segment);
     }
     return clears;
 }
@@ -345,10 +516,9 @@
         return 0;
     }
     const int rounds = rounds_of(open, part_of(known.limits.propagation_time, round_length));
-    const int level =
-        was_answered(known, segment, found->second, now)
-            ? level_of_answered(rounds)
-            : level_of_unanswered(rounds, open.size(), is_only_suspect(known, segment, found->second, now));
+    const int level = was_answered(known, segment, found->second, now)
+                          ? level_of_answered(rounds)
+                          : level_of_unanswered(known, segment, rounds, open.size(), now);
     const bool is_doubtful = level > level_of_doubt && !stands_out(known, found->second, open);
     return is_doubtful ? level_of_doubt : level;
 }
@@ -409,14 +579,14 @@
         }
         const time_point at = now - crash.age;
         put_crash(known, report.segment, crash.id,
-                  {at, false, crash.is_alone, crash.is_cleared || (answered && *answered > at)});
+                  {at, false, crash.is_alone, crash.is_cleared || (answered && *answered > at)}, now);
     }
     const auto after = known.suspects.find(report.segment);
     if (after == known.suspects.end() || after->second.crashes == crashes_before) {
         return false;
     }
     share_segment(known, report.segment);
-    expire(known, now);
+    expire_at_times(known, now);
     return true;
 }
 
@@ -452,16 +622,19 @@
 
 void expire(segment_suspects& known, time_point now)
 {
-    std::erase_if(known.suspects, [&](const auto& entry) {
-        const bool is_cleared = evidence_of(entry.second).open == 0;
+    known.expired_at = now;
+    std::vector<segment_fingerprint> expired;
+    for (const auto& [segment, suspect] : known.suspects) {
+        const bool is_cleared = evidence_of(suspect).open == 0;
         const milliseconds lifetime = is_cleared ? known.limits.cleared_lifetime : known.limits.lifetime;
-        return now - last_crash(entry.second) >= lifetime;
-    });
-    while (known.suspects.size() > known.limits.max_suspects) {
-        known.suspects.erase(std::ranges::min_element(known.suspects, [](const auto& a, const auto& b) {
-            return less_suspicious(a.second, b.second);
-        }));
+        if (now - last_crash(suspect) >= lifetime) {
+            expired.push_back(segment);
+        }
+    }
+    for (const segment_fingerprint segment : expired) {
+        forget_suspect(known, segment);
     }
+    limit_suspects(known, now);
 }
 
 } // namespace dandelionstep
--- a/src/request/segment_suspects.hpp
+++ b/src/request/segment_suspects.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace dandelionstep {
@@ -49,10 +50,26 @@
     bool is_shared = false;
 };
 
+//! The suspects that were aboard a crash.
+struct segment_crash_record {
+    time_point at;
+    std::set<segment_fingerprint> aboard;
+    //! Of those that were never answered, the few that are tried first, as of `first_as_of`; unknown when
+    //! that is absent.
+    mutable std::vector<segment_fingerprint> first;
+    mutable std::optional<time_point> first_as_of;
+};
+
 //! The suspicions against prompt segments that one daemon knows.
 struct segment_suspects {
     segment_limits limits;
     std::map<segment_fingerprint, segment_suspect> suspects;
+    //! The same by crash, so that a verdict does not look at every suspect.
+    std::map<crash_id, segment_crash_record> crashes;
+    //! Suspects that crashed a target alone.
+    std::set<segment_fingerprint> alone;
+    //! When suspects were last looked through for those that have expired.
+    time_point expired_at{0};
     //! Segments of requests whose answers began.
     recent_answers<segment_fingerprint> answered;
     //! The numbered changes of the shared suspects.
@@ -111,12 +128,13 @@
     crash_id id;
     time_point at;
     //! The segments of the request's prompt.
-    std::vector<prompt_segment> segments;
+    segment_list segments;
     //! Whether it was sent as a trial.
     bool was_trial = false;
 };
 
-void note_crash(segment_suspects& known, const observed_crash& crash, time_point now);
+//! The suspects that the crash changed: none when it was noted for the same segments before.
+std::vector<prompt_segment> note_crash(segment_suspects& known, const observed_crash& crash, time_point now);
 //! Notes that the answer to a request with the segment began; true if that clears a crash.
 bool note_segment_answered(segment_suspects& known, segment_fingerprint segment, time_point now);
 //! Whether the answer to a request with the segment began here lately.
--- a/tests/request/prompt_segments_test.cpp
+++ b/tests/request/prompt_segments_test.cpp
@@ -24,14 +24,18 @@
     CHECK(distinct_segments(service_id("ax"), {segment_id("")})[0].fingerprint != some[0].fingerprint);
 }
 
-TEST_CASE("of very many segments the first ones count")
+// Only the first 64 segments counted, so that one behind them that crashes targets was never recognised.
+TEST_CASE("of very many segments each one counts, wherever it stands")
 {
     std::vector<segment_id> many;
-    many.reserve(1'000);
-    for (int i = 0; i < 1'000; ++i) {
-        many.emplace_back(std::to_string(i));
+    many.reserve(4'000);
+    for (int i = 0; i < 4'000; ++i) {
+        many.emplace_back(std::to_string(i / 2));
     }
-    CHECK(distinct_segments(service_id("a"), many).size() == 64);
+    const std::vector<prompt_segment> distinct = distinct_segments(service_id("a"), many);
+    REQUIRE(distinct.size() == 2'000);
+    CHECK(distinct.front().id == segment_id("0"));
+    CHECK(distinct.back().id == segment_id("1999"));
 }
 
 TEST_CASE("a log line names the first segments of a prompt, each up to a bound")
--- a/tests/request/segment_suspects_test.cpp
+++ b/tests/request/segment_suspects_test.cpp
@@ -3,7 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <chrono>
+#include <functional>
 #include <random>
+#include <string>
 
 using namespace dandelionstep;
 
@@ -448,3 +451,80 @@
         CHECK(states.size() == 1);
     }
 }
+
+namespace {
+
+// The prompt of one of many sessions: what all have in common, its own history, and a last one.
+std::vector<prompt_segment> session_prompt(std::int64_t session, std::int64_t history,
+                                           segment_fingerprint last)
+{
+    std::vector<prompt_segment> segments = prompt({common});
+    for (std::int64_t i = 0; i < history; ++i) {
+        const segment_fingerprint own{1'000'000 + session * 1'000 + i};
+        segments.push_back({segment_id(std::to_string(own.value)), own});
+    }
+    segments.push_back({segment_id(std::to_string(last.value)), last});
+    return segments;
+}
+
+double seconds_of(const std::function<void()>& work)
+{
+    const auto began = std::chrono::steady_clock::now();
+    work();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+}
+
+} // namespace
+
+// Each death and each verdict looked at every suspect for every segment, which kept the loop busy for
+// seconds.
+TEST_CASE("a crash under hundreds of streams with hundreds of segments each takes little time")
+{
+    constexpr std::int64_t streams = 400;
+    constexpr std::int64_t history = 200;
+    constexpr double most_seconds = 2;
+    segment_suspects known;
+    std::vector<segment_list> prompts;
+    for (std::int64_t i = 0; i < streams; ++i) {
+        prompts.emplace_back(session_prompt(i, history, segment_fingerprint{500'000 + i}));
+    }
+    const double spent = seconds_of([&] {
+        for (std::int64_t crash = 0; crash < 3; ++crash) {
+            for (std::size_t i = 0; i < prompts.size(); ++i) {
+                const time_point now = start + milliseconds{700 * crash + static_cast<std::int64_t>(i) / 40};
+                if (static_cast<std::int64_t>(i) % 3 == crash) {
+                    note_crash(known, {crash_id{crash}, now, prompts[i], false}, now);
+                }
+                verdict_of(known, prompts[i], now);
+            }
+        }
+    });
+    CAPTURE(spent);
+    CHECK(spent < most_seconds);
+    CHECK(known.suspects.size() <= known.limits.max_suspects);
+}
+
+// Beyond the bound of the table other suspects are kept after each crash, so that none is overlooked each
+// time.
+TEST_CASE("a crashing segment behind a long history is recognised beside many other prompts")
+{
+    segment_suspects known;
+    std::int64_t crashes = 0;
+    milliseconds now{0};
+    for (std::int64_t round = 0; round < 60 && permission(known, now) != segment_permission::refused;
+         ++round) {
+        now = now + milliseconds{700};
+        const crash_id id{++crashes};
+        for (std::int64_t session = 0; session < 30; ++session) {
+            note_crash(known,
+                       {id, start + now, session_prompt(round * 100 + session, 100, segment_fingerprint{900}),
+                        false},
+                       start + now);
+        }
+        note_crash(known, {id, start + now, session_prompt(round * 100 + 99, 100, bad), false}, start + now);
+        // Sound requests with what all have in common are answered all the while.
+        note_segment_answered(known, common, start + now + milliseconds{50});
+        note_segment_answered(known, segment_fingerprint{900}, start + now + milliseconds{50});
+    }
+    CHECK(crashes <= 10);
+}
