Segments that always come together are tried together

Cause: a request can tell whether a segment crashes targets only if nothing else in its prompt can be the cause, and would_tell asked that all its other segments were answered before. Two new segments that all sound requests of a kind share were each kept from a trial by the other, for a minute, and for ten after the next crash.

A request is now tried if all its suspected segments were aboard at the same crashes and segments outside of its prompt may have caused them: its answer clears them together, and after a crash nothing else explains the crashes, so that it costs at most one target more. Daemons claim such trials in one order, one after the other, so that two of them can't hold one claim each that the other waits for.

Test: a property over 400 seeds of arrivals, ids, positions and 1 to 4 shared segments: at least nine of ten sound requests begin from 6 s after the last crash, and there are at most 3 crashes.

--- a/src/entry/suspects/segment_guard.cpp
+++ b/src/entry/suspects/segment_guard.cpp
@@ -133,16 +133,23 @@
 
 claim_state segment_guard::claim_trials(const std::vector<prompt_segment>& segments)
 {
-    claim_state strictest = claim_state::granted;
     const time_point now = event_loop::now();
+    std::vector<trial_name> trials;
     for (const prompt_segment& segment : segments) {
-        const std::optional<trial_name> trial =
-            exclusive_trial(this->context.segments, segment.fingerprint, now);
-        if (trial && this->claim) {
-            strictest = std::max(strictest, this->claim(*trial));
+        if (const auto trial = exclusive_trial(this->context.segments, segment.fingerprint, now)) {
+            trials.push_back(*trial);
         }
     }
-    return strictest;
+    // In one order at all daemons, and the next one only once the one before is granted: else two of them
+    // could hold one claim each that the other waits for.
+    std::ranges::sort(trials, {}, &trial_name::segment);
+    for (const trial_name& trial : trials) {
+        const claim_state state = this->claim ? this->claim(trial) : claim_state::granted;
+        if (state != claim_state::granted) {
+            return state;
+        }
+    }
+    return claim_state::granted;
 }
 
 std::shared_ptr<segment_trial> segment_guard::begin(const std::vector<prompt_segment>& segments,
--- a/src/request/segment_suspects.cpp
+++ b/src/request/segment_suspects.cpp
@@ -370,11 +370,16 @@
     }
 }
 
-bool were_others_answered(const segment_suspects& known, segment_fingerprint segment,
-                          const std::vector<prompt_segment>& of_request, time_point now)
-{
-    return std::ranges::all_of(of_request, [&](const prompt_segment& other) {
-        return other.fingerprint == segment || was_segment_answered(known, other.fingerprint, now);
+// Whether all segments of the prompt that may be the cause of the suspect's crashes were aboard at each of
+// them, like the suspect itself. Then an answer clears all of them, and after a crash nothing else explains
+// the crashes.
+bool stands_for_others(const segment_suspects& known, const segment_suspect& suspect,
+                       const std::vector<prompt_segment>& of_request, time_point now)
+{
+    return std::ranges::all_of(of_request, [&](const prompt_segment& segment) {
+        const auto other = known.suspects.find(segment.fingerprint);
+        return other == known.suspects.end() || was_answered(known, other->first, other->second, now) ||
+               is_aboard_all(other->second, suspect);
     });
 }
 
@@ -392,19 +397,22 @@
     return caused;
 }
 
-// Whether a request with the segment can tell if that is the cause: no other segment of its prompt can be it,
-// and other suspects may have been the causes of all crashes. One cause of all of them is likelier than
-// another for each.
+// Whether a request with the segment can tell if the cause is in its prompt: suspects that are not in it may
+// have been the causes of all crashes. One cause of all of them is likelier than another for each. Several
+// segments that always come together are tried together: each would keep the others from it for ever.
 bool would_tell(const segment_suspects& known, segment_fingerprint segment,
                 const std::vector<prompt_segment>& of_request, time_point now)
 {
-    if (!were_others_answered(known, segment, of_request, now)) {
+    const segment_suspect& suspect = known.suspects.at(segment);
+    if (!stands_for_others(known, suspect, of_request, now)) {
         return false;
     }
-    const segment_suspect& suspect = known.suspects.at(segment);
     std::size_t most_caused = 0;
     std::set<crash_id> all_caused;
-    std::set<segment_fingerprint> seen{segment};
+    std::set<segment_fingerprint> seen;
+    for (const prompt_segment& own : of_request) {
+        seen.insert(own.fingerprint);
+    }
     for (const auto& [crash, facts] : suspect.crashes) {
         for (const segment_fingerprint id : known.crashes.at(crash).aboard) {
             const segment_suspect& other = known.suspects.at(id);
--- a/tests/request/segment_suspects_test.cpp
+++ b/tests/request/segment_suspects_test.cpp
@@ -528,3 +528,113 @@
     }
     CHECK(crashes <= 10);
 }
+
+namespace {
+
+// Requests of one kind that come at one daemon, as the guard treats them.
+struct arriving_requests {
+    segment_suspects known;
+    std::mt19937 random;
+    std::vector<prompt_segment> sound;
+    std::vector<prompt_segment> deadly;
+    std::int64_t crashes = 0;
+    milliseconds last_crash{0};
+    //! When the trial that runs ends, if one does.
+    std::optional<milliseconds> trial_ends;
+    bool is_deadly_trial = false;
+
+    // Engines begin an answer, or crash, this long after a request was sent.
+    static constexpr milliseconds begin_time{60};
+
+    explicit arriving_requests(std::uint32_t seed) : random(seed) {}
+
+    std::int64_t draw(std::uint32_t below) { return static_cast<std::int64_t>(this->random() % below); }
+
+    // Ends what was sent before `now`.
+    void settle(milliseconds now)
+    {
+        if (this->trial_ends && *this->trial_ends <= now) {
+            this->end(*this->trial_ends, this->is_deadly_trial, true);
+            this->trial_ends.reset();
+        }
+    }
+
+    void end(milliseconds at, bool is_deadly, bool was_trial)
+    {
+        if (is_deadly) {
+            this->last_crash = at;
+            note_crash(this->known, {crash_id{++this->crashes}, start + at, this->deadly, was_trial},
+                       start + at);
+            return;
+        }
+        for (const prompt_segment& segment : this->sound) {
+            note_segment_answered(this->known, segment.fingerprint, start + at);
+        }
+    }
+
+    // False when it is refused or has to wait.
+    bool send(milliseconds now, bool is_deadly)
+    {
+        this->settle(now);
+        const auto permission =
+            verdict_of(this->known, is_deadly ? this->deadly : this->sound, start + now).permission;
+        if (permission == segment_permission::trial && !this->trial_ends) {
+            this->trial_ends = now + begin_time;
+            this->is_deadly_trial = is_deadly;
+            return true;
+        }
+        if (permission == segment_permission::allowed) {
+            this->end(now, is_deadly, false);
+            return true;
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+// Two new shared segments kept each other from a trial: sound requests with them were refused for a minute,
+// and for ten after the next crash.
+TEST_CASE("sound requests go on soon beside a crashing segment, whatever the order of arrivals and ids")
+{
+    constexpr std::int64_t window = 3'000;
+    constexpr std::int64_t duration = 40'000;
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        CAPTURE(seed);
+        arriving_requests all(seed);
+        std::vector<segment_fingerprint> ids;
+        const std::int64_t shared = 1 + all.draw(4);
+        for (std::int64_t i = 0; i <= shared; ++i) {
+            ids.push_back(segment_fingerprint{1 + all.draw(1'000'000)});
+        }
+        for (std::int64_t i = 0; i < shared; ++i) {
+            all.sound.push_back({segment_id(std::to_string(i)), ids[static_cast<std::size_t>(i)]});
+        }
+        all.deadly = all.sound;
+        all.deadly.insert(all.deadly.begin() + all.draw(static_cast<std::uint32_t>(shared + 1)),
+                          {segment_id("deadly"), ids.back()});
+        const std::uint32_t sound_interval = 500 + static_cast<std::uint32_t>(all.draw(1'500));
+        const std::uint32_t deadly_interval = 50 + static_cast<std::uint32_t>(all.draw(400));
+        milliseconds next_sound{all.draw(2 * sound_interval)};
+        milliseconds next_deadly{all.draw(2 * deadly_interval)};
+        std::int64_t judged = 0;
+        std::int64_t begun = 0;
+        for (milliseconds now{0}; now < milliseconds{duration}; now = now + milliseconds{10}) {
+            all.settle(now);
+            if (now >= next_deadly) {
+                all.send(now, true);
+                next_deadly = now + milliseconds{1 + all.draw(2 * deadly_interval)};
+            }
+            if (now >= next_sound) {
+                const bool is_begun = all.send(now, false);
+                const bool is_judged = all.crashes > 0 && now - all.last_crash > milliseconds{2 * window};
+                judged += is_judged ? 1 : 0;
+                begun += is_judged && is_begun ? 1 : 0;
+                next_sound = now + milliseconds{1 + all.draw(2 * sound_interval)};
+            }
+        }
+        CHECK(all.crashes >= 1);
+        CHECK(all.crashes <= 3);
+        CHECK(begun * 10 >= judged * 9);
+    }
+}
