A rest of more than a minute is kept to its end

Cause: take_rest cut every rest to a minute (longest_rest), to keep a mistaken figure from emptying a service.

It survives a new registration of the same process as before, now with what was tried. Against a mistaken figure: where every target of a service that can be reached rests, one that has rested for a minute gets one request, and one more ten minutes later; its answer ends the rest, a refusal does not. The users allow two requests in a rest. Callers are told the time to the next such request. The same for the first engines of paths.

--- a/src/entry/calls/call_runner.cpp
+++ b/src/entry/calls/call_runner.cpp
@@ -146,7 +146,7 @@
     target_condition& condition = this->context.conditions[target.id];
     ++condition.in_flight;
     note_sent(condition, sent->sent_at);
-    note_send(this->context, target.id);
+    sent->is_backoff_trial = note_send(this->context, target.id);
     forwarding added;
     added.expected = target.id;
     added.organisation = this->request.organisation;
@@ -185,7 +185,8 @@
         if (const auto self = watched.lock()) {
             sent->head = head;
             sent->facts = this->context.dialect.read_response(head.status, head.headers);
-            take_notices(this->context, {sent->target.id, sent->target.started}, sent->facts);
+            take_notices(this->context, {sent->target.id, sent->target.started, sent->is_backoff_trial},
+                         sent->facts);
         }
     };
     callbacks.on_body = [sent](std::string_view part) { return sent->body.append(part); };
--- a/src/entry/calls/internal/call_carrier.hpp
+++ b/src/entry/calls/internal/call_carrier.hpp
@@ -34,6 +34,8 @@
         answer_evidence evidence = answer_evidence::none;
         gathered_text body;
         bool ended = false;
+        //! Whether its target had asked for no requests, and this is to find out whether that still holds.
+        bool is_backoff_trial = false;
         //! While the attempt tries segments of the prompt that may crash its target.
         std::shared_ptr<segment_trial> trial;
 
--- a/src/entry/context/entry_settings.hpp
+++ b/src/entry/context/entry_settings.hpp
@@ -44,7 +44,7 @@
     double retry_slack = 100;
     milliseconds retry_window{10'000};
     //! No target that asks for a rest is left alone for longer.
-    milliseconds longest_rest{60'000};
+    milliseconds longest_rest{86'400'000};
     //! Most bytes of a row's value in the store.
     std::int64_t max_row_bytes = 65'536;
     //! What the vm has for this daemon.
--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -66,6 +66,20 @@
     return candidate;
 }
 
+// Where all engines at which a path of the service may begin are in backoff, one may be tried at times.
+void allow_backoff_trials(const entry_context& context, std::vector<path_candidate>& candidates,
+                          time_point now)
+{
+    const auto is_first = [](const path_candidate& one) { return one.target->layers.begin == 0; };
+    const bool can_enter = std::ranges::any_of(
+        candidates, [&](const path_candidate& one) { return is_first(one) && one.may_enter; });
+    for (path_candidate& one : candidates) {
+        one.may_enter =
+            one.may_enter || (!can_enter && is_first(one) &&
+                              now >= backoff_chance(condition_of(context.conditions, one.target->id)));
+    }
+}
+
 std::vector<path_candidate> candidates_for(entry_context& context, const path_wish& wish)
 {
     const entry_service& service = *wish.service;
@@ -83,6 +97,7 @@
                                                                   : new_request_cost_factor(context.draw());
         }
     }
+    allow_backoff_trials(context, candidates, now);
     return candidates;
 }
 
--- a/src/entry/registry/known_state.cpp
+++ b/src/entry/registry/known_state.cpp
@@ -61,8 +61,8 @@
         context.conditions.erase(target.id);
         context.channels.forget(target.address);
     }
-    if (const std::optional<time_point> rest = take_saved_backoff(context.rests, target)) {
-        resume_backoff(context.conditions[target.id], *rest);
+    if (const std::optional<saved_backoff> rest = take_saved_backoff(context.rests, target)) {
+        resume_saved_backoff(context.conditions[target.id], *rest);
     }
     context.targets.insert_or_assign(target.id, target);
     tell_change(context, target.id);
--- a/src/entry/registry/target_notices.cpp
+++ b/src/entry/registry/target_notices.cpp
@@ -30,23 +30,33 @@
     }
     if (facts.rest) {
         take_rest(context, from, *facts.rest);
+    } else if (from.was_backoff_trial && !facts.did_not_run) {
+        end_backoff(context.conditions[from.id], event_loop::now());
+        log_event("target_rests_no_more", {{"target", from.id.value}});
     }
     if (facts.has_unreadable_rest && may_log(context.logs, log_weight::failure, event_loop::now())) {
         log_event("rest_unreadable", {{"target", from.id.value}});
     }
 }
 
-void note_send(entry_context& context, const target_id& target)
+bool note_send(entry_context& context, const target_id& target)
 {
     const time_point now = event_loop::now();
-    const target_condition& condition = condition_of(context.conditions, target);
+    target_condition& condition = context.conditions[target];
     if (!is_backing_off(condition, now)) {
-        return;
+        return false;
+    }
+    if (now >= backoff_chance(condition)) {
+        note_backoff_trial(condition, now);
+        log_event("resting_target_tried",
+                  {{"target", target.value}, {"left_ms", condition.backoff_until - now}});
+        return true;
     }
     ++context.metrics.sent_to_resting;
     if (may_log(context.logs, log_weight::failure, now)) {
         log_event("sent_to_resting", {{"target", target.value}, {"left_ms", condition.backoff_until - now}});
     }
+    return false;
 }
 
 void note_leaving(entry_context& context, const answering_target& target, std::string_view origin)
--- a/src/entry/streams/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -43,7 +43,8 @@
 {
     attempt.head = head;
     attempt.facts = context.dialect.read_response(head.status, head.headers);
-    take_notices(context, {attempt.path.front().id, attempt.path.front().started}, attempt.facts);
+    take_notices(context, {attempt.path.front().id, attempt.path.front().started, attempt.is_backoff_trial},
+                 attempt.facts);
     const bool is_success = head.status >= first_success && head.status < first_redirect;
     attempt.is_stream = is_success && attempt.facts.is_signed && !attempt.facts.is_encoded;
 }
@@ -68,7 +69,7 @@
     auto attempt = std::make_shared<stream_attempt>(context.answer_bytes);
     attempt->path = std::move(sending.path);
     occupy_path(context, attempt->path, tokens_of(request.facts));
-    note_send(context, attempt->path.front().id);
+    attempt->is_backoff_trial = note_send(context, attempt->path.front().id);
     exchange_callbacks exchange;
     exchange.may_send = std::move(callbacks.may_send);
     exchange.is_own = [&context, attempt, awaited = awaited_by(request)](const http_head& head,
--- a/src/entry/streams/stream_attempt.hpp
+++ b/src/entry/streams/stream_attempt.hpp
@@ -29,6 +29,8 @@
     //! Events of it that were passed on.
     std::int64_t events = 0;
     bool ended = false;
+    //! Whether its first engine had asked for no requests, and this is to find out whether that still holds.
+    bool is_backoff_trial = false;
     //! While the attempt tries segments of the prompt that may crash its target.
     std::shared_ptr<segment_trial> trial;
 
--- a/src/route/pick_target.cpp
+++ b/src/route/pick_target.cpp
@@ -54,6 +54,18 @@
     return cost;
 }
 
+// Whether each target of the service that does not leave is in backoff or can't be reached.
+bool is_none_left(const target_query& query, const target_registry& registry,
+                  const target_conditions& conditions)
+{
+    return std::ranges::all_of(registry, [&](const auto& entry) {
+        const registered_target& target = entry.second;
+        return target.service != query.service || target.leaving ||
+               is_backing_off(condition_of(conditions, entry.first), query.now) ||
+               is_in_half_open_trial(condition_of(conditions, entry.first), query.now);
+    });
+}
+
 } // namespace
 
 const registered_target* pick_target(const target_query& query, const target_registry& registry,
@@ -62,12 +74,19 @@
     const double fastest_ms = fastest_response_ms(query.service, registry, conditions);
     std::vector<scored_target> usable;
     std::vector<scored_target> last_resort;
+    std::vector<scored_target> backoff_trials;
     for (const auto& [id, target] : registry) {
         if (target.service != query.service || target.leaving || query.excluded.contains(id)) {
             continue;
         }
         const target_condition& condition = condition_of(conditions, id);
-        if (is_in_half_open_trial(condition, query.now) || is_backing_off(condition, query.now)) {
+        if (is_in_half_open_trial(condition, query.now)) {
+            continue;
+        }
+        if (is_backing_off(condition, query.now)) {
+            if (query.now >= backoff_chance(condition)) {
+                backoff_trials.push_back({&target, expected_cost(target, condition, query, fastest_ms)});
+            }
             continue;
         }
         const bool is_good =
@@ -75,6 +94,9 @@
         const scored_target scored{&target, expected_cost(target, condition, query, fastest_ms)};
         (is_good ? usable : last_resort).push_back(scored);
     }
+    if (usable.empty() && last_resort.empty() && is_none_left(query, registry, conditions)) {
+        last_resort = std::move(backoff_trials);
+    }
     std::vector<scored_target>& candidates = usable.empty() ? last_resort : usable;
     if (candidates.empty()) {
         return nullptr;
@@ -93,7 +115,8 @@
     for (const auto& [id, target] : registry) {
         const target_condition& condition = condition_of(conditions, id);
         if (target.service == service && !target.leaving && is_backing_off(condition, now)) {
-            first = std::min(first.value_or(condition.backoff_until), condition.backoff_until);
+            const time_point chance = backoff_chance(condition);
+            first = std::min(first.value_or(chance), chance);
         }
     }
     return first;
--- a/src/target/kept_rests.cpp
+++ b/src/target/kept_rests.cpp
@@ -9,11 +9,12 @@
     // Without a start time the next registration may belong to another process, which did not ask to back
     // off.
     if (is_backing_off(condition, now) && target.started != incarnation{}) {
-        backoffs[target.id] = {target.started, condition.backoff_until};
+        backoffs[target.id] = {target.started, condition.backoff_until, condition.backoff_tried_at,
+                               condition.backoff_trials};
     }
 }
 
-std::optional<time_point> take_saved_backoff(saved_backoffs& backoffs, const registered_target& target)
+std::optional<saved_backoff> take_saved_backoff(saved_backoffs& backoffs, const registered_target& target)
 {
     const auto found = backoffs.find(target.id);
     if (found == backoffs.end()) {
@@ -21,7 +22,14 @@
     }
     const saved_backoff backoff = found->second;
     backoffs.erase(found);
-    return backoff.started == target.started ? std::optional(backoff.until) : std::nullopt;
+    return backoff.started == target.started ? std::optional(backoff) : std::nullopt;
+}
+
+void resume_saved_backoff(target_condition& condition, const saved_backoff& saved)
+{
+    resume_backoff(condition, saved.until);
+    condition.backoff_tried_at = saved.tried_at;
+    condition.backoff_trials = saved.trials;
 }
 
 } // namespace dandelionstep
--- a/src/target/kept_rests.hpp
+++ b/src/target/kept_rests.hpp
@@ -12,6 +12,9 @@
 struct saved_backoff {
     incarnation started;
     time_point until;
+    //! As in the target's condition.
+    time_point tried_at{0};
+    int trials = 0;
 };
 
 //! Backoffs of targets that are not registered at the moment.
@@ -21,8 +24,11 @@
 void save_backoff(saved_backoffs& backoffs, const registered_target& target,
                   const target_condition& condition, time_point now);
 
-//! Removes the saved backoff of a target that has registered again. Returns its end if the target is the same
+//! Removes the saved backoff of a target that has registered again. Returns it if the target is the same
 //! process, else nullopt.
-std::optional<time_point> take_saved_backoff(saved_backoffs& backoffs, const registered_target& target);
+std::optional<saved_backoff> take_saved_backoff(saved_backoffs& backoffs, const registered_target& target);
+
+//! Restores a backoff that was saved.
+void resume_saved_backoff(target_condition& condition, const saved_backoff& saved);
 
 } // namespace dandelionstep
--- a/src/target/target_condition.cpp
+++ b/src/target/target_condition.cpp
@@ -1,12 +1,17 @@
 #include "target/target_condition.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numbers>
 
 namespace dandelionstep {
 namespace {
 
+// After these times a target in backoff gets a request if no other one can take it, so that a mistaken figure
+// does not empty a service. The users allow two requests in a rest.
+constexpr std::array<milliseconds, 2> backoff_trial_pauses{{{60'000}, {600'000}}};
+
 // Weight of the newest observation in the moving averages.
 constexpr double newest_weight = 0.2;
 // Half-life of the failure rate: it decays so that a target that has recovered is tried again.
@@ -153,9 +158,40 @@
 void note_backoff(target_condition& condition, milliseconds requested, const backoff_limits& limits,
                   double draw, time_point now)
 {
-    const auto bounded = static_cast<double>(std::min(requested, limits.longest).count);
-    const milliseconds duration{static_cast<std::int64_t>(std::ceil(bounded * (1 + limits.spread * draw)))};
-    resume_backoff(condition, now + duration);
+    const milliseconds bounded = std::min(requested, limits.longest);
+    const auto spread_base = static_cast<double>(std::min(bounded, limits.longest_spread_base).count);
+    const milliseconds added{static_cast<std::int64_t>(std::ceil(spread_base * limits.spread * draw))};
+    // Trials of the backoff in progress count on: what the target said before still holds.
+    if (!is_backing_off(condition, now)) {
+        condition.backoff_trials = 0;
+        condition.backoff_tried_at = now;
+    }
+    resume_backoff(condition, now + bounded + added);
+}
+
+std::optional<time_point> next_backoff_trial(const target_condition& condition)
+{
+    const auto trials = static_cast<std::size_t>(condition.backoff_trials);
+    return trials < backoff_trial_pauses.size()
+               ? std::optional(condition.backoff_tried_at + backoff_trial_pauses.at(trials))
+               : std::nullopt;
+}
+
+void note_backoff_trial(target_condition& condition, time_point now)
+{
+    ++condition.backoff_trials;
+    condition.backoff_tried_at = now;
+}
+
+void end_backoff(target_condition& condition, time_point now)
+{
+    condition.backoff_until = std::min(condition.backoff_until, now);
+}
+
+time_point backoff_chance(const target_condition& condition)
+{
+    const std::optional<time_point> trial = next_backoff_trial(condition);
+    return trial ? std::min(*trial, condition.backoff_until) : condition.backoff_until;
 }
 
 void resume_backoff(target_condition& condition, time_point until)
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace dandelionstep {
 
@@ -42,6 +43,10 @@
     time_point avoid_until{0};
     //! The target asked for no requests before this time, so none are sent.
     time_point backoff_until{0};
+    //! When the backoff began, or the last request was sent to find out whether it is still wanted, and how
+    //! many were.
+    time_point backoff_tried_at{0};
+    int backoff_trials = 0;
     //! Slow start after a backoff: most requests in flight at the same time, doubled with each response. 0
     //! means no limit.
     std::int64_t slow_start_limit = 0;
@@ -110,10 +115,11 @@
 //! Limits on the backoffs that targets ask for.
 struct backoff_limits {
     //! Longest backoff, whatever the target asks for.
-    milliseconds longest{60'000};
+    milliseconds longest{86'400'000};
     //! Fraction by which backoffs are randomly extended, at most, so that not all daemons return to a target
-    //! at the same moment.
+    //! at the same moment; of a long one, that fraction of `longest_spread_base`.
     double spread = 0.2;
+    milliseconds longest_spread_base{60'000};
 };
 
 //! Notes that the target asks for no requests for the time `requested`. `draw`, a random number in [0, 1),
@@ -124,6 +130,19 @@
 //! Restores a backoff that lasts until `until`.
 void resume_backoff(target_condition& condition, time_point until);
 
+//! When a request may be sent to a target in backoff to find out whether that is still wanted, if no other
+//! target can take it: twice in a backoff, after longer and longer times. nullopt if no more may be.
+std::optional<time_point> next_backoff_trial(const target_condition& condition);
+
+//! Notes that such a request is sent.
+void note_backoff_trial(target_condition& condition, time_point now);
+
+//! Ends the backoff, as the target answered such a request.
+void end_backoff(target_condition& condition, time_point now);
+
+//! The first moment at which a request may be sent to a target in backoff.
+time_point backoff_chance(const target_condition& condition);
+
 //! Whether a backoff that the target asked for is in progress.
 bool is_backing_off(const target_condition& condition, time_point now);
 
--- a/tests/entry/registry/target_notices_test.cpp
+++ b/tests/entry/registry/target_notices_test.cpp
@@ -112,6 +112,39 @@
     CHECK(daemon.context.metrics.rests == 1);
 }
 
+// It was cut to a minute.
+TEST_CASE("a rest of more than a minute is taken whole, also when the target is registered anew")
+{
+    informed_daemon daemon;
+    response_facts facts;
+    facts.rest = milliseconds{90'000};
+    const time_point before = event_loop::now();
+    daemon.hear(first_start, facts);
+    CHECK(daemon.context.conditions[name].backoff_until >= before + milliseconds{90'000});
+    CHECK(daemon.context.conditions[name].backoff_until <= event_loop::now() + milliseconds{102'000});
+    note_backoff_trial(daemon.context.conditions[name], event_loop::now());
+    drop_target(daemon.context, name);
+    put_target(daemon.context, registration(first_start));
+    CHECK(is_backing_off(daemon.context.conditions[name], before + milliseconds{89'999}));
+    CHECK(daemon.context.conditions[name].backoff_trials == 1);
+}
+
+TEST_CASE("an answer to a request that tries a resting target ends its rest, a refusal does not")
+{
+    informed_daemon daemon;
+    response_facts facts;
+    facts.rest = milliseconds{90'000};
+    daemon.hear(first_start, facts);
+    response_facts refused;
+    refused.did_not_run = true;
+    take_notices(daemon.context, {name, first_start, true}, refused);
+    CHECK(is_backing_off(daemon.context.conditions[name], event_loop::now()));
+    take_notices(daemon.context, {name, first_start, false}, {});
+    CHECK(is_backing_off(daemon.context.conditions[name], event_loop::now()));
+    take_notices(daemon.context, {name, first_start, true}, {});
+    CHECK_FALSE(is_backing_off(daemon.context.conditions[name], event_loop::now()));
+}
+
 TEST_CASE("a target that is registered anew while it rests goes on resting, another process of it does not")
 {
     informed_daemon daemon;
--- a/tests/route/pick_target_test.cpp
+++ b/tests/route/pick_target_test.cpp
@@ -296,3 +296,57 @@
     CHECK(answered.at("slow") >= 60 / 15);
     CHECK(answered.at("slow") <= 60 / 5);
 }
+
+namespace {
+
+constexpr milliseconds minute{60'000};
+
+// The times at which a target that rests is picked over `span`, by a request each second that it refuses.
+std::vector<time_point> trials_over(milliseconds span, milliseconds rest, bool has_other)
+{
+    const target_id resting("rests");
+    const target_registry registry =
+        has_other ? registry_of({replica("rests"), replica("other")}) : registry_of({replica("rests")});
+    target_conditions conditions;
+    const time_point start{1'000};
+    note_backoff(conditions[resting], rest, {}, 0, start);
+    std::vector<time_point> trials;
+    for (time_point now = start; now < start + span; now = now + milliseconds{1'000}) {
+        target_query query = query_at(now);
+        // Takes the last one of equal targets.
+        query.draw = 0.99;
+        const registered_target* picked = pick_target(query, registry, conditions);
+        if (picked != nullptr && picked->id == resting) {
+            trials.push_back(now);
+            note_backoff_trial(conditions[resting], now);
+            note_backoff(conditions[resting], rest, {}, 0, now);
+        }
+    }
+    return trials;
+}
+
+} // namespace
+
+// A rest was cut to a minute, so that the target got requests although it had said that it wants none.
+TEST_CASE("a backoff of more than a minute is kept to its end while another target serves")
+{
+    CHECK(trials_over(minute * 90, minute * 100, true).empty());
+}
+
+// The users allow two requests in a rest.
+TEST_CASE("a mistaken backoff of the only target is tried twice, so that it does not empty the service")
+{
+    const std::vector<time_point> trials = trials_over(minute * 600, minute * 1'440, false);
+    CHECK(trials == std::vector<time_point>{{61'000}, {661'000}});
+    CHECK(trials_over(minute * 10, milliseconds{59'000}, false).front() == time_point{60'000});
+}
+
+TEST_CASE("the end of the first backoff is no later than the next trial")
+{
+    const service_id service("orders");
+    target_conditions conditions;
+    const time_point now{1'000};
+    const target_registry registry = registry_of({replica("a")});
+    note_backoff(conditions[target_id("a")], minute * 60, {}, 0, now);
+    CHECK(first_backoff_end(service, registry, conditions, now) == now + minute);
+}
--- a/tests/target/target_condition_test.cpp
+++ b/tests/target/target_condition_test.cpp
@@ -146,7 +146,7 @@
 TEST_CASE("a backoff lasts as long as the target asked for, extended at random by up to the spread")
 {
     constexpr time_point now{10'000};
-    constexpr backoff_limits limits{.longest = {5'000}, .spread = 0.2};
+    constexpr backoff_limits limits{.longest = {5'000}, .spread = 0.2, .longest_spread_base = {5'000}};
     target_condition condition;
     CHECK_FALSE(is_backing_off(condition, now));
     note_backoff(condition, {1'000}, limits, 0.5, now);
