What is found out late about an earlier process does not count against the next

Class of fault: evidence of one process of a target that was noted by the target's id alone. Engines tell some seconds after a crash whom their requests wait for (their stall time, 3 s in the tests), and that, as well as broken connections and refusals that name an engine, counted against the process that runs there by then: it was avoided for 2.5 s and more, and not counted as a holder of its layers.

Failures and refusals of streams, and broken connections of calls, are now noted only while the process that they concern may be the registered one. Failures within the answer of a call (faulty, silent) are left as they were.

entry.registry.target_notices has a case for it, which can't be built on the code before.

--- a/src/entry/calls/call_outcome.cpp
+++ b/src/entry/calls/call_outcome.cpp
@@ -1,5 +1,6 @@
 #include "adapters/log.hpp"
 #include "entry/calls/internal/call_carrier.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/requests/refusal.hpp"
 
 #include <algorithm>
@@ -43,7 +44,7 @@
     } else if (end == exchange_end::broken) {
         this->context.channels.forget(ended.target.address);
         if (!reused) {
-            note_failure(condition, target_failure::broken, now);
+            note_failure_of(this->context, ended.target.id, ended.target.started, target_failure::broken);
         }
         this->maybe_ran = true;
         this->log_failed(ended, reused ? "broken_reused" : "broken");
--- a/src/entry/registry/target_notices.cpp
+++ b/src/entry/registry/target_notices.cpp
@@ -23,6 +23,20 @@
 
 } // namespace
 
+bool may_run(const entry_context& context, const target_id& target, incarnation started)
+{
+    const auto known = context.targets.find(target);
+    return known == context.targets.end() || known->second.started <= started;
+}
+
+void note_failure_of(entry_context& context, const target_id& target, incarnation started,
+                     target_failure failure)
+{
+    if (may_run(context, target, started)) {
+        note_failure(context.conditions[target], failure, event_loop::now());
+    }
+}
+
 void take_notices(entry_context& context, const answering_target& from, const response_facts& facts)
 {
     if (facts.is_leaving) {
--- a/src/entry/registry/target_notices.hpp
+++ b/src/entry/registry/target_notices.hpp
@@ -12,6 +12,14 @@
     bool was_backoff_trial = false;
 };
 
+//! Whether that process of a target may be the one that is registered now. What is found out late about an
+//! earlier one, for example by an engine that waited for it, says nothing of the one that runs.
+bool may_run(const entry_context& context, const target_id& target, incarnation started);
+
+//! Notes a failure of that process of a target.
+void note_failure_of(entry_context& context, const target_id& target, incarnation started,
+                     target_failure failure);
+
 //! Takes what a target says of itself in an answer: that it leaves, or for how long it wants no requests.
 void take_notices(entry_context& context, const answering_target& from, const response_facts& facts);
 
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -1,4 +1,5 @@
 #include "adapters/log.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/requests/refusal.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 
@@ -124,7 +125,9 @@
             at_fault = part;
         }
     }
-    note_refusal(this->context.conditions[at_fault.id], pause_after_refusal, now);
+    if (may_run(this->context, at_fault.id, at_fault.started)) {
+        note_refusal(this->context.conditions[at_fault.id], pause_after_refusal, now);
+    }
     this->excluded.insert(at_fault.id);
     --this->sent_count;
     ++this->refusals;
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -1,5 +1,6 @@
 #include "adapters/log.hpp"
 #include "entry/engines/engine_calls.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 
 #include <algorithm>
@@ -153,7 +154,9 @@
                                      {"status", answer.status},
                                      {"missing", is_named ? at_fault->id.value : ""}});
     if (is_named) {
-        note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
+        if (may_run(this->context, at_fault->id, at_fault->started)) {
+            note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
+        }
         this->tools.probes.ask_one(at_fault->id, at_fault->address);
     }
     change_attempt_path(this->context, this->request, *this->current, refused.before);
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -1,5 +1,6 @@
 #include "adapters/log.hpp"
 #include "entry/engines/engine_calls.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 
 #include <algorithm>
@@ -170,8 +171,10 @@
         }
         for (const hop& part : this->current->path) {
             if (part.address == stalled.at_fault) {
-                note_failure(this->context.conditions[part.id], target_failure::silent, now);
-                note_refusal(this->context.conditions[part.id], pause_after_stall, now);
+                note_failure_of(this->context, part.id, part.started, target_failure::silent);
+                if (may_run(this->context, part.id, part.started)) {
+                    note_refusal(this->context.conditions[part.id], pause_after_stall, now);
+                }
                 this->replace_engine(part.id, false);
                 return;
             }
@@ -253,8 +256,8 @@
         this->context.channels.forget(first.address);
         const bool unreachable = end == exchange_end::not_sent;
         this->sent_count -= unreachable ? 1 : 0;
-        note_failure(this->context.conditions[first.id],
-                     unreachable ? target_failure::unreachable : target_failure::broken, now);
+        note_failure_of(this->context, first.id, first.started,
+                        unreachable ? target_failure::unreachable : target_failure::broken);
         if (unreachable) {
             this->tools.guard.note_unreachable(first.id, first.started);
         } else {
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -1,6 +1,7 @@
 #include "entry/streams/stream_runner.hpp"
 
 #include "adapters/log.hpp"
+#include "entry/registry/target_notices.hpp"
 #include "entry/requests/refusal.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 #include "request/backoff_wait.hpp"
@@ -326,13 +327,13 @@
         note_failure(this->context.conditions[first.id], target_failure::faulty, now);
         this->excluded.insert(first.id);
     } else if (end == exchange_end::not_sent) {
-        note_failure(this->context.conditions[first.id], target_failure::unreachable, now);
+        note_failure_of(this->context, first.id, first.started, target_failure::unreachable);
         this->tools.guard.note_unreachable(first.id, first.started);
     } else {
         this->maybe_ran = true;
         this->consider_death(*this->current, first);
         if (!reused || this->current->is_stream) {
-            note_failure(this->context.conditions[first.id], target_failure::broken, now);
+            note_failure_of(this->context, first.id, first.started, target_failure::broken);
             this->excluded.insert(first.id);
         }
     }
--- a/tests/entry/registry/target_notices_test.cpp
+++ b/tests/entry/registry/target_notices_test.cpp
@@ -185,3 +185,15 @@
     save_backoff(rests, target, condition, time_point{1'000});
     CHECK(rests.empty());
 }
+
+// Engines tell seconds after a crash whom their requests wait for. The new process at that address was avoided for
+// it, up to 5.6 s after the crash.
+TEST_CASE("what is found out late about an earlier process does not count against the one that runs now")
+{
+    informed_daemon daemon;
+    put_target(daemon.context, registration(second_start));
+    note_failure_of(daemon.context, name, first_start, target_failure::silent);
+    CHECK(is_usable(condition_of(daemon.context.conditions, name), event_loop::now()));
+    note_failure_of(daemon.context, name, second_start, target_failure::silent);
+    CHECK_FALSE(is_usable(condition_of(daemon.context.conditions, name), event_loop::now()));
+}
