Retry budget: with load control, the requests of a window allow retries in the next one

With load control a daemon counts requests and retries in 20 slots for each window; for each window that contains a retry, its retries stay within ratio x its requests of the window before + its share of the slack. The sum over all daemons keeps the bound, whichever daemon got the requests and whenever it retries. Passed: route.retry_window_fleet_proof, route.retry_budget_fleet_proof, route.retry_storm_proof, entry.context.entry_context, process.entry_retry_budget_proof.

--- a/src/entry/context/entry_context.cpp
+++ b/src/entry/context/entry_context.cpp
@@ -58,11 +58,18 @@
     const entry_settings& settings = context.settings;
     const retry_bounds bounds{settings.retry_ratio * used_share, settings.retry_slack * used_share,
                               retry_sharers(context)};
-    retry_budget& budget = context.retry_budgets.try_emplace(service, budget_at_start()).first->second;
+    const auto [found, is_new] = context.retry_budgets.try_emplace(service, budget_at_start());
+    retry_budget& budget = found->second;
+    const retry_rule rule = context.controls_load() ? retry_rule::window : retry_rule::balance;
+    if (is_new) {
+        budget.rule = rule;
+        budget.first_window_until = context.first_window_until;
+    }
     set_share(budget, bounds);
     if (event_loop::now() >= context.slack_from) {
         add_slack(budget, bounds);
     }
+    set_rule(budget, rule, settings.retry_window, event_loop::now());
     return budget;
 }
 
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -103,6 +103,8 @@
     std::map<service_id, retry_budget> retry_budgets;
     //! From when this daemon has its share of the retry slack: before, one that ran here may have used it.
     time_point slack_from{0};
+    //! When all daemons start together: no window that begins before has a whole one before it.
+    time_point first_window_until{0};
     //! How organisations share each service while that turns requests away.
     std::map<service_id, fair_share> shares;
     //! Of each service, since when its requests are refused; under no name, of requests that know none yet.
@@ -136,6 +138,9 @@
           channels(loop_in, this->answer_bytes),
           slack_from(this->settings.is_first_start ? time_point{0}
                                                    : event_loop::now() + this->settings.retry_window),
+          first_window_until(this->settings.is_first_start
+                                 ? event_loop::now() + this->settings.retry_window / 2
+                                 : time_point{0}),
           random(hash_of(this->settings.vm.value, static_cast<std::uint64_t>(event_loop::now().count)))
     {}
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -16,6 +16,7 @@
 #include "entry/status_port.hpp"
 #include "entry/stop_runner.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -179,7 +180,8 @@
         gauges["log_lines_dropped"] =
             dropped_log_lines() + this->context.logs.dropped_failures + this->context.logs.dropped_successes;
         for (const auto& [service, budget] : this->context.retry_budgets) {
-            this->context.metrics.retries_saved[service.value] = static_cast<std::int64_t>(budget.balance);
+            this->context.metrics.retries_saved[service.value] =
+                static_cast<std::int64_t>(std::max(0.0, retries_allowed(budget, event_loop::now())));
         }
         return {status_ok, to_prometheus(this->context.metrics)};
     }
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -194,7 +194,7 @@
         request.fingerprint = fingerprint_of(request.organisation.value_or(organisation_id()),
                                              request.caller->head.target, request.caller->body);
         request.segments = distinct_segments(request.service, request.facts.shared_segments);
-        note_request(budget_of(this->context, request.service));
+        note_request(budget_of(this->context, request.service), event_loop::now());
         const milliseconds held = this->tools.guard.held_for(request.fingerprint);
         if (held > milliseconds{0}) {
             this->refuse_held(request, held);
--- a/src/entry/requests/accepted_request.cpp
+++ b/src/entry/requests/accepted_request.cpp
@@ -17,12 +17,15 @@
 void note_denied(entry_context& context, const accepted_request& request, const char* reason)
 {
     ++context.metrics.retries_denied[reason];
-    if (may_log(context.logs, log_weight::failure, event_loop::now())) {
+    const time_point now = event_loop::now();
+    if (may_log(context.logs, log_weight::failure, now)) {
         const retry_budget& budget = context.retry_budgets[request.service];
         log_event("retry_denied", {{"id", request.facts.attempt_id},
                                    {"service", request.service.value},
                                    {"reason", reason},
                                    {"most_saved", static_cast<std::int64_t>(budget.max_balance)},
+                                   {"window_requests", requests_in_last_window(budget.counts, now)},
+                                   {"window_retries", retries_in_last_window(budget.counts, now)},
                                    {"denied", budget.denied},
                                    {"sharers", retry_sharers(context)}});
     }
@@ -36,7 +39,7 @@
     if (sent_count >= request.route->max_attempts) {
         return false;
     }
-    if (!take_retry(budget_of(context, request.service))) {
+    if (!take_retry(budget_of(context, request.service), event_loop::now())) {
         note_denied(context, request, reason);
         return false;
     }
