Tests: a status below 100 is no answer on any way in which one comes in

A target that answered with status 000 must not have it passed on. http_reader rejects such heads and http_client takes them for a broken exchange, but only calls on new connections and http_client with status 99 had a test. Checked now, with 000, 0, 099 and 99: calls and streams of the entry daemon, kept connections, heads behind 100 and 103, calls to the store, peers and engines (send_call), http_client with whole and streamed answers, platform_client (the outcome of a write stays unknown) and engine_client (no load is read). None passes such a status on, so no code was changed.

--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -133,6 +133,34 @@
     }
 }
 
+TEST_CASE("a status below 100 ends its exchange as broken, on a kept connection and behind interim heads")
+{
+    for (const std::string status : {"99", "0", "000"}) {
+        for (const std::string before :
+             {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"}) {
+            CAPTURE(status);
+            CAPTURE(before);
+            event_loop loop;
+            std::string answer = plain_answer;
+            scripted_server server(loop, [&](raw_connection& connection) {
+                if (has_whole_request(connection)) {
+                    connection.write(answer);
+                }
+            });
+            channel_pool pool(loop);
+            CHECK(exchange_once(loop, pool, server.address()).body == "ok");
+            answer = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\nContent-Length: 3\r\n\r\nodd");
+            const observed seen = exchange_once(loop, pool, server.address());
+            CHECK(seen.reused);
+            CHECK(seen.end == exchange_end::broken);
+            CHECK(seen.statuses.empty());
+            CHECK(seen.body.empty());
+            answer = plain_answer;
+            CHECK_FALSE(exchange_once(loop, pool, server.address()).reused);
+        }
+    }
+}
+
 TEST_CASE("a refused connection proves that nothing was sent")
 {
     event_loop loop;
--- a/tests/adapters/http_client_test.cpp
+++ b/tests/adapters/http_client_test.cpp
@@ -1,9 +1,14 @@
+#include "adapters/engine_client.hpp"
 #include "adapters/http_client.hpp"
+#include "adapters/platform_client.hpp"
 
 #include "support/scripted_peer.hpp"
 
+#include "absl/strings/str_cat.h"
+
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -228,18 +233,64 @@
 
 TEST_CASE("a status below 100 is no answer, and no part of its body is handed on")
 {
-    event_loop loop;
-    http_client client(loop);
-    two_answers_server target(loop, "HTTP/1.1 99 Odd\r\nContent-Length: 5\r\n\r\nstray");
-    std::string parts;
-    std::vector<http_result> results;
-    client.stream(
-        target.server.address(), plain_request(), [&](std::string_view part) { parts += part; },
-        [&](const http_result& result) { results.push_back(result); });
-    REQUIRE(run_until(loop, [&] { return !results.empty(); }));
-    CHECK(results.front().failure == http_failure::broken);
-    CHECK(parts.empty());
-    CHECK(ask(loop, client, target.server.address()).body == "second");
+    const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    for (const std::string status : {"99", "099", "0", "000"}) {
+        for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+            for (const bool is_kept : {false, true}) {
+                CAPTURE(status);
+                CAPTURE(before);
+                CAPTURE(is_kept);
+                event_loop loop;
+                http_client client(loop);
+                const std::string odd =
+                    absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\nContent-Length: 5\r\n\r\nstray");
+                two_answers_server target(loop, is_kept ? good : odd);
+                if (is_kept) {
+                    CHECK(ask(loop, client, target.server.address()).body == "first");
+                    target.requests = 0;
+                    target.first_answer = odd;
+                }
+                std::string parts;
+                std::vector<http_result> results;
+                client.stream(
+                    target.server.address(), plain_request(), [&](std::string_view part) { parts += part; },
+                    [&](const http_result& result) { results.push_back(result); });
+                REQUIRE(run_until(loop, [&] { return !results.empty(); }));
+                CHECK(results.front().failure == http_failure::broken);
+                CHECK(results.front().status == 0);
+                CHECK(results.front().body.empty());
+                CHECK(parts.empty());
+                CHECK(ask(loop, client, target.server.address()).body == "second");
+            }
+        }
+    }
+}
+
+TEST_CASE("a status below 100 leaves open whether the platform wrote, and tells nothing of an engine")
+{
+    constexpr milliseconds timeout{4'000};
+    for (const std::string status : {"99", "000"}) {
+        CAPTURE(status);
+        event_loop loop;
+        http_client client(loop);
+        scripted_server target(loop, [&](raw_connection& connection) {
+            if (std::exchange(connection.received, {}).find("\r\n\r\n") != std::string::npos) {
+                connection.write("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}");
+            }
+        });
+        const time_point began = event_loop::now();
+        platform_client store(client, target.address(), timeout);
+        std::optional<commit_answer> committed;
+        store.commit({}, [&](const commit_answer& answer) { committed = answer; });
+        REQUIRE(run_until(loop, [&] { return committed.has_value(); }));
+        CHECK(committed->result == commit_result::outcome_unknown);
+        engine_client engines(client);
+        std::optional<load_answer> load;
+        engines.read_load(target.address(), timeout, [&](const load_answer& answer) { load = answer; });
+        REQUIRE(run_until(loop, [&] { return load.has_value(); }));
+        CHECK_FALSE(load->report.has_value());
+        CHECK(event_loop::now() - began < timeout);
+    }
 }
 
 TEST_CASE("a request does not go to a kept connection on which something lies unread")
--- a/tests/entry/context/http_calls_test.cpp
+++ b/tests/entry/context/http_calls_test.cpp
@@ -42,3 +42,41 @@
     CHECK(answered->status == 200);
     CHECK(answered->body == "report");
 }
+
+// The answers of the store and of other daemons come this way.
+TEST_CASE("a status below 100 is no answer to a call, with any head before it")
+{
+    for (const std::string status : {"99", "000"}) {
+        for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+            CAPTURE(status);
+            CAPTURE(before);
+            event_loop loop;
+            entry_context context{loop, platform::users_platform(), {}};
+            std::string bytes = response(200, "", "first");
+            scripted_server target(loop, [&](raw_connection& from) {
+                if (from.received.ends_with("\r\n\r\n")) {
+                    from.received.clear();
+                    from.write(bytes);
+                }
+            });
+            const auto call = [&] {
+                std::optional<http_answer> answered;
+                outgoing_call report;
+                report.target = "/report";
+                send_call(context, target.address(), report, call_timeout,
+                          [&](const http_answer& answer) { answered = answer; });
+                REQUIRE(run_until(loop, [&] { return answered.has_value(); }));
+                return *answered;
+            };
+            CHECK(call().status == 200);
+            bytes = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\nContent-Length: 3\r\n\r\nodd");
+            // Over the kept connection, and over a new one.
+            for (int i = 0; i < 2; ++i) {
+                const http_answer odd = call();
+                CHECK(odd.end == exchange_end::broken);
+                CHECK(odd.status == 0);
+                CHECK(odd.body.empty());
+            }
+        }
+    }
+}
--- a/tests/process/entry_cut_answers_proof_test.cpp
+++ b/tests/process/entry_cut_answers_proof_test.cpp
@@ -137,7 +137,7 @@
 {
     scripted_cluster cluster(3);
     REQUIRE(cluster.become_ready());
-    for (const std::string status : {"0", "99", "099", "1000"}) {
+    for (const std::string status : {"0", "000", "99", "099", "1000"}) {
         for (const std::string lines : {"", "Content-Length: 3\r\n"}) {
             cluster.handle = [&](const arrival& request) {
                 request.from->write(signed_head(request, "HTTP/1.1 " + status + " Odd", lines) + "odd");
@@ -157,6 +157,25 @@
     }
 }
 
+TEST_CASE("a status below 100 behind an interim head or on a kept connection reaches no caller")
+{
+    scripted_cluster cluster(3);
+    REQUIRE(cluster.become_ready());
+    for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+        CAPTURE(before);
+        cluster.handle = [&](const arrival& request) {
+            request.from->write(whole_answer(request, framed_forms().front()));
+        };
+        CHECK(ask_reached(cluster, "POST", "/order/x", absl::StrCat("first", before.size())).status == 200);
+        cluster.handle = [&](const arrival& request) {
+            request.from->write(before + signed_head(request, "HTTP/1.1 000 Odd", "Content-Length: 3\r\n") +
+                                "odd");
+        };
+        CHECK(ask_reached(cluster, "POST", "/order/x", absl::StrCat("odd", before.size())).status == 502);
+        CHECK(ask_reached(cluster, "GET", "/look/x", absl::StrCat("oddl", before.size())).status == 502);
+    }
+}
+
 TEST_CASE("an answer that has no body by its status is handed on at once, whatever length it tells")
 {
     scripted_cluster cluster(3);
--- a/tests/process/entry_refusals_proof_test.cpp
+++ b/tests/process/entry_refusals_proof_test.cpp
@@ -243,6 +243,30 @@
     }
 }
 
+TEST_CASE("a status below 100 is no answer to a stream")
+{
+    scripted_cluster cluster(engines_end);
+    running_targets targets(cluster);
+    std::string before;
+    REQUIRE(become_engines(cluster, targets, [&](const arrival& request) {
+        request.from->write(
+            absl::StrCat(before, "HTTP/1.1 000 Odd\r\n", id_line(request.head.header(attempt_header)),
+                         "Dandelionstep-Server-Signature: s.1\r\nContent-Type: text/event-stream\r\n",
+                         "Content-Length: ", event.size(), "\r\n\r\n", std::string(event)));
+    }));
+    for (const std::string head : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+        CAPTURE(head);
+        before = head;
+        cluster.await([] { return false; }, refused_pause);
+        const raw_answer answer = ask_stream(cluster, absl::StrCat("odd-", head.size()));
+        CHECK(answer.whole);
+        CHECK(answer.status >= 500);
+        CHECK(answer.body.find("data: a") == std::string::npos);
+        // The stream may have run.
+        CHECK(find_header(answer.headers, "Dandelionstep-Not-Executed").empty());
+    }
+}
+
 TEST_CASE("an order without an id that its target refuses is refused at once")
 {
     scripted_cluster cluster(1);
