--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -58,6 +58,8 @@
     std::string crashes_on;
     bool crashes_later_engines = false;
     bool streams_end_with_connection = false;
+    //! The daemons' option --load-control.
+    std::string load_control = "auto";
     //! Whether the store's answers tell its era.
     bool store_tells_era = true;
     //! Called with the address of the store and of each replica when it has started.
