Liveness: with load control, an engine through which another stream brought an event is not asked

A stream whose gap exceeded its limit asked all engines of its path for their reports. Engines through which another stream of the daemon delivered an event since the silent stream's last one are left out now. The streams are looked at only when an engine is due to be asked. Each stream earns a quarter of a probe of such engines, so that a death right after an event is found as early as before while silences are rare, and the pace that engines report stays known. All reports that engines are asked for are counted by reason, and those left out.

--- a/src/entry/context/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -66,6 +66,8 @@
                   metrics.requests_unreadable);
     append_counts(text, "dandelionstep_entry_store_calls_total", "reason", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
+    append_counts(text, "dandelionstep_entry_probes_total", "reason", metrics.probes);
+    append_counts(text, "dandelionstep_entry_probes_saved_total", "reason", metrics.probes_saved);
     for (const auto& [name, value] : metrics.gauges) {
         absl::StrAppend(&text, "# TYPE dandelionstep_entry_", name, " gauge\n", "dandelionstep_entry_", name,
                         " ", value, "\n");
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -51,6 +51,10 @@
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
     std::map<std::string, std::int64_t> orders;
+    //! Reports that engines were asked for, and that they were not asked for as events had come through them,
+    //! by reason.
+    std::map<std::string, std::int64_t> probes;
+    std::map<std::string, std::int64_t> probes_saved;
     //! Values as of now, by name.
     std::map<std::string, std::int64_t> gauges;
 };
--- a/src/entry/engines/engine_probes.cpp
+++ b/src/entry/engines/engine_probes.cpp
@@ -21,6 +21,11 @@
 // So many engines of a data centre that fall silent within this time are a sign that it is cut off.
 constexpr int silent_for_cut = 2;
 constexpr milliseconds cut_window{1'000};
+// Streams earn probes of engines that other streams have shown to be alive. While silences are rare, every
+// silent path is thus asked at once, also about an engine that died right after an event; under overload
+// streams are silent all the time, and such probes stay below a quarter of the requests.
+constexpr double spare_probes_per_stream = 0.25;
+constexpr double most_spare_probes = 16;
 // A pace that differs by less from the one before is not told.
 constexpr double told_pace_change = 1.25;
 
@@ -44,36 +49,103 @@
 
 } // namespace
 
-void engine_probes::ask(const std::vector<hop>& path)
+void engine_probes::add_witness(std::weak_ptr<const event_witness> stream)
 {
+    std::erase_if(this->witnesses, [](const auto& one) { return one.expired(); });
+    this->witnesses.push_back(std::move(stream));
+    this->spare_probes = std::min(this->spare_probes + spare_probes_per_stream, most_spare_probes);
+}
+
+void engine_probes::ask(const std::vector<hop>& path, time_point silent_since)
+{
+    constexpr const char* reason = "silent_stream";
     for (const hop& part : path) {
-        this->ask_one(part.id, part.address);
+        if (this->is_due(part.id) && !this->is_vouched_for(part.id, silent_since, reason)) {
+            this->ask_due(part.id, part.address, reason);
+        }
     }
 }
 
-void engine_probes::ask_one(const target_id& id, const endpoint& address)
+void engine_probes::ask_one(const target_id& id, const endpoint& address, const char* reason)
 {
-    const time_point now = event_loop::now();
+    if (this->is_due(id)) {
+        this->ask_due(id, address, reason);
+    }
+}
+
+void engine_probes::ask_now(const target_id& id, const endpoint& address, const char* reason)
+{
+    if (!condition_of(this->context.conditions, id).is_being_probed) {
+        this->send(id, address, reason);
+    }
+}
+
+bool engine_probes::is_due(const target_id& id) const
+{
+    const target_condition& condition = condition_of(this->context.conditions, id);
+    return event_loop::now() - condition.probed_at >= condition.probe_interval;
+}
+
+bool engine_probes::is_vouched_for(const target_id& id, time_point after, const char* reason)
+{
+    if (!this->context.controls_load()) {
+        return false;
+    }
     target_condition& condition = this->context.conditions[id];
-    const milliseconds since = now - condition.probed_at;
-    if (since < condition.probe_interval) {
-        return;
+    if (condition.is_unresponsive || this->last_event_through(id, condition, after) <= after ||
+        this->take_spare_probe()) {
+        return false;
     }
+    // Without events, an engine would be asked this often while streams on it are silent.
+    const time_point now = event_loop::now();
+    if (now - condition.probe_saved_at >= longest_pause) {
+        condition.probe_saved_at = now;
+        ++this->context.metrics.probes_saved[reason];
+    }
+    return true;
+}
+
+// Looks at the streams only if no event after that time is known yet: a silence is judged every few
+// milliseconds, and an event itself is to cost nothing here.
+time_point engine_probes::last_event_through(const target_id& id, target_condition& condition,
+                                             time_point after)
+{
+    if (condition.event_seen_at <= after) {
+        for (const auto& one : this->witnesses) {
+            if (const auto stream = one.lock()) {
+                condition.event_seen_at = std::max(condition.event_seen_at, stream->last_event_through(id));
+            }
+        }
+    }
+    return condition.event_seen_at;
+}
+
+bool engine_probes::take_spare_probe()
+{
+    if (this->spare_probes < 1) {
+        return false;
+    }
+    this->spare_probes -= 1;
+    return true;
+}
+
+void engine_probes::ask_due(const target_id& id, const endpoint& address, const char* reason)
+{
+    target_condition& condition = this->context.conditions[id];
+    const milliseconds since = event_loop::now() - condition.probed_at;
     condition.probe_interval = since > pause_forgotten
                                    ? first_pause
                                    : std::clamp(condition.probe_interval * 2, first_pause, longest_pause);
-    this->ask_now(id, address);
+    this->ask_now(id, address, reason);
 }
 
-void engine_probes::ask_now(const target_id& id, const endpoint& address)
+void engine_probes::send(const target_id& id, const endpoint& address, const char* reason)
 {
     const time_point now = event_loop::now();
     target_condition& condition = this->context.conditions[id];
-    if (condition.is_being_probed) {
-        return;
-    }
     condition.is_being_probed = true;
     condition.probed_at = now;
+    ++this->context.metrics.probes[reason];
     ask_report(
         this->context, id, address, probe_timeout,
         [this, id, now](const std::optional<engine_report>& report) { this->take_answer(id, now, report); });
@@ -112,7 +184,7 @@
     condition.probe_interval = first_pause;
     note_unresponsive(condition, now);
     log_event("engine_silent", {{"target", id.value}, {"asked_ms", now - sent_at}});
-    this->ask_data_centre_of(id);
+    this->ask_data_centre_of(id, sent_at);
     if (!this->repeating) {
         this->repeating = true;
         this->repeat_timer =
@@ -120,8 +192,9 @@
     }
 }
 
-// Where one engine is silent the cause may be the link that all of its data centre share.
-void engine_probes::ask_data_centre_of(const target_id& silent)
+// Where one engine is silent the cause may be the link that all of its data centre share; not for those
+// through which events have come since the silent one was asked.
+void engine_probes::ask_data_centre_of(const target_id& silent, time_point asked_at)
 {
     const auto known = this->context.targets.find(silent);
     if (known == this->context.targets.end()) {
@@ -131,9 +204,11 @@
     if (this->newly_silent_in(data_centre) < silent_for_cut) {
         return;
     }
+    constexpr const char* reason = "data_centre";
     for (const auto& [id, target] : this->context.targets) {
-        if (target.data_centre == data_centre && !target.layers.empty()) {
-            this->ask_one(id, target.address);
+        if (target.data_centre == data_centre && !target.layers.empty() && this->is_due(id) &&
+            !this->is_vouched_for(id, asked_at, reason)) {
+            this->ask_due(id, target.address, reason);
         }
     }
 }
@@ -158,7 +233,7 @@
     for (const auto& [id, target] : this->context.targets) {
         if (condition_of(this->context.conditions, id).is_unresponsive) {
             any = true;
-            this->ask_one(id, target.address);
+            this->ask_one(id, target.address, "silent_engine");
         }
     }
     if (!any) {
--- a/src/entry/placement/placer.cpp
+++ b/src/entry/placement/placer.cpp
@@ -218,6 +218,7 @@
 void placer::place(const registered_target& engine, held_layers wanted, const engine_profile& profile)
 {
     this->assume(engine, wanted, engine_timeout * 2);
+    ++this->context.metrics.probes["placement"];
     ask_report(this->context, engine.id, engine.address, engine_timeout,
                [this, engine, wanted, profile](const std::optional<engine_report>& report) {
                    if (!report) {
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -21,11 +21,12 @@
 //! and passes events on; stream_end.cpp judges answers and ends; stream_repair.cpp watches for engines that
 //! die, leave or are silent and sends the request anew; stream_path_change.cpp replaces engines of a running
 //! path; stream_wishes.cpp says which paths it may take.
-class stream_carrier : public std::enable_shared_from_this<stream_carrier> {
+class stream_carrier : public event_witness, public std::enable_shared_from_this<stream_carrier> {
 public:
     stream_carrier(entry_context& context, request_tools& tools, accepted_request request);
 
     void start();
+    [[nodiscard]] time_point last_event_through(const target_id& engine) const override;
 
 private:
     using attempt_pointer = std::shared_ptr<stream_attempt>;
@@ -170,6 +171,8 @@
     //! Whether it has waited for engines to end their rest.
     bool has_waited = false;
     bool finished = false;
+    //! Whether the probes know of its events.
+    bool is_witness = false;
     event_loop::timer deadline_timer;
     event_loop::timer send_timer;
 };
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -130,7 +130,7 @@
     ++this->refusals;
     count_refusal(this->context, attempt.evidence);
     // It may be short of room or dead.
-    this->tools.probes.ask_one(at_fault.id, at_fault.address);
+    this->tools.probes.ask_one(at_fault.id, at_fault.address, "refusal");
     if (may_log(this->context.logs, log_weight::failure, now)) {
         log_event("refused_by_engine", {{"id", this->request.facts.attempt_id},
                                         {"status", attempt.head.status},
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -154,7 +154,7 @@
                                      {"missing", is_named ? at_fault->id.value : ""}});
     if (is_named) {
         note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
-        this->tools.probes.ask_one(at_fault->id, at_fault->address);
+        this->tools.probes.ask_one(at_fault->id, at_fault->address, "path_refused");
     }
     change_attempt_path(this->context, this->request, *this->current, refused.before);
     if (refused.leaves) {
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -26,12 +26,25 @@
     return now - std::max(this->progress.sent_at, this->progress.last_event_at);
 }
 
+// An event that came before the present path was taken tells nothing of the engines that joined it.
+time_point stream_carrier::last_event_through(const target_id& engine) const
+{
+    const bool is_on_path =
+        !this->finished && this->current && this->progress.last_event_at > this->progress.sent_at &&
+        std::ranges::find(this->current->path, engine, &hop::id) != this->current->path.end();
+    return is_on_path ? this->progress.last_event_at : time_point{0};
+}
+
 // False when the stream has ended.
 bool stream_carrier::watch(time_point now)
 {
     if (this->finished || !this->current || this->current->ended) {
         return !this->finished;
     }
+    if (!this->is_witness) {
+        this->is_witness = true;
+        this->tools.probes.add_witness(this->weak_from_this());
+    }
     if (this->successor && this->holds_events && now - this->succession_began > longest_hold) {
         this->drop_successor();
     }
@@ -47,7 +60,7 @@
         this->watch_leaving(now);
         break;
     case stall_action::probe_path:
-        this->tools.probes.ask(this->current->path);
+        this->tools.probes.ask(this->current->path, now - this->silence(now));
         break;
     case stall_action::ask_engine:
         this->ask_engine(now);
@@ -152,6 +165,7 @@
             self->take_report(report);
         }
     };
+    ++this->context.metrics.probes["stalled_stream"];
     ask_report(this->context, first.id, first.address, engine_timeout, take);
 }
 
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -69,7 +69,7 @@
     if (now - this->doubted_at >= pause_without_path) {
         const hop& first = this->current->path.front();
         this->doubt_first();
-        this->tools.probes.ask_now(first.id, first.address);
+        this->tools.probes.ask_now(first.id, first.address, "doubted_first");
     }
     return !this->is_first_alive() && now - this->doubted_at < longest_doubt;
 }
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -60,6 +60,10 @@
     time_point probed_at{0};
     //! Shortest time from `probed_at` to the next probe.
     milliseconds probe_interval{0};
+    //! When an event of a stream last came through the engine, as far as it was looked for, and when an event
+    //! last saved a probe of it.
+    time_point event_seen_at{0};
+    time_point probe_saved_at{0};
     //! How many calls other than requests the engine has answered.
     std::int64_t calls_answered = 0;
     //! Whether a probe of it is still unanswered.
