Liveness: with load control, slow streams alone ask no engine

Where the usual gap is longer than the silence after which engines are asked (half the gap objective at most), a stream alone on an engine asks it at each event; where it is longer than 1.25 times the objective, each stream also asks its first engine what it waits for. An engine is left out now for an event within three quarters of the usual gap, and the first engine is asked from twice the usual gap on if events of others came through the whole path since.

--- a/src/entry/engines/engine_probes.cpp
+++ b/src/entry/engines/engine_probes.cpp
@@ -56,11 +56,11 @@
     this->spare_probes = std::min(this->spare_probes + spare_probes_per_stream, most_spare_probes);
 }
 
-void engine_probes::ask(const std::vector<hop>& path, time_point silent_since)
+void engine_probes::ask(const std::vector<hop>& path, time_point telling_since)
 {
     constexpr const char* reason = "silent_stream";
     for (const hop& part : path) {
-        if (this->is_due(part.id) && !this->is_vouched_for(part.id, silent_since, reason)) {
+        if (this->is_due(part.id) && !this->is_vouched_for(part.id, telling_since, reason)) {
             this->ask_due(part.id, part.address, reason);
         }
     }
@@ -96,13 +96,32 @@
         this->take_spare_probe()) {
         return false;
     }
-    // Without events, an engine would be asked this often while streams on it are silent.
+    this->count_saved(condition, reason);
+    return true;
+}
+
+bool engine_probes::are_heard(const std::vector<hop>& path, time_point after)
+{
+    if (!this->context.controls_load()) {
+        return false;
+    }
+    const bool all = std::ranges::all_of(path, [&](const hop& part) {
+        return this->last_event_through(part.id, this->context.conditions[part.id], after) > after;
+    });
+    if (all) {
+        this->count_saved(this->context.conditions[path.front().id], "stalled_stream");
+    }
+    return all;
+}
+
+// Without events, an engine would be asked this often at least while streams on it are silent.
+void engine_probes::count_saved(target_condition& condition, const char* reason)
+{
     const time_point now = event_loop::now();
     if (now - condition.probe_saved_at >= longest_pause) {
         condition.probe_saved_at = now;
         ++this->context.metrics.probes_saved[reason];
     }
-    return true;
 }
 
 // Looks at the streams only if no event after that time is known yet: a silence is judged every few
--- a/src/entry/engines/engine_probes.hpp
+++ b/src/entry/engines/engine_probes.hpp
@@ -24,9 +24,12 @@
 
     //! Adds a stream that has begun to be watched.
     void add_witness(std::weak_ptr<const event_witness> stream);
-    //! Asks those of the path's engines that were not heard of lately, for a stream that has been silent
-    //! since then. With load control, engines through which others have delivered events since are left out.
-    void ask(const std::vector<hop>& path, time_point silent_since);
+    //! Asks those of the path's engines that were not heard of lately, for a stream that is silent. With load
+    //! control, engines through which an event of any stream has come after that time are left out.
+    void ask(const std::vector<hop>& path, time_point telling_since);
+    //! Whether, with load control, events of other streams have come through all engines of the path after
+    //! that time.
+    bool are_heard(const std::vector<hop>& path, time_point after);
     //! Asks one engine that a request was refused or dropped for. The reason is the one in the metrics.
     void ask_one(const target_id& id, const endpoint& address, const char* reason);
     //! Asks one engine that has to be known alive at this moment, however lately it was heard of.
@@ -41,6 +44,7 @@
     bool is_vouched_for(const target_id& id, time_point after, const char* reason);
     //! When an event last came through the engine, as far as needed to tell whether one did after that time.
     time_point last_event_through(const target_id& id, target_condition& condition, time_point after);
+    void count_saved(target_condition& condition, const char* reason);
     bool take_spare_probe();
     void take_answer(const target_id& id, time_point sent_at, const std::optional<engine_report>& report);
     void ask_data_centre_of(const target_id& silent, time_point asked_at);
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -111,6 +111,8 @@
     // stream_repair.cpp
     bool watch(time_point now);
     void watch_leaving(time_point now);
+    void probe_path(milliseconds usual_gap, time_point now);
+    [[nodiscard]] bool is_only_slow(milliseconds usual_gap, time_point now);
     void ask_engine(time_point now);
     void take_report(const std::optional<engine_report>& report);
     void give_path_up(time_point now);
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -60,10 +60,14 @@
         this->watch_leaving(now);
         break;
     case stall_action::probe_path:
-        this->tools.probes.ask(this->current->path, now - this->silence(now));
+        this->probe_path(usual_gap, now);
         break;
     case stall_action::ask_engine:
-        this->ask_engine(now);
+        if (this->is_only_slow(usual_gap, now)) {
+            this->probe_path(usual_gap, now);
+        } else {
+            this->ask_engine(now);
+        }
         break;
     case stall_action::change_path:
         this->replace_engine(*dead, false);
@@ -75,6 +79,24 @@
     return !this->finished;
 }
 
+// Where the usual gap is longer than the silence after which engines are asked, an event within most of that
+// gap tells as much.
+void stream_carrier::probe_path(milliseconds usual_gap, time_point now)
+{
+    const milliseconds telling = std::max(this->silence(now), usual_gap * 3 / 4);
+    this->tools.probes.ask(this->current->path, now - telling);
+}
+
+// Where all streams are slow, a gap that exceeds the objective is no sign that the request is stuck, as long
+// as events of others come through each engine of its path.
+bool stream_carrier::is_only_slow(milliseconds usual_gap, time_point now)
+{
+    constexpr std::int64_t usual_gaps = 2;
+    const milliseconds silent_for = this->silence(now);
+    return silent_for < usual_gap * usual_gaps &&
+           this->tools.probes.are_heard(this->current->path, now - silent_for);
+}
+
 // Engines that die together are found one after the other: those of a path count as one death, until the
 // stream has gone on or has lost an engine that joined it since.
 void stream_carrier::consider_death(const stream_attempt& attempt, const hop& lost)
