Tests: a whole answer stands behind the status below 100

A trial without the check in http_reader still passed adapters.channel_pool and entry.context.http_calls: the status was passed over as interim, and the body behind it was malformed anyway. With a whole answer behind it both fail without the check (trial), and pass with it, as do process.entry_cut_answers_proof and process.entry_refusals_proof, which got the same change.

--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -149,7 +149,8 @@
             });
             channel_pool pool(loop);
             CHECK(exchange_once(loop, pool, server.address()).body == "ok");
-            answer = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\nContent-Length: 3\r\n\r\nodd");
+            // Were it passed over as interim, the answer behind it would be taken.
+            answer = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\n\r\n", plain_answer);
             const observed seen = exchange_once(loop, pool, server.address());
             CHECK(seen.reused);
             CHECK(seen.end == exchange_end::broken);
--- a/tests/entry/context/http_calls_test.cpp
+++ b/tests/entry/context/http_calls_test.cpp
@@ -69,7 +69,7 @@
                 return *answered;
             };
             CHECK(call().status == 200);
-            bytes = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\nContent-Length: 3\r\n\r\nodd");
+            bytes = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\n\r\n", response(200, "", "behind"));
             // Over the kept connection, and over a new one.
             for (int i = 0; i < 2; ++i) {
                 const http_answer odd = call();
--- a/tests/process/entry_cut_answers_proof_test.cpp
+++ b/tests/process/entry_cut_answers_proof_test.cpp
@@ -168,8 +168,8 @@
         };
         CHECK(ask_reached(cluster, "POST", "/order/x", absl::StrCat("first", before.size())).status == 200);
         cluster.handle = [&](const arrival& request) {
-            request.from->write(before + signed_head(request, "HTTP/1.1 000 Odd", "Content-Length: 3\r\n") +
-                                "odd");
+            request.from->write(before + signed_head(request, "HTTP/1.1 000 Odd", "") +
+                                whole_answer(request, framed_forms().front()));
         };
         CHECK(ask_reached(cluster, "POST", "/order/x", absl::StrCat("odd", before.size())).status == 502);
         CHECK(ask_reached(cluster, "GET", "/look/x", absl::StrCat("oddl", before.size())).status == 502);
--- a/tests/process/entry_refusals_proof_test.cpp
+++ b/tests/process/entry_refusals_proof_test.cpp
@@ -249,10 +249,10 @@
     running_targets targets(cluster);
     std::string before;
     REQUIRE(become_engines(cluster, targets, [&](const arrival& request) {
-        request.from->write(
-            absl::StrCat(before, "HTTP/1.1 000 Odd\r\n", id_line(request.head.header(attempt_header)),
-                         "Dandelionstep-Server-Signature: s.1\r\nContent-Type: text/event-stream\r\n",
-                         "Content-Length: ", event.size(), "\r\n\r\n", std::string(event)));
+        const std::string id = id_line(request.head.header(attempt_header));
+        const std::string type = "Content-Type: text/event-stream\r\n";
+        request.from->write(absl::StrCat(before, "HTTP/1.1 000 Odd\r\n", id, type, "\r\n",
+                                         signed_answer(200, event, absl::StrCat(id, type))));
     }));
     for (const std::string head : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
         CAPTURE(head);
