--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -157,7 +157,7 @@
         if (may_run(this->context, at_fault->id, at_fault->started)) {
             note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
         }
-        this->tools.probes.ask_one(at_fault->id, at_fault->address);
+        this->tools.probes.ask_one(at_fault->id, at_fault->address, "path_refused");
     }
     change_attempt_path(this->context, this->request, *this->current, refused.before);
     if (refused.leaves) {
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -27,12 +27,25 @@
     return now - std::max(this->progress.sent_at, this->progress.last_event_at);
 }
 
+// An event that came before the present path was taken tells nothing of the engines that joined it.
+time_point stream_carrier::last_event_through(const target_id& engine) const
+{
+    const bool is_on_path =
+        !this->finished && this->current && this->progress.last_event_at > this->progress.sent_at &&
+        std::ranges::find(this->current->path, engine, &hop::id) != this->current->path.end();
+    return is_on_path ? this->progress.last_event_at : time_point{0};
+}
+
 // False when the stream has ended.
 bool stream_carrier::watch(time_point now)
 {
     if (this->finished || !this->current || this->current->ended) {
         return !this->finished;
     }
+    if (!this->is_witness) {
+        this->is_witness = true;
+        this->tools.probes.add_witness(this->weak_from_this());
+    }
     if (this->successor && this->holds_events && now - this->succession_began > longest_hold) {
         this->drop_successor();
     }
@@ -48,10 +61,14 @@
         this->watch_leaving(now);
         break;
     case stall_action::probe_path:
-        this->tools.probes.ask(this->current->path);
+        this->probe_path(usual_gap, now);
         break;
     case stall_action::ask_engine:
-        this->ask_engine(now);
+        if (this->is_only_slow(usual_gap, now)) {
+            this->probe_path(usual_gap, now);
+        } else {
+            this->ask_engine(now);
+        }
         break;
     case stall_action::change_path:
         this->replace_engine(*dead, false);
@@ -63,6 +80,24 @@
     return !this->finished;
 }
 
+// Where the usual gap is longer than the silence after which engines are asked, an event within most of that
+// gap tells as much.
+void stream_carrier::probe_path(milliseconds usual_gap, time_point now)
+{
+    const milliseconds telling = std::max(this->silence(now), usual_gap * 3 / 4);
+    this->tools.probes.ask(this->current->path, now - telling);
+}
+
+// Where all streams are slow, a gap that exceeds the objective is no sign that the request is stuck, as long
+// as events of others come through each engine of its path.
+bool stream_carrier::is_only_slow(milliseconds usual_gap, time_point now)
+{
+    constexpr std::int64_t usual_gaps = 2;
+    const milliseconds silent_for = this->silence(now);
+    return silent_for < usual_gap * usual_gaps &&
+           this->tools.probes.are_heard(this->current->path, now - silent_for);
+}
+
 // Engines that die together are found one after the other: those of a path count as one death, until the
 // stream has gone on or has lost an engine that joined it since.
 void stream_carrier::consider_death(const stream_attempt& attempt, const hop& lost)
@@ -153,6 +188,7 @@
             self->take_report(report);
         }
     };
+    ++this->context.metrics.probes["stalled_stream"];
     ask_report(this->context, first.id, first.address, engine_timeout, take);
 }
 
--- a/tests/adapters/channel_pool_test.cpp
+++ b/tests/adapters/channel_pool_test.cpp
@@ -186,6 +186,35 @@
     }
 }
 
+TEST_CASE("a status below 100 ends its exchange as broken, on a kept connection and behind interim heads")
+{
+    for (const std::string status : {"99", "0", "000"}) {
+        for (const std::string before :
+             {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"}) {
+            CAPTURE(status);
+            CAPTURE(before);
+            event_loop loop;
+            std::string answer = plain_answer;
+            scripted_server server(loop, [&](raw_connection& connection) {
+                if (has_whole_request(connection)) {
+                    connection.write(answer);
+                }
+            });
+            channel_pool pool(loop);
+            CHECK(exchange_once(loop, pool, server.address()).body == "ok");
+            // Were it passed over as interim, the answer behind it would be taken.
+            answer = absl::StrCat(before, "HTTP/1.1 ", status, " Odd\r\n\r\n", plain_answer);
+            const observed seen = exchange_once(loop, pool, server.address());
+            CHECK(seen.reused);
+            CHECK(seen.end == exchange_end::broken);
+            CHECK(seen.statuses.empty());
+            CHECK(seen.body.empty());
+            answer = plain_answer;
+            CHECK_FALSE(exchange_once(loop, pool, server.address()).reused);
+        }
+    }
+}
+
 TEST_CASE("an exchange may be cancelled while it is asked whether its target still listens")
 {
     event_loop loop;
