Stream admission: new streams wait for room by priority

Cause: every stream was sent at once, whatever its priority, until engines refused or preempted, so that under overload streams of all priorities were late together.

Change: with load control, a gate in front of the first send of a new stream plans its path and sends it, holds it or refuses it with the expected wait as Retry-After. A stream that an engine refused returns to its old place.

Process tests are not run yet.

--- a/src/entry/context/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -64,6 +64,10 @@
     append_counts(text, "dandelionstep_entry_callers_timed_out_total", "owed", metrics.callers_timed_out);
     append_counts(text, "dandelionstep_entry_requests_unreadable_total", "status",
                   metrics.requests_unreadable);
+    append_counts(text, "dandelionstep_entry_admission_waits_total", "priority", metrics.admission_waits);
+    append_counts(text, "dandelionstep_entry_admission_wait_ms_total", "priority", metrics.admission_wait_ms);
+    append_counts(text, "dandelionstep_entry_admission_refusals_total", "reason", "priority",
+                  metrics.admission_refusals);
     append_counts(text, "dandelionstep_entry_store_calls_total", "reason", "result", metrics.store_calls);
     append_counts(text, "dandelionstep_entry_orders_total", "result", metrics.orders);
     for (const auto& [name, value] : metrics.gauges) {
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -47,6 +47,11 @@
     std::map<std::string, std::int64_t> callers_timed_out;
     //! Requests that were refused before they were read to their end, by status.
     std::map<std::string, std::int64_t> requests_unreadable;
+    //! New streams that had to wait for room, and the sum of the waits that ended with a send, by priority;
+    //! and those that were refused, by reason and priority.
+    std::map<std::string, std::int64_t> admission_waits;
+    std::map<std::string, std::int64_t> admission_wait_ms;
+    std::map<std::string, std::map<std::string, std::int64_t>> admission_refusals;
     //! Calls to the store by what they were made for, then by result.
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -133,6 +133,7 @@
         outlook_of(*wish.service->engine, parts, candidates,
                    {static_cast<double>(wish.prompt_tokens), static_cast<double>(wish.total_tokens)});
     estimate.use = outlook.use;
+    estimate.entry_use = outlook.entry_use;
     estimate.first_event = milliseconds{static_cast<std::int64_t>(outlook.first_event_ms)};
     estimate.event_gap = milliseconds{static_cast<std::int64_t>(outlook.event_gap_ms)};
     return estimate;
--- a/src/entry/engines/path_choice.hpp
+++ b/src/entry/engines/path_choice.hpp
@@ -34,6 +34,8 @@
     //! Highest share in use of the KV cache of its engines, or of the first one's entry slots, with the
     //! request; may exceed 1.
     double use = 0;
+    //! Of that, the share of the first one's entry slots.
+    double entry_use = 0;
     //! Until the first event arrives at this daemon.
     milliseconds first_event{0};
     //! Between two events of the answer.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -15,6 +15,7 @@
 #include "entry/settings_watch.hpp"
 #include "entry/status_port.hpp"
 #include "entry/stop_runner.hpp"
+#include "entry/streams/stream_gate.hpp"
 
 #include <csignal>
 #include <fstream>
@@ -35,9 +36,9 @@
           store(this->context), watch(this->context, this->store), process(this->context.random()),
           rows(this->context, this->store, this->process),
           placement(this->context, this->store, this->process), claims(this->context, this->store),
-          streams(this->context), relay(this->context, this->streams, this->store),
-          peers(this->context, this->process), follower(this->context, this->watch, this->rows),
-          push(this->context),
+          streams(this->context), gate(this->context),
+          relay(this->context, this->streams, this->gate, this->store), peers(this->context, this->process),
+          follower(this->context, this->watch, this->rows), push(this->context),
           callers(this->loop, this->context.unread_bytes,
                   [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
           stopping(this->context, this->callers), readiness(this->loop), metrics(this->loop),
@@ -258,6 +259,7 @@
     placer placement;
     trial_claims claims;
     request_tools streams;
+    stream_gate gate;
     request_relay relay;
     peer_port peers;
     peer_follower follower;
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -27,6 +27,7 @@
 struct request_relay::state {
     entry_context& context;
     request_tools& tools;
+    stream_gate& gate;
     const store_client& store;
     // Requests that came before the first configuration was read.
     std::vector<std::shared_ptr<caller_exchange>> early;
@@ -211,15 +212,16 @@
             return;
         }
         if (request.route->kind == route_kind::stream) {
-            run_stream(this->context, this->tools, std::move(request));
+            run_stream(this->context, this->tools, this->gate, std::move(request));
         } else {
             run_call(this->context, this->tools, std::move(request));
         }
     }
 };
 
-request_relay::request_relay(entry_context& context, request_tools& tools, const store_client& store)
-    : self(std::make_unique<state>(state{context, tools, store, {}, {}, event_loop::now()}))
+request_relay::request_relay(entry_context& context, request_tools& tools, stream_gate& gate,
+                             const store_client& store)
+    : self(std::make_unique<state>(state{context, tools, gate, store, {}, {}, event_loop::now()}))
 {}
 
 request_relay::~request_relay() = default;
--- a/src/entry/request_relay.hpp
+++ b/src/entry/request_relay.hpp
@@ -3,6 +3,7 @@
 #include "adapters/caller_port.hpp"
 #include "entry/requests/request_tools.hpp"
 #include "entry/store/store_client.hpp"
+#include "entry/streams/stream_gate.hpp"
 
 #include <functional>
 #include <memory>
@@ -12,7 +13,7 @@
 //! Decides what a request is and hands it to the runner of its kind, or refuses it.
 class request_relay {
 public:
-    request_relay(entry_context& context, request_tools& tools, const store_client& store);
+    request_relay(entry_context& context, request_tools& tools, stream_gate& gate, const store_client& store);
     ~request_relay();
     request_relay(const request_relay&) = delete;
     request_relay& operator=(const request_relay&) = delete;
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -4,6 +4,7 @@
 #include "entry/engines/path_choice.hpp"
 #include "entry/requests/request_tools.hpp"
 #include "entry/streams/stream_attempt.hpp"
+#include "entry/streams/stream_gate.hpp"
 #include "entry/streams/stream_pace.hpp"
 #include "request/event_splitter.hpp"
 #include "request/segment_wait.hpp"
@@ -23,7 +24,7 @@
 //! path; stream_wishes.cpp says which paths it may take.
 class stream_carrier : public std::enable_shared_from_this<stream_carrier> {
 public:
-    stream_carrier(entry_context& context, request_tools& tools, accepted_request request);
+    stream_carrier(entry_context& context, request_tools& tools, stream_gate& gate, accepted_request request);
 
     void start();
 
@@ -41,6 +42,12 @@
 
     // stream_runner.cpp
     void send_next();
+    //! Whether nothing of it has run or been sent, so that the gate may hold it.
+    [[nodiscard]] bool is_new() const;
+    //! Whether the gate decides when it is sent. The gate may have let it through, or refused it, by then.
+    bool is_left_to_gate();
+    //! Sends it along the path that the gate planned; without one, along any.
+    void send_admitted(std::vector<hop> path);
     void wait_for_path();
     //! Whether a request with the segments of the prompt may be sent now; if not, it goes on later or ends.
     bool passes_segment_guard();
@@ -134,6 +141,7 @@
 
     entry_context& context;
     request_tools& tools;
+    stream_gate& gate;
     accepted_request request;
     const entry_service& service;
     event_splitter splitter;
@@ -154,6 +162,11 @@
     //! When the request was first sent to each address.
     std::map<endpoint, time_point> first_sent;
     segment_wait waits_for_segments;
+    //! Its number at the gate, 0 before it enters; whether the gate let it through, and the path that the
+    //! gate planned until it is sent along that.
+    std::uint64_t gate_number = 0;
+    bool is_admitted = false;
+    std::vector<hop> admitted_path;
     //! The path as it was when an engine of it may have died, if no event has come since.
     std::vector<hop> path_at_death;
     int sent_count = 0;
--- a/src/entry/streams/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -17,12 +17,6 @@
 // New connections are established within a few milliseconds; one that takes longer goes to a dead engine.
 constexpr milliseconds connect_timeout{250};
 
-std::int64_t tokens_of(const request_facts& facts)
-{
-    const std::int64_t most = facts.max_answer_tokens.value;
-    return facts.prompt_tokens.value + std::min(most, facts.answer_hint.value_or(most));
-}
-
 std::string text_of(entry_context& context, const accepted_request& request, const std::vector<hop>& path,
                     std::optional<std::int64_t> last_event)
 {
@@ -49,6 +43,12 @@
 
 } // namespace
 
+std::int64_t tokens_of(const request_facts& facts)
+{
+    const std::int64_t most = facts.max_answer_tokens.value;
+    return facts.prompt_tokens.value + std::min(most, facts.answer_hint.value_or(most));
+}
+
 stream_form form_of(const http_head& head)
 {
     const std::string type = head.header("Content-Type");
--- a/src/entry/streams/stream_attempt.hpp
+++ b/src/entry/streams/stream_attempt.hpp
@@ -35,6 +35,9 @@
     explicit stream_attempt(const std::shared_ptr<byte_budget>& budget) : body(budget), held(budget) {}
 };
 
+//! Tokens of the request's prompt and of its answer, as long as that is expected to be.
+std::int64_t tokens_of(const request_facts& facts);
+
 //! What the head of an answer says of its body.
 struct stream_form {
     int status = 0;
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -144,7 +144,12 @@
 {
     this->note_refused(*this->current);
     end_attempt(this->context, this->request, *this->current);
-    if (this->refusals <= max_refusals && this->may_send_again("refused")) {
+    const bool may_go_on = this->refusals <= max_refusals;
+    if (may_go_on && this->is_admitted && this->is_new() && this->context.controls_load()) {
+        // It waits for room again, in its old place, and takes a retry when it is sent.
+        this->is_admitted = false;
+        this->send_next();
+    } else if (may_go_on && this->may_send_again("refused")) {
         this->send_next();
     } else {
         this->give_up("refused_by_engine", room_return(this->context, this->service));
@@ -216,6 +221,7 @@
 void stream_carrier::end()
 {
     this->finished = true;
+    this->gate.leave(this->gate_number);
     this->deadline_timer = {};
     this->send_timer = {};
     for (const attempt_pointer& open : {this->current, this->successor}) {
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -7,11 +7,13 @@
 #include "route/pick_target.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionstep {
 namespace internal {
 namespace {
 
+constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 // Left of the time to hand over the final answer before the caller gives up.
 constexpr milliseconds answer_margin{20};
@@ -21,9 +23,9 @@
 
 } // namespace
 
-stream_carrier::stream_carrier(entry_context& context_in, request_tools& tools_in,
+stream_carrier::stream_carrier(entry_context& context_in, request_tools& tools_in, stream_gate& gate_in,
                                accepted_request request_in)
-    : context(context_in), tools(tools_in), request(std::move(request_in)),
+    : context(context_in), tools(tools_in), gate(gate_in), request(std::move(request_in)),
       service(this->request.config->services.at(this->request.service))
 {
     this->splitter.last_id = this->request.facts.last_event;
@@ -63,12 +65,15 @@
         this->end_unwanted();
         return;
     }
-    if (!this->passes_segment_guard()) {
+    if (!this->passes_segment_guard() || this->is_left_to_gate()) {
         return;
     }
     // A stream whose caller has events already, or comes back with some, moves.
     const bool moves = this->splitter.last_id.has_value() || this->sent_count > 0;
-    const std::vector<hop> chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
+    std::vector<hop> chosen = std::exchange(this->admitted_path, {});
+    if (chosen.empty()) {
+        chosen = choose_path(this->context, moves ? this->move_wish() : this->wish());
+    }
     if (chosen.empty() && this->maybe_ran && this->is_repeatable()) {
         this->wait_for_path();
         return;
@@ -83,6 +88,54 @@
     this->current = this->send_along(chosen);
 }
 
+bool stream_carrier::is_new() const
+{
+    return !this->maybe_ran && this->sent_count == 0 && !this->splitter.last_id;
+}
+
+bool stream_carrier::is_left_to_gate()
+{
+    if (this->is_admitted || !this->is_new() || !this->context.controls_load()) {
+        return false;
+    }
+    if (this->gate_number != 0) {
+        this->gate.put_back(this->gate_number);
+        return true;
+    }
+    const std::weak_ptr<stream_carrier> watched = this->weak_from_this();
+    gated_stream callbacks;
+    // The gate asks only while the stream has not left it.
+    callbacks.wish = [this] { return this->wish(); };
+    callbacks.send = [watched](std::vector<hop> path) {
+        if (const auto self = watched.lock()) {
+            self->send_admitted(std::move(path));
+        }
+    };
+    callbacks.refuse = [watched](std::string_view reason, milliseconds retry_after) {
+        const auto self = watched.lock();
+        if (self && !self->finished) {
+            self->end();
+            refuse(self->context, self->request, status_unavailable, reason, retry_after);
+        }
+    };
+    this->gate.enter(this->request, std::move(callbacks), this->gate_number);
+    return true;
+}
+
+void stream_carrier::send_admitted(std::vector<hop> path)
+{
+    if (this->finished) {
+        return;
+    }
+    this->is_admitted = true;
+    if (this->refusals > 0 && !this->may_send_again("refused")) {
+        this->give_up("refused_by_engine", room_return(this->context, this->service));
+        return;
+    }
+    this->admitted_path = std::move(path);
+    this->send_next();
+}
+
 // The engines of a stream that ran have ended or can't be reached. Its layers are being loaded elsewhere or
 // the engines are silent for a moment, and until then its caller would find no path either.
 void stream_carrier::wait_for_path()
@@ -347,7 +400,7 @@
 
 } // namespace internal
 
-void run_stream(entry_context& context, request_tools& tools, accepted_request request)
+void run_stream(entry_context& context, request_tools& tools, stream_gate& gate, accepted_request request)
 {
     const auto service = request.config->services.find(request.service);
     if (service == request.config->services.end() || !service->second.engine) {
@@ -355,7 +408,7 @@
         return;
     }
     context.has_streams = true;
-    std::make_shared<internal::stream_carrier>(context, tools, std::move(request))->start();
+    std::make_shared<internal::stream_carrier>(context, tools, gate, std::move(request))->start();
 }
 
 } // namespace dandelionstep
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -23,6 +23,8 @@
     wish.service = &this->service;
     wish.excluded = this->excluded;
     wish.gap_objective = this->request.route->gap_objective;
+    wish.prompt_tokens = this->request.facts.prompt_tokens.value;
+    wish.total_tokens = tokens_of(this->request.facts);
     return wish;
 }
 
--- a/src/route/path_outlook.cpp
+++ b/src/route/path_outlook.cpp
@@ -31,7 +31,8 @@
         }
         outlook.use = std::max(outlook.use, kv_cache_use(profile, *kind, part, *found, size));
         if (&part == &path.front()) {
-            outlook.use = std::max(outlook.use, found->entry_slots_used);
+            outlook.entry_use = found->entry_slots_used;
+            outlook.use = std::max(outlook.use, outlook.entry_use);
         }
         outlook.first_event_ms += step_time_factor(*found) *
                                   prefill_time_ms(profile, *kind, part.layers.size(), size.prompt_tokens);
--- a/src/route/path_outlook.hpp
+++ b/src/route/path_outlook.hpp
@@ -18,6 +18,8 @@
     //! Highest share in use of the KV cache of the path's engines, or of the first one's entry slots, with
     //! the request; may exceed 1.
     double use = 0;
+    //! Of that, the share of the first one's entry slots.
+    double entry_use = 0;
     //! Prefill on all engines of the path and the first steps.
     double first_event_ms = 0;
     double event_gap_ms = 0;
