--- a/src/entry/streams/stream_gate.cpp
+++ b/src/entry/streams/stream_gate.cpp
@@ -232,6 +232,8 @@
     note_refused(state, held.request);
     const time_point now = event_loop::now();
     held.entered = now;
+    // Engines that are full now are so a moment later, too.
+    held.request.not_due_before = now + poll_interval;
     this->wait(number, decide_wait(state, held.request, admission_reason::engine_refused, now), {});
 }
 
--- a/src/request/stream_admission.cpp
+++ b/src/request/stream_admission.cpp
@@ -15,7 +15,7 @@
 
 // Part of the capacity that is kept for more urgent work when nearly all recent work was more urgent. It has
 // to cover what arrives until a changed use is known, about a second, of streams that run for some 4 s.
-constexpr double largest_reserve = 0.2;
+constexpr double largest_reserve = 0.25;
 // Within this distance of the limit a random part of the streams is held, so that daemons that see the same
 // use don't all start or stop sending at the same moment.
 constexpr double limit_band = 0.05;
@@ -44,7 +44,7 @@
 
 // They are sent earlier if the first event is expected to take longer than the other half; by this factor
 // more than expected, as the engines are full.
-constexpr double first_event_margin = 1.5;
+constexpr double first_event_margin = 2;
 
 // Callers leave a stream that is silent for the longest of these.
 constexpr milliseconds least_patience{2'000};
@@ -160,10 +160,10 @@
     if (!is_most_urgent) {
         return never;
     }
-    const milliseconds needed{
-        static_cast<std::int64_t>(first_event_margin * static_cast<double>(state.first_event.count))};
-    return request.began +
-           std::clamp(request.latency_objective - needed, milliseconds{0}, request.latency_objective / 2);
+    const double needed = first_event_margin * static_cast<double>(state.first_event.count);
+    const milliseconds latest = request.latency_objective - milliseconds{static_cast<std::int64_t>(needed)};
+    const time_point due = request.began + std::clamp(latest, milliseconds{0}, request.latency_objective / 2);
+    return std::max(due, request.not_due_before);
 }
 
 bool must_go(const stream_admission& state, const admission_request& request, time_point now)
--- a/src/request/stream_admission.hpp
+++ b/src/request/stream_admission.hpp
@@ -26,6 +26,8 @@
     milliseconds gap_objective{0};
     //! Its work relative to a request of mean length.
     double cost = 1;
+    //! Not sent before this time for the sake of its objective alone, as an engine has just refused it.
+    time_point not_due_before{0};
     //! Memory that it takes while it waits.
     std::size_t bytes = 0;
 };
--- a/tests/request/stream_admission_test.cpp
+++ b/tests/request/stream_admission_test.cpp
@@ -327,6 +327,7 @@
             ++this->retries;
             if (this->plan.admits) {
                 note_refused(gate, one.request);
+                one.request.not_due_before = this->now + milliseconds{poll_ms};
                 this->enqueue(std::move(one));
                 return;
             }
@@ -480,7 +481,9 @@
             late += each.asked - each.in_time;
         }
         if (late > asked / 10) {
-            CHECK_MESSAGE(kinds.at(0).share_in_time() >= kinds.at(2).share_in_time(), window);
+            const std::int64_t began = window * window_ms;
+            INFO("window that began at ", began, " ms");
+            CHECK(kinds.at(0).share_in_time() >= kinds.at(2).share_in_time());
         }
     }
 }
@@ -491,10 +494,10 @@
     const double served = got.all.share_served();
     CHECK(got.large.share_served() >= served / 2);
     for (const auto& [organisation, each] : got.organisations) {
-        CHECK_MESSAGE(each.share_served() >= served / 4, organisation.value);
+        CHECK(each.share_served() >= served / 4);
     }
     for (const auto& [i, each] : got.kinds) {
-        CHECK_MESSAGE(each.share_served() >= served / 4, i);
+        CHECK(each.share_served() >= served / 4);
     }
 }
 
@@ -503,7 +506,7 @@
 // Without admission all kinds are late together when the load exceeds the capacity.
 TEST_CASE("under overload and a loss of engines the most urgent streams stay in time")
 {
-    for (const std::uint64_t seed : {1, 2, 3}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         load_plan plan;
         plan.seed = seed;
         const outcome with = replay(plan).run();
@@ -521,7 +524,7 @@
 // With one priority nothing can yield: sending into full engines would make all late.
 TEST_CASE("streams of one priority are in time more often with admission")
 {
-    for (const std::uint64_t seed : {1, 2, 3}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         load_plan plan;
         plan.seed = seed;
         for (kind& each : plan.kinds) {
