--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -122,6 +122,7 @@
 std::vector<hop> hops_of(const std::vector<path_part>& parts)
 {
     std::vector<hop> hops;
+    hops.reserve(parts.size());
     for (const path_part& part : parts) {
         hops.push_back({part.target->id, part.target->address, part.layers, part.target->started});
     }
@@ -148,6 +149,7 @@
         outlook_of(*wish.service->engine, parts, candidates,
                    {static_cast<double>(wish.prompt_tokens), static_cast<double>(wish.total_tokens)});
     estimate.use = outlook.use;
+    estimate.entry_use = outlook.entry_use;
     estimate.first_event = milliseconds{static_cast<std::int64_t>(outlook.first_event_ms)};
     estimate.event_gap = milliseconds{static_cast<std::int64_t>(outlook.event_gap_ms)};
     return estimate;
