Learned cost: lengths of answers, remaining tokens of engines and work of targets in the choice of paths and targets

Cause: the router took the hint or the longest length of an answer as its length and never learned, the path of a new request did not depend on its size, and targets were judged by numbers of requests. Where load is controlled, cost_model learns the lengths of completed streams by route, organisation and first segment, with the hint as one input; what a stream was noted to take of its engines follows what has arrived and is kept in the attempt, so that it is released as it was noted; the reports tell the remaining tokens (member `remaining`). The choice of a path counts the request's own KV cache and prefill, and weights the running requests by how long they last. An engine's cost rises from 85 % of its KV cache instead of 50 %. Without load control paths, targets and messages are as before.

--- a/src/entry/calls/call_outcome.cpp
+++ b/src/entry/calls/call_outcome.cpp
@@ -102,6 +102,9 @@
     }
     if (ended.head.status < first_server_error) {
         note_response(condition, now - ended.sent_at, now);
+        if (this->context.controls_load()) {
+            note_call(this->context.costs, this->request.route->name, now - ended.sent_at, now);
+        }
         this->deliver(ended);
         return;
     }
--- a/src/entry/calls/call_runner.cpp
+++ b/src/entry/calls/call_runner.cpp
@@ -62,6 +62,7 @@
     query.excluded = this->tried;
     query.now = event_loop::now();
     query.draw = this->context.draw();
+    query.counts_work = this->context.controls_load();
     const registered_target* target = pick_target(query, this->context.targets, this->context.conditions);
     if (target == nullptr && this->running == 0) {
         this->wait_or_give_up("no_target");
@@ -145,6 +146,7 @@
     ++this->running;
     target_condition& condition = this->context.conditions[target.id];
     ++condition.in_flight;
+    this->begin_work(*sent, condition);
     note_sent(condition, sent->sent_at);
     note_send(this->context, target.id);
     forwarding added;
@@ -251,6 +253,20 @@
     const auto found = this->context.conditions.find(ended.target.id);
     if (found != this->context.conditions.end()) {
         found->second.in_flight = std::max<std::int64_t>(0, found->second.in_flight - 1);
+        end_call(found->second.calls, ended.work);
+    }
+}
+
+// Notes the work that the call brings its target, as far as it is known.
+void call_carrier::begin_work(attempt& sent, target_condition& condition)
+{
+    if (!this->context.controls_load()) {
+        return;
+    }
+    const double expected = expected_call_ms(this->context.costs, this->request.route->name, sent.sent_at);
+    if (expected > 0) {
+        sent.work = call_work{sent.sent_at, expected};
+        condition.calls.push_back(*sent.work);
     }
 }
 
--- a/src/entry/calls/internal/call_carrier.hpp
+++ b/src/entry/calls/internal/call_carrier.hpp
@@ -34,6 +34,8 @@
         answer_evidence evidence = answer_evidence::none;
         gathered_text body;
         bool ended = false;
+        //! The work that it brings its target, if it is estimated.
+        std::optional<call_work> work;
         //! While the attempt tries segments of the prompt that may crash its target.
         std::shared_ptr<segment_trial> trial;
 
@@ -52,6 +54,7 @@
     [[nodiscard]] std::optional<time_point> first_sent_to(const endpoint& to) const;
     void log_failed(const attempt& failed, std::string_view how);
     void release(attempt& ended);
+    void begin_work(attempt& sent, target_condition& condition);
     void caller_gone();
     //! Asked right before each send.
     [[nodiscard]] bool is_wanted() const;
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -9,6 +9,7 @@
 #include "entry/context/store_position.hpp"
 #include "organisation/fair_share.hpp"
 #include "report/log_budget.hpp"
+#include "request/cost_model.hpp"
 #include "request/segment_suspects.hpp"
 #include "request/shared_suspects.hpp"
 #include "route/entry_config.hpp"
@@ -118,6 +119,8 @@
     time_point others_at{0};
     //! Until when not all of those daemons have told: they have just started, or their reader has.
     time_point others_partial_until{0};
+    //! Lengths of answers and response times of calls, learned while load is controlled.
+    cost_model costs;
     entry_metrics metrics;
     log_budget logs;
     std::mt19937_64 random;
--- a/src/entry/context/entry_metrics.cpp
+++ b/src/entry/context/entry_metrics.cpp
@@ -19,6 +19,13 @@
     }
 }
 
+void append_gauges(std::string& text, const std::string& name, const std::string& label,
+                   const std::map<std::string, std::int64_t>& values)
+{
+    absl::StrAppend(&text, "# TYPE ", name, " gauge\n");
+    append_values(text, name, label, values);
+}
+
 void append_counts(std::string& text, const std::string& name, const std::string& label,
                    const std::map<std::string, std::int64_t>& counts)
 {
@@ -47,8 +54,10 @@
     append_counts(text, "dandelionstep_entry_requests_total", "kind", "result", metrics.requests);
     append_counts(text, "dandelionstep_entry_retries_total", "reason", metrics.retries);
     append_counts(text, "dandelionstep_entry_retries_denied_total", "reason", metrics.retries_denied);
-    absl::StrAppend(&text, "# TYPE dandelionstep_entry_retries_saved gauge\n");
-    append_values(text, "dandelionstep_entry_retries_saved", "service", metrics.retries_saved);
+    append_gauges(text, "dandelionstep_entry_retries_saved", "service", metrics.retries_saved);
+    append_gauges(text, "dandelionstep_entry_answer_tokens", "route", metrics.answer_tokens);
+    append_gauges(text, "dandelionstep_entry_answer_error_percent", "route", metrics.answer_error_percent);
+    append_gauges(text, "dandelionstep_entry_stated_error_percent", "route", metrics.stated_error_percent);
     append_count(text, "dandelionstep_entry_sent_to_resting_total", metrics.sent_to_resting);
     append_count(text, "dandelionstep_entry_deaths_under_requests_total", metrics.deaths_under_requests);
     append_count(text, "dandelionstep_entry_deaths_before_answers_total", metrics.deaths_before_answers);
--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -51,6 +51,10 @@
     std::map<std::string, std::map<std::string, std::int64_t>> store_calls;
     //! Orders to engines by result.
     std::map<std::string, std::int64_t> orders;
+    //! Learned lengths of answers in tokens, by route, and by how much these and the stated ones are off.
+    std::map<std::string, std::int64_t> answer_tokens;
+    std::map<std::string, std::int64_t> answer_error_percent;
+    std::map<std::string, std::int64_t> stated_error_percent;
     //! Values as of now, by name.
     std::map<std::string, std::int64_t> gauges;
 };
--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -13,6 +13,11 @@
 // Share of the gap objective that the estimate may take: batches, prompts and hops come on top of it.
 constexpr double local_gap_share = 0.5;
 
+// Share of an engine's KV cache up to which requests are not sent elsewhere while load is controlled.
+// Expected lengths are close enough for a small reserve; with a large one, requests run on slow accelerators
+// while fast ones have room: in the simulation of tests/route, 10 % fewer streams were in time with 0.5.
+constexpr double free_kv_cache_share = 0.85;
+
 // What others told of their use counts for so long; they tell about once a second.
 constexpr milliseconds others_validity{3'000};
 
@@ -21,7 +26,7 @@
 engine_use estimated_use(const entry_context& context, const target_id& id, const target_condition& own,
                          time_point now)
 {
-    const engine_use own_use = current_use(own, now);
+    const engine_use own_use = current_use(own, now, context.controls_load());
     const engine_use alike = scaled(own_use, static_cast<double>(context.siblings));
     engine_use use = alike;
     if (now - context.others_at < others_validity) {
@@ -43,29 +48,22 @@
                             time_point now)
 {
     const engine_use use = estimated_use(context, target.id, condition, now);
-    path_candidate candidate;
-    candidate.target = &target;
-    candidate.running = static_cast<double>(use.running);
-    const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
-    candidate.entry_slots_used = static_cast<double>(use.entered) / slots;
-    const accelerator_kind* kind = find_kind(profile, target.kind);
-    if (kind != nullptr) {
-        const double room =
-            kv_cache_tokens(profile, *kind, target.layers.size()) * static_cast<double>(target.layers.size());
-        candidate.kv_cache_used = room > 0 ? use.token_layers / room : 1;
-    }
+    path_candidate candidate = candidate_with(profile, target, use, current_slowdown(condition, now));
     candidate.kv_cache_used = std::max(candidate.kv_cache_used, current_kv_cache_usage(condition, now));
     candidate.may_enter = !is_backing_off(condition, now);
     if (!is_below_slow_start_limit(condition, condition.entered)) {
         candidate.entry_slots_used = std::max(candidate.entry_slots_used, 1.0);
     }
-    candidate.slowness = current_slowdown(condition, now);
-    if (kind != nullptr) {
-        candidate.prefill_load = candidate.slowness * prefill_time_ms(profile, *kind, 1, use.prefill_load);
-    }
     return candidate;
 }
 
+// The answer of a request of which nothing is known is taken to be as long as usual.
+double answer_tokens_of(const path_wish& wish)
+{
+    const auto expected = static_cast<double>(wish.total_tokens - wish.prompt_tokens);
+    return expected > 0 ? expected : wish.service->engine->mean_answer_tokens;
+}
+
 std::vector<path_candidate> candidates_for(entry_context& context, const path_wish& wish)
 {
     const entry_service& service = *wish.service;
@@ -83,9 +81,26 @@
                                                                   : new_request_cost_factor(context.draw());
         }
     }
+    if (context.controls_load()) {
+        estimate_meanwhile(candidates, answer_tokens_of(wish));
+    }
     return candidates;
 }
 
+request_size size_of(const path_wish& wish)
+{
+    return {static_cast<double>(wish.prompt_tokens), static_cast<double>(wish.total_tokens)};
+}
+
+// A stream is in time if both the first event and each gap are, so that both count by their share of their
+// objective.
+double prefill_weight(const engine_profile& profile, const path_wish& wish)
+{
+    const double steps = std::max(1.0, profile.steps_per_event);
+    return static_cast<double>(wish.gap_objective.count) /
+           static_cast<double>(std::max<std::int64_t>(1, wish.latency_objective.count)) / steps;
+}
+
 std::vector<path_part> choose_parts(const entry_context& context, const path_wish& wish,
                                     const std::vector<path_candidate>& candidates)
 {
@@ -95,6 +110,11 @@
     query.to_layer = wish.to_layer;
     query.moved_tokens = static_cast<double>(wish.moved_tokens);
     query.entry = context.settings.data_centre;
+    if (context.controls_load()) {
+        query.size = size_of(wish);
+        query.prefill_weight = prefill_weight(*query.profile, wish);
+        query.free_kv_cache_share = free_kv_cache_share;
+    }
     if (wish.previous != nullptr) {
         const auto found = context.targets.find(wish.previous->id);
         query.previous = found == context.targets.end() ? nullptr : &found->second;
@@ -129,9 +149,7 @@
     if (parts.empty()) {
         return estimate;
     }
-    const path_outlook outlook =
-        outlook_of(*wish.service->engine, parts, candidates,
-                   {static_cast<double>(wish.prompt_tokens), static_cast<double>(wish.total_tokens)});
+    const path_outlook outlook = outlook_of(*wish.service->engine, parts, candidates, size_of(wish));
     estimate.use = outlook.use;
     estimate.first_event = milliseconds{static_cast<std::int64_t>(outlook.first_event_ms)};
     estimate.event_gap = milliseconds{static_cast<std::int64_t>(outlook.event_gap_ms)};
@@ -216,17 +234,39 @@
     }
 }
 
-void occupy_path(entry_context& context, const std::vector<hop>& hops, std::int64_t tokens)
+namespace {
+
+double token_layers(std::int64_t tokens, const hop& part)
+{
+    return static_cast<double>(tokens * part.layers.size());
+}
+
+void add_booking(target_condition& condition, const hop& part, const path_booking& booking)
+{
+    condition.token_layers += token_layers(booking.total_tokens, part);
+    condition.remaining_tokens += static_cast<double>(booking.remaining_tokens);
+}
+
+void subtract_booking(target_condition& condition, const hop& part, const path_booking& booking)
+{
+    condition.token_layers = std::max(0.0, condition.token_layers - token_layers(booking.total_tokens, part));
+    condition.remaining_tokens =
+        std::max(0.0, condition.remaining_tokens - static_cast<double>(booking.remaining_tokens));
+}
+
+} // namespace
+
+void occupy_path(entry_context& context, const std::vector<hop>& hops, const path_booking& booking)
 {
     for (const hop& part : hops) {
         target_condition& condition = context.conditions[part.id];
         ++condition.in_flight;
         condition.entered += &part == &hops.front() ? 1 : 0;
-        condition.token_layers += static_cast<double>(tokens * part.layers.size());
+        add_booking(condition, part, booking);
     }
 }
 
-void release_path(entry_context& context, const std::vector<hop>& hops, std::int64_t tokens)
+void release_path(entry_context& context, const std::vector<hop>& hops, const path_booking& booking)
 {
     for (const hop& part : hops) {
         const auto found = context.conditions.find(part.id);
@@ -236,8 +276,19 @@
         found->second.in_flight = std::max<std::int64_t>(0, found->second.in_flight - 1);
         const std::int64_t entered = &part == &hops.front() ? 1 : 0;
         found->second.entered = std::max<std::int64_t>(0, found->second.entered - entered);
-        found->second.token_layers =
-            std::max(0.0, found->second.token_layers - static_cast<double>(tokens * part.layers.size()));
+        subtract_booking(found->second, part, booking);
+    }
+}
+
+void rebook_path(entry_context& context, const std::vector<hop>& hops, const path_booking& before,
+                 const path_booking& booking)
+{
+    for (const hop& part : hops) {
+        const auto found = context.conditions.find(part.id);
+        if (found != context.conditions.end()) {
+            subtract_booking(found->second, part, before);
+            add_booking(found->second, part, booking);
+        }
     }
 }
 
--- a/src/entry/engines/path_choice.hpp
+++ b/src/entry/engines/path_choice.hpp
@@ -25,6 +25,18 @@
     //! Tokens of a new request's prompt, and of its prompt and answer together; 0 if unknown.
     std::int64_t prompt_tokens = 0;
     std::int64_t total_tokens = 0;
+    //! Longest time to the first event for which the stream is on time.
+    milliseconds latency_objective{1'000};
+};
+
+//! What a request was noted to take of each engine on its path.
+struct path_booking {
+    //! Its prompt and answer once it is complete.
+    std::int64_t total_tokens = 0;
+    //! Tokens of the answer that are still expected; 0 if not estimated.
+    std::int64_t remaining_tokens = 0;
+
+    friend bool operator==(const path_booking&, const path_booking&) = default;
 };
 
 //! A path and how a new request is expected to fare on it now.
@@ -58,10 +70,13 @@
 //! Notes that the engines now read `tokens` over their layers of the hops.
 void note_prefill(entry_context& context, const std::vector<hop>& hops, std::int64_t tokens);
 
-//! Notes that a request with `tokens` in all runs along the hops.
-void occupy_path(entry_context& context, const std::vector<hop>& hops, std::int64_t tokens);
-//! Notes that it no longer does.
-void release_path(entry_context& context, const std::vector<hop>& hops, std::int64_t tokens);
+//! Notes that a request runs along the hops.
+void occupy_path(entry_context& context, const std::vector<hop>& hops, const path_booking& booking);
+//! Notes that it no longer does; `booking` is what was noted last.
+void release_path(entry_context& context, const std::vector<hop>& hops, const path_booking& booking);
+//! Notes that it takes something else from now on.
+void rebook_path(entry_context& context, const std::vector<hop>& hops, const path_booking& before,
+                 const path_booking& booking);
 
 //! A path as it stands in logs: each engine with its layers.
 std::string path_text(const std::vector<hop>& path);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -181,9 +181,24 @@
         for (const auto& [service, budget] : this->context.retry_budgets) {
             this->context.metrics.retries_saved[service.value] = static_cast<std::int64_t>(budget.balance);
         }
+        this->note_learned();
         return {status_ok, to_prometheus(this->context.metrics)};
     }
 
+    // Without load control nothing is learned, and what was learned before is not used.
+    void note_learned()
+    {
+        entry_metrics& metrics = this->context.metrics;
+        metrics.answer_tokens.clear();
+        metrics.answer_error_percent.clear();
+        metrics.stated_error_percent.clear();
+        for (const auto& [route, learned] : learned_answers(this->context.costs, event_loop::now())) {
+            metrics.answer_tokens[route] = learned.tokens;
+            metrics.answer_error_percent[route] = learned.learned_error_percent;
+            metrics.stated_error_percent[route] = learned.stated_error_percent;
+        }
+    }
+
     void reload()
     {
         const absl::StatusOr<entry_settings> read =
--- a/src/entry/peers/peer_messages.cpp
+++ b/src/entry/peers/peer_messages.cpp
@@ -7,6 +7,8 @@
 #include "entry/suspects/suspect_messages.hpp"
 #include "target/parse_endpoint.hpp"
 
+#include <cmath>
+
 namespace dandelionstep {
 namespace {
 
@@ -14,15 +16,26 @@
 {
     json list = json::array();
     for (const auto& [id, use] : uses) {
-        list.push_back({{"id", id.value},
-                        {"running", use.running},
-                        {"entered", use.entered},
-                        {"token_layers", use.token_layers},
-                        {"reading", use.prefill_load}});
+        json item = {{"id", id.value},
+                     {"running", use.running},
+                     {"entered", use.entered},
+                     {"token_layers", use.token_layers},
+                     {"reading", use.prefill_load}};
+        if (use.remaining) {
+            item["remaining"] = std::llround(*use.remaining);
+        }
+        list.push_back(std::move(item));
     }
     return list;
 }
 
+// Daemons of older versions don't tell it, nor do those without load control.
+std::optional<double> parse_remaining(const json& item)
+{
+    const std::int64_t remaining = integer_or(item, "remaining", -1);
+    return remaining < 0 ? std::nullopt : std::optional(static_cast<double>(remaining));
+}
+
 std::optional<engine_uses> parse_uses(const json& object)
 {
     const auto list = object.find("uses");
@@ -33,7 +46,7 @@
     for (const json& item : *list) {
         uses[target_id(string_or(item, "id", ""))] = {
             integer_or(item, "running", 0), integer_or(item, "entered", 0),
-            number_or(item, "token_layers", 0), number_or(item, "reading", 0)};
+            number_or(item, "token_layers", 0), number_or(item, "reading", 0), parse_remaining(item)};
     }
     return uses;
 }
--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -33,7 +33,7 @@
     engine_uses uses;
     for (const auto& [id, condition] : context.conditions) {
         if (condition.token_layers > 0) {
-            uses[id] = current_use(condition, now);
+            uses[id] = current_use(condition, now, context.controls_load());
         }
     }
     return uses;
--- a/src/entry/streams/internal/stream_carrier.hpp
+++ b/src/entry/streams/internal/stream_carrier.hpp
@@ -65,6 +65,8 @@
     [[nodiscard]] bool is_wanted() const;
 
     // stream_wishes.cpp
+    //! Tokens of the answer that have come.
+    [[nodiscard]] std::int64_t answer_tokens() const;
     [[nodiscard]] std::int64_t tokens_read() const;
     [[nodiscard]] path_wish wish() const;
     [[nodiscard]] path_wish move_wish() const;
@@ -82,6 +84,7 @@
     void leave_faulty();
     void complete();
     void log_pace();
+    void learn_length(bool is_complete);
     void deliver_failure();
     void refused_by_engine();
     void unconnected();
--- a/src/entry/streams/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -3,8 +3,9 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/strip.h"
 #include "adapters/http_text.hpp"
-#include "entry/engines/path_choice.hpp"
 #include "entry/registry/target_notices.hpp"
+#include "entry/requests/expected_answer.hpp"
+#include "target/remaining_work.hpp"
 
 #include <algorithm>
 
@@ -17,10 +18,23 @@
 // New connections are established within a few milliseconds; one that takes longer goes to a dead engine.
 constexpr milliseconds connect_timeout{250};
 
-std::int64_t tokens_of(const request_facts& facts)
+// What is expected is noted anew once it has changed by one part in so many of the answer.
+constexpr std::int64_t booking_steps = 8;
+
+// While load is controlled, an answer of which the caller has a part is expected to go on.
+void book_answer(entry_context& context, const accepted_request& request, stream_attempt& attempt,
+                 std::int64_t arrived)
 {
-    const std::int64_t most = facts.max_answer_tokens.value;
-    return facts.prompt_tokens.value + std::min(most, facts.answer_hint.value_or(most));
+    const std::int64_t prompt = request.facts.prompt_tokens.value;
+    const std::int64_t expected = expected_answer_tokens(context, request);
+    attempt.booking = {prompt + expected, 0};
+    if (context.controls_load()) {
+        const std::int64_t whole =
+            revised_answer_tokens(expected, arrived, request.facts.max_answer_tokens.value);
+        attempt.expected_tokens = whole;
+        attempt.first_expected_tokens = whole;
+        attempt.booking = {prompt + whole, whole - arrived};
+    }
 }
 
 std::string text_of(entry_context& context, const accepted_request& request, const std::vector<hop>& path,
@@ -66,7 +80,8 @@
 {
     auto attempt = std::make_shared<stream_attempt>(context.answer_bytes);
     attempt->path = std::move(sending.path);
-    occupy_path(context, attempt->path, tokens_of(request.facts));
+    book_answer(context, request, *attempt, answer_tokens_until(request, sending.last_event));
+    occupy_path(context, attempt->path, attempt->booking);
     note_send(context, attempt->path.front().id);
     exchange_callbacks exchange;
     exchange.may_send = std::move(callbacks.may_send);
@@ -102,15 +117,32 @@
     return attempt;
 }
 
-void change_attempt_path(entry_context& context, const accepted_request& request, stream_attempt& attempt,
-                         std::vector<hop> path)
+void change_attempt_path(entry_context& context, stream_attempt& attempt, std::vector<hop> path)
 {
-    release_path(context, attempt.path, tokens_of(request.facts));
+    release_path(context, attempt.path, attempt.booking);
     attempt.path = std::move(path);
-    occupy_path(context, attempt.path, tokens_of(request.facts));
+    occupy_path(context, attempt.path, attempt.booking);
+}
+
+void note_arrived(entry_context& context, const accepted_request& request, stream_attempt& attempt,
+                  std::int64_t tokens)
+{
+    if (!attempt.expected_tokens || attempt.ended) {
+        return;
+    }
+    const std::int64_t whole =
+        revised_answer_tokens(*attempt.expected_tokens, tokens, request.facts.max_answer_tokens.value);
+    const path_booking booking{request.facts.prompt_tokens.value + whole, whole - tokens};
+    const std::int64_t change = attempt.booking.remaining_tokens - booking.remaining_tokens;
+    if (whole == *attempt.expected_tokens && change * booking_steps < whole) {
+        return;
+    }
+    attempt.expected_tokens = whole;
+    rebook_path(context, attempt.path, attempt.booking, booking);
+    attempt.booking = booking;
 }
 
-void end_attempt(entry_context& context, const accepted_request& request, stream_attempt& attempt)
+void end_attempt(entry_context& context, stream_attempt& attempt)
 {
     if (attempt.ended) {
         return;
@@ -118,7 +150,7 @@
     attempt.ended = true;
     attempt.trial.reset();
     context.channels.cancel(attempt.exchange);
-    release_path(context, attempt.path, tokens_of(request.facts));
+    release_path(context, attempt.path, attempt.booking);
 }
 
 } // namespace dandelionstep
--- a/src/entry/streams/stream_attempt.hpp
+++ b/src/entry/streams/stream_attempt.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/engines/path_choice.hpp"
 #include "entry/requests/accepted_request.hpp"
 #include "entry/requests/answer_evidence.hpp"
 #include "entry/suspects/segment_guard.hpp"
@@ -15,6 +16,12 @@
 //! One send of a streaming request along a path of engines.
 struct stream_attempt {
     std::vector<hop> path;
+    //! What was noted last of its use of the path.
+    path_booking booking;
+    //! Expected length of the whole answer in tokens, and what was expected at the start; nullopt if it is
+    //! not estimated.
+    std::optional<std::int64_t> expected_tokens;
+    std::int64_t first_expected_tokens = 0;
     std::weak_ptr<channel_pool::exchange> exchange;
     http_head head;
     response_facts facts;
@@ -73,10 +80,13 @@
                                               stream_sending sending, stream_attempt_callbacks callbacks);
 
 //! Takes another path for the attempt, without telling its engines.
-void change_attempt_path(entry_context& context, const accepted_request& request, stream_attempt& attempt,
-                         std::vector<hop> path);
+void change_attempt_path(entry_context& context, stream_attempt& attempt, std::vector<hop> path);
+
+//! Notes that `tokens` tokens of the answer have come in all.
+void note_arrived(entry_context& context, const accepted_request& request, stream_attempt& attempt,
+                  std::int64_t tokens);
 
 //! Ends the attempt's exchange if it still runs, and gives its place on the path back.
-void end_attempt(entry_context& context, const accepted_request& request, stream_attempt& attempt);
+void end_attempt(entry_context& context, stream_attempt& attempt);
 
 } // namespace dandelionstep
--- a/src/entry/streams/stream_end.cpp
+++ b/src/entry/streams/stream_end.cpp
@@ -1,4 +1,5 @@
 #include "adapters/log.hpp"
+#include "entry/requests/expected_answer.hpp"
 #include "entry/requests/refusal.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 
@@ -16,6 +17,8 @@
 constexpr int max_unconnected = 3;
 // An engine that is short of room gets some back as answers end.
 constexpr milliseconds pause_after_refusal{300};
+// An answer that is so many times as long as expected, or as short, is far off.
+constexpr std::int64_t far_off_factor = 4;
 
 } // namespace
 
@@ -81,6 +84,7 @@
     const target_id first = this->current->path.front().id;
     const int status = this->current->head.status;
     this->log_pace();
+    this->learn_length(true);
     this->tools.guard.note_ran_well(this->request.fingerprint);
     this->tools.guard.segments().note_answer_begun(this->request.segments);
     this->end();
@@ -88,6 +92,23 @@
     this->request.caller->finish();
 }
 
+// An expectation that was far off is logged, as it makes paths look free or full that are not.
+void stream_carrier::learn_length(bool is_complete)
+{
+    const std::int64_t tokens = this->answer_tokens();
+    learn_answer(this->context, this->request, tokens, is_complete);
+    const std::int64_t expected = this->current ? this->current->first_expected_tokens : 0;
+    const bool is_far_off =
+        expected > 0 && (tokens > expected * far_off_factor || tokens * far_off_factor < expected);
+    if (is_complete && is_far_off && may_log(this->context.logs, log_weight::success, event_loop::now())) {
+        log_event("answer_length_missed", {{"id", this->request.facts.attempt_id},
+                                           {"route", this->request.route->name},
+                                           {"expected_tokens", expected},
+                                           {"tokens", tokens},
+                                           {"hint", this->request.facts.answer_hint.value_or(0)}});
+    }
+}
+
 // How the stream went for its caller; streams that were late tell the path that they took.
 void stream_carrier::log_pace()
 {
@@ -143,7 +164,7 @@
 void stream_carrier::refused_by_engine()
 {
     this->note_refused(*this->current);
-    end_attempt(this->context, this->request, *this->current);
+    end_attempt(this->context, *this->current);
     if (this->refusals <= max_refusals && this->may_send_again("refused")) {
         this->send_next();
     } else {
@@ -154,7 +175,7 @@
 void stream_carrier::unconnected()
 {
     --this->sent_count;
-    end_attempt(this->context, this->request, *this->current);
+    end_attempt(this->context, *this->current);
     if (++this->unconnected_count <= max_unconnected) {
         this->send_next();
     } else if (this->maybe_ran && this->is_repeatable()) {
@@ -177,7 +198,7 @@
 // Goes on after the last event that was passed on, as the current attempt has ended.
 void stream_carrier::resume(const char* reason)
 {
-    end_attempt(this->context, this->request, *this->current);
+    end_attempt(this->context, *this->current);
     if (this->is_repeatable() && this->is_held() && this->is_checking()) {
         // A target that broke off may be alive, and only a dead one tells of the request.
         this->pause(pause_without_path, [reason](stream_carrier& self) { self.resume(reason); });
@@ -220,7 +241,7 @@
     this->send_timer = {};
     for (const attempt_pointer& open : {this->current, this->successor}) {
         if (open) {
-            end_attempt(this->context, this->request, *open);
+            end_attempt(this->context, *open);
         }
     }
 }
@@ -269,6 +290,7 @@
     }
     this->end();
     if (this->request.caller->started()) {
+        this->learn_length(false);
         log_event("stream_cut", {{"id", this->request.facts.attempt_id},
                                  {"reason", reason},
                                  {"after_event", this->splitter.last_id.value_or(0)},
@@ -292,6 +314,7 @@
 void stream_carrier::caller_gone()
 {
     if (!this->finished) {
+        this->learn_length(false);
         this->end();
         record_request(this->context, this->request, 0, "caller_gone", {});
     }
--- a/src/entry/streams/stream_path_change.cpp
+++ b/src/entry/streams/stream_path_change.cpp
@@ -106,7 +106,7 @@
                                {"path", path_text(repaired)},
                                {"fingerprint", this->request.fingerprint.value}});
     const std::vector<hop> before = this->current->path;
-    change_attempt_path(this->context, this->request, *this->current, repaired);
+    change_attempt_path(this->context, *this->current, repaired);
     note_prefill(this->context, new_parts(before, repaired), this->tokens_read());
     if (!this->has_begun()) {
         this->try_segments(*this->current);
@@ -156,7 +156,7 @@
         note_refusal(this->context.conditions[at_fault->id], pause_after_missing, now);
         this->tools.probes.ask_one(at_fault->id, at_fault->address);
     }
-    change_attempt_path(this->context, this->request, *this->current, refused.before);
+    change_attempt_path(this->context, *this->current, refused.before);
     if (refused.leaves) {
         return;
     }
--- a/src/entry/streams/stream_repair.cpp
+++ b/src/entry/streams/stream_repair.cpp
@@ -230,7 +230,7 @@
 // was held is made anew.
 void stream_carrier::take_successor()
 {
-    end_attempt(this->context, this->request, *this->current);
+    end_attempt(this->context, *this->current);
     this->current = std::move(this->successor);
     this->successor.reset();
     discard_partial_event(this->splitter);
@@ -240,7 +240,7 @@
 // The current attempt goes on; what it brought meanwhile is passed on.
 void stream_carrier::drop_successor()
 {
-    end_attempt(this->context, this->request, *this->successor);
+    end_attempt(this->context, *this->successor);
     this->successor.reset();
     this->pass_on(this->current->held.take());
 }
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -282,6 +282,7 @@
 {
     const bool had_begun = this->has_begun();
     this->current->events += count;
+    note_arrived(this->context, this->request, *this->current, this->answer_tokens());
     if (!had_begun && this->has_begun()) {
         this->current->trial.reset();
         this->tools.guard.segments().note_answer_begun(this->request.segments);
@@ -295,7 +296,7 @@
     }
     if (end == exchange_end::withdrawn) {
         --this->sent_count;
-        end_attempt(this->context, this->request, *attempt);
+        end_attempt(this->context, *attempt);
         this->end_unwanted();
     } else if (attempt == this->successor) {
         this->successor_ended(end);
--- a/src/entry/streams/stream_wishes.cpp
+++ b/src/entry/streams/stream_wishes.cpp
@@ -1,3 +1,4 @@
+#include "entry/requests/expected_answer.hpp"
 #include "entry/streams/internal/stream_carrier.hpp"
 
 #include <algorithm>
@@ -10,6 +11,12 @@
 
 } // namespace
 
+std::int64_t stream_carrier::answer_tokens() const
+{
+    return answer_tokens_until(this->request,
+                               this->splitter.last_id.value_or(this->splitter.returned_events));
+}
+
 // What an engine that joins the path now has to read: the prompt and the answer so far.
 std::int64_t stream_carrier::tokens_read() const
 {
@@ -23,6 +30,12 @@
     wish.service = &this->service;
     wish.excluded = this->excluded;
     wish.gap_objective = this->request.route->gap_objective;
+    wish.latency_objective = this->request.route->latency_objective;
+    if (this->context.controls_load()) {
+        const std::int64_t answer = expected_answer_tokens(this->context, this->request);
+        wish.prompt_tokens = this->request.facts.prompt_tokens.value;
+        wish.total_tokens = wish.prompt_tokens + std::max(answer, this->answer_tokens());
+    }
     return wish;
 }
 
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -1,8 +1,11 @@
 #include "route/layer_path.hpp"
 
+#include "target/remaining_work.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <string_view>
 
 namespace dandelionstep {
 namespace {
@@ -16,9 +19,10 @@
 // prompt occupies the link, times this factor for the requests that wait behind it.
 constexpr double link_wait_factor = 4.0;
 constexpr double unknown_link_ms = 10.0;
-// Above this share of its KV cache or entry slots an engine's cost rises, so that requests spread to others
-// before it preempts or refuses some. With a full KV cache it costs (1 + full_memory_penalty) times as much.
-constexpr double penalty_free_share = 0.5;
+// Above this share of its entry slots, or the query's free share of its KV cache, an engine's cost rises, so
+// that requests spread to others before it preempts or refuses some. With a full KV cache it costs (1 +
+// full_memory_penalty) times as much.
+constexpr double free_entry_share = 0.5;
 constexpr double full_memory_penalty = 8.0;
 // Cost of entry at an engine whose entry slots are all in use.
 constexpr double full_entry_penalty_ms = 40.0;
@@ -69,13 +73,25 @@
            (profile.centre_link_mbps * mbps_to_bits_per_ms);
 }
 
-// 0 up to penalty_free_share, then rising with the square of the excess to 1 at full use.
-double utilisation_penalty(double used)
+// 0 up to the free share, then rising with the square of the excess to 1 at full use.
+double utilisation_penalty(double used, double free_share)
 {
-    const double excess = std::max(0.0, used - penalty_free_share) / (1 - penalty_free_share);
+    const double excess = std::max(0.0, used - free_share) / (1 - free_share);
     return excess * excess;
 }
 
+// Time for one token of the answer over one layer, and the request's prefill by its weight.
+double new_request_time(const path_query& query, const accelerator_kind& kind,
+                        const path_candidate& candidate)
+{
+    const double running = candidate.running_meanwhile.value_or(candidate.running);
+    const double step = step_time_ms(*query.profile, kind, 1, running);
+    return query.prefill_weight <= 0
+               ? step
+               : step + query.prefill_weight *
+                            prefill_time_ms(*query.profile, kind, 1, query.size.prompt_tokens);
+}
+
 double layer_cost(const path_query& query, const path_candidate& candidate)
 {
     const accelerator_kind* kind = find_kind(*query.profile, candidate.target->kind);
@@ -83,9 +99,10 @@
         return unreachable;
     }
     const double time = query.moved_tokens > 0 ? prefill_time_ms(*query.profile, *kind, 1, query.moved_tokens)
-                                               : step_time_ms(*query.profile, *kind, 1, candidate.running);
+                                               : new_request_time(query, *kind, candidate);
     const double cost = time * step_time_factor(candidate) * candidate.cost_factor;
-    return cost * (1 + full_memory_penalty * utilisation_penalty(candidate.kv_cache_used));
+    return cost * (1 + full_memory_penalty * utilisation_penalty(kv_cache_use_with(query, candidate),
+                                                                 query.free_kv_cache_share));
 }
 
 // An engine that a path uses twice also holds all layers in between, so it runs these layers as well.
@@ -160,7 +177,8 @@
             return unreachable;
         }
         const double entry_ms = centre == this->query.entry ? same_centre_hop_ms : other_centre_entry_ms;
-        return entry_ms + full_entry_penalty_ms * utilisation_penalty(candidate.entry_slots_used);
+        return entry_ms +
+               full_entry_penalty_ms * utilisation_penalty(candidate.entry_slots_used, free_entry_share);
     }
 
     // The cheapest path on which engine `to` takes over at the boundary.
@@ -283,6 +301,55 @@
     return token_mb <= 0 ? 0 : std::max(0.0, left / token_mb);
 }
 
+path_candidate candidate_with(const engine_profile& profile, const registered_target& target,
+                              const engine_use& use, double slowness)
+{
+    path_candidate candidate;
+    candidate.target = &target;
+    candidate.running = static_cast<double>(use.running);
+    candidate.remaining_tokens = use.remaining;
+    const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
+    candidate.entry_slots_used = static_cast<double>(use.entered) / slots;
+    candidate.slowness = slowness;
+    const accelerator_kind* kind = find_kind(profile, target.kind);
+    if (kind != nullptr) {
+        const std::int64_t held = target.layers.size();
+        const double room = kv_cache_tokens(profile, *kind, held) * static_cast<double>(held);
+        candidate.kv_cache_used = room > 0 ? use.token_layers / room : 1;
+        candidate.prefill_load = slowness * prefill_time_ms(profile, *kind, 1, use.prefill_load);
+    }
+    return candidate;
+}
+
+void estimate_meanwhile(std::vector<path_candidate>& candidates, double answer_tokens)
+{
+    struct kind_load {
+        double running = 0;
+        double engines = 0;
+    };
+    std::map<std::string_view, kind_load> kinds;
+    for (const path_candidate& candidate : candidates) {
+        kind_load& load = kinds[candidate.target->kind];
+        load.running += candidate.running;
+        ++load.engines;
+    }
+    for (path_candidate& candidate : candidates) {
+        const kind_load& alike = kinds[candidate.target->kind];
+        candidate.running_meanwhile = mean_running(
+            {candidate.running, candidate.remaining_tokens, alike.running / alike.engines}, answer_tokens);
+    }
+}
+
+double kv_cache_use_with(const path_query& query, const path_candidate& candidate)
+{
+    const accelerator_kind* kind = find_kind(*query.profile, candidate.target->kind);
+    if (query.size.total_tokens <= 0 || kind == nullptr) {
+        return candidate.kv_cache_used;
+    }
+    const double tokens = kv_cache_tokens(*query.profile, *kind, candidate.target->layers.size());
+    return tokens > 0 ? candidate.kv_cache_used + query.size.total_tokens / tokens : 1;
+}
+
 std::vector<path_part> find_layer_path(const path_query& query, const std::vector<path_candidate>& candidates)
 {
     std::vector<path_part> path = path_search(query, candidates).run();
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "route/entry_config.hpp"
+#include "target/engine_use.hpp"
 #include "target/target_registry.hpp"
 
 #include <optional>
@@ -27,6 +28,10 @@
     //! Whether paths may begin at it. An engine in backoff accepts no new requests, but still runs layers for
     //! requests that entered at another engine.
     bool may_enter = true;
+    //! Tokens that the running requests are still expected to generate; nullopt if unknown.
+    std::optional<double> remaining_tokens = std::nullopt;
+    //! Those beside which the new request is expected to decode on average; `running` if not estimated.
+    std::optional<double> running_meanwhile = std::nullopt;
 };
 
 //! An engine of a path and the layers that it runs there.
@@ -35,6 +40,13 @@
     held_layers layers;
 };
 
+//! The length of a request in tokens; 0 if unknown.
+struct request_size {
+    double prompt_tokens = 0;
+    //! Prompt and answer together.
+    double total_tokens = 0;
+};
+
 //! The layers that a path must cover, and where it begins.
 struct path_query {
     const engine_profile* profile = nullptr;
@@ -47,6 +59,12 @@
     //! Tokens of a moved stream, for which each engine of the path must first repeat the prefill; 0 for a new
     //! request. If set, the time of this prefill is minimised instead of that of a decode step.
     double moved_tokens = 0;
+    //! The request's own size; its KV cache and prefill count on each engine if it is known.
+    request_size size;
+    //! Share of an engine's KV cache up to which its cost does not rise.
+    double free_kv_cache_share = 0.5;
+    //! Weight of the prefill's time against the time of one decode step.
+    double prefill_weight = 0;
     //! Data centre where the request arrived; beginning the path in another one costs time.
     data_centre_id entry;
 };
@@ -75,6 +93,16 @@
 //! of its time on prefill.
 double step_time_factor(const path_candidate& candidate);
 
+//! The engine as a candidate under this use by all requests, `slowness` times slower than usual.
+path_candidate candidate_with(const engine_profile& profile, const registered_target& target,
+                              const engine_use& use, double slowness);
+
+//! Estimates beside how many requests one with an answer of this length would decode at each candidate.
+void estimate_meanwhile(std::vector<path_candidate>& candidates, double answer_tokens);
+
+//! Share of the candidate's KV cache in use once a request of the query's size has run all its layers.
+double kv_cache_use_with(const path_query& query, const path_candidate& candidate);
+
 //! Number of tokens whose KV cache over `held` layers fits into memory beside these layers.
 double kv_cache_tokens(const engine_profile& profile, const accelerator_kind& kind, std::int64_t held);
 
--- a/src/route/pick_target.cpp
+++ b/src/route/pick_target.cpp
@@ -18,6 +18,10 @@
 // Requests are spread over the targets that cost at most this many times as much as the cheapest one.
 constexpr double near_best_factor = 1.25;
 
+// Calls are taken to last at most so many times as long as those of the fastest target, as what was learned
+// of their route may be far too high.
+constexpr double most_call_factor = 4;
+
 struct scored_target {
     const registered_target* target = nullptr;
     double cost = 0;
@@ -38,6 +42,13 @@
     return least.value_or(default_response_ms);
 }
 
+// Work of this daemon's own running calls that is still to be done.
+double own_work_ms(const target_condition& condition, double fastest_ms, time_point now)
+{
+    const double most = most_call_factor * fastest_ms * static_cast<double>(condition.calls.size());
+    return std::min(remaining_ms(condition.calls, now), most);
+}
+
 double expected_cost(const registered_target& target, const target_condition& condition,
                      const target_query& query, double fastest_ms)
 {
@@ -47,6 +58,9 @@
         std::max(condition.in_flight, is_fresh ? condition.reported_load : std::int64_t{0});
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, target.slots));
     double cost = response * (1 + static_cast<double>(load) / slots);
+    if (query.counts_work) {
+        cost += own_work_ms(condition, fastest_ms, query.now) / slots;
+    }
     cost += failure_cost_ms * current_failure_rate(condition, query.now);
     if (target.data_centre != query.entry) {
         cost += other_centre_cost_ms;
--- a/src/route/pick_target.hpp
+++ b/src/route/pick_target.hpp
@@ -20,6 +20,8 @@
     //! Uniform in [0, 1); selects among targets of nearly equal cost, so that daemons don't all pick the same
     //! one.
     double draw = 0;
+    //! Whether the remaining work of the targets' running calls counts.
+    bool counts_work = false;
 };
 
 //! Picks the target that is expected to answer first; targets that are out of use after failures are picked
--- a/src/target/engine_use.hpp
+++ b/src/target/engine_use.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace dandelionstep {
 
@@ -17,10 +18,13 @@
     double token_layers = 0;
     //! Prefill load that they bring: prompt tokens times layers per millisecond.
     double prefill_load = 0;
+    //! Tokens that the requests are still expected to generate; nullopt if unknown.
+    std::optional<double> remaining = std::nullopt;
 
     friend bool operator==(const engine_use&, const engine_use&) = default;
 };
 
+//! Where the remaining tokens of one part are unknown, its requests are taken to be like those of the other.
 void add_use(engine_use& sum, const engine_use& added);
 
 //! The use by `factor` times as many requests of the same kind.
--- a/src/target/load_reports.cpp
+++ b/src/target/load_reports.cpp
@@ -11,12 +11,20 @@
 // for each question.
 constexpr milliseconds sum_interval{250};
 
+std::optional<double> subtract_remaining(const engine_use& sum, const engine_use& part)
+{
+    if (!sum.remaining || (!part.remaining && part.running > 0)) {
+        return std::nullopt;
+    }
+    return std::max(0.0, *sum.remaining - part.remaining.value_or(0));
+}
+
 engine_use subtract_use(const engine_use& sum, const engine_use& part)
 {
     return {std::max<std::int64_t>(0, sum.running - part.running),
             std::max<std::int64_t>(0, sum.entered - part.entered),
             std::max(0.0, sum.token_layers - part.token_layers),
-            std::max(0.0, sum.prefill_load - part.prefill_load)};
+            std::max(0.0, sum.prefill_load - part.prefill_load), subtract_remaining(sum, part)};
 }
 
 } // namespace
--- a/src/target/target_condition.cpp
+++ b/src/target/target_condition.cpp
@@ -63,10 +63,11 @@
     return found == conditions.end() ? unknown : found->second;
 }
 
-engine_use current_use(const target_condition& condition, time_point now)
+engine_use current_use(const target_condition& condition, time_point now, bool knows_remaining)
 {
     return {condition.in_flight, condition.entered, condition.token_layers,
-            current_prefill_load(condition, now)};
+            current_prefill_load(condition, now),
+            knows_remaining ? std::optional(condition.remaining_tokens) : std::nullopt};
 }
 
 double current_load_correction(const target_condition& condition, time_point now)
--- a/src/target/target_condition.hpp
+++ b/src/target/target_condition.hpp
@@ -3,9 +3,11 @@
 #include "common/clock.hpp"
 #include "common/ids.hpp"
 #include "target/engine_use.hpp"
+#include "target/remaining_work.hpp"
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace dandelionstep {
 
@@ -17,6 +19,10 @@
     std::int64_t entered = 0;
     //! KV cache that they need when they are complete, in tokens times layers.
     double token_layers = 0;
+    //! Tokens that they are still expected to generate.
+    double remaining_tokens = 0;
+    //! Calls of this daemon that a target of a plain service runs, if their work is estimated.
+    std::vector<call_work> calls;
     //! Prefill load that this daemon recently sent to the engine: prompt tokens times layers per millisecond,
     //! as of `prefill_noted_at`.
     double prefill_load = 0;
@@ -75,8 +81,9 @@
 //! The target's condition; the default condition for a target without an entry.
 const target_condition& condition_of(const target_conditions& conditions, const target_id& id);
 
-//! What the requests of this daemon use of the engine now.
-engine_use current_use(const target_condition& condition, time_point now);
+//! What the requests of this daemon use of the engine now; with the remaining tokens only if these are
+//! estimated.
+engine_use current_use(const target_condition& condition, time_point now, bool knows_remaining = false);
 
 //! Why a target gave no usable response.
 enum class target_failure {
