--- a/src/entry/engines/path_choice.cpp
+++ b/src/entry/engines/path_choice.cpp
@@ -111,7 +111,7 @@
     query.moved_tokens = static_cast<double>(wish.moved_tokens);
     query.entry = context.settings.data_centre;
     if (context.controls_load()) {
-        query.size = size_of(wish);
+        query.prompt_tokens = static_cast<double>(wish.prompt_tokens);
         query.prefill_weight = prefill_weight(*query.profile, wish);
         query.free_kv_cache_share = free_kv_cache_share;
     }
--- a/src/request/cost_model.cpp
+++ b/src/request/cost_model.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 // A daemon completes about one stream of a route per second, so it relearns within some seconds.
-constexpr double enough_samples = 6;
+constexpr double enough_samples = 4;
+constexpr double enough_errors = 3;
 // Lengths follow what callers ask for, which changes over minutes.
 constexpr double sample_half_life_ms = 120'000;
 constexpr double most_samples = 64;
@@ -26,7 +27,7 @@
 // Hints are right at the median, so a learned length that differs from one by more is taken to be wrong.
 constexpr double most_hint_factor = 4;
 constexpr std::size_t most_routes = 256;
-// 128 bytes each, in each of two generations.
+// Some 120 bytes each, in each of two generations.
 constexpr std::size_t most_kinds = 512;
 
 double count_at(const moving_statistics& statistics, time_point now)
@@ -40,6 +41,13 @@
     return count_at(statistics, now) >= enough_samples;
 }
 
+// Whether the learned lengths of the route have been closer than the stated ones.
+bool is_better(const route_samples& route, time_point now)
+{
+    return count_at(route.learned_error, now) >= enough_errors &&
+           route.learned_error.mean <= route.stated_error.mean;
+}
+
 void add_sample(moving_statistics& statistics, double value, double most, time_point now)
 {
     statistics.count = std::min(count_at(statistics, now), most - 1) + 1;
@@ -116,25 +124,24 @@
 
 // Logarithm of the median length. Where callers give hints, it is the mean of the lengths before and of the
 // hint times its usual ratio, each weighted by the inverse of its variance.
-std::optional<double> log_median(const cost_model& model, const route_samples& route,
-                                 const answer_query& query, time_point now)
+double log_median(const answer_samples& samples, const answer_query& query, time_point now)
 {
-    const answer_samples* samples = finest_known(model, route, query, now);
-    if (samples == nullptr) {
-        return std::nullopt;
-    }
-    const double usual = samples->length.mean;
-    if (!query.hint || *query.hint <= 0 || !is_enough(samples->ratio, now)) {
+    const double usual = samples.length.mean;
+    if (!query.hint || *query.hint <= 0 || !is_enough(samples.ratio, now)) {
         return usual;
     }
-    const double hinted = log_of(*query.hint) + samples->ratio.mean;
-    const double usual_weight = 1 / std::max(least_variance, samples->length.variance);
-    const double hinted_weight = 1 / std::max(least_variance, samples->ratio.variance);
+    const double hinted = log_of(*query.hint) + samples.ratio.mean;
+    const double usual_weight = 1 / std::max(least_variance, samples.length.variance);
+    const double hinted_weight = 1 / std::max(least_variance, samples.ratio.variance);
     return (usual * usual_weight + hinted * hinted_weight) / (usual_weight + hinted_weight);
 }
 
-void add_lengths(answer_samples& samples, const answer_query& query, std::int64_t tokens, time_point now)
+void add_length(answer_samples& samples, const answer_query& query, std::int64_t tokens, time_point now)
 {
+    if (is_enough(samples.length, now)) {
+        add_sample(samples.median_ratio, std::exp(log_of(tokens) - log_median(samples, query, now)),
+                   most_samples, now);
+    }
     add_sample(samples.length, log_of(tokens), most_samples, now);
     if (query.hint && *query.hint > 0) {
         add_sample(samples.ratio, log_of(tokens) - log_of(*query.hint), most_samples, now);
@@ -144,9 +151,9 @@
 void add_length(cost_model& model, route_samples& route, const answer_query& query, std::int64_t tokens,
                 time_point now)
 {
-    add_lengths(route.answers, query, tokens, now);
+    add_length(route.answers, query, tokens, now);
     for (const std::uint64_t kind : kinds_of(query)) {
-        add_lengths(samples_of(model, kind), query, tokens, now);
+        add_length(samples_of(model, kind), query, tokens, now);
     }
 }
 
@@ -158,16 +165,15 @@
     const double stated = log_of(stated_answer_tokens(query));
     add_sample(route.learned_error, std::abs(actual - log_estimate), most_error_samples, now);
     add_sample(route.stated_error, std::abs(actual - stated), most_error_samples, now);
-    add_sample(route.median_ratio, std::exp(actual - log_estimate), most_samples, now);
 }
 
 // Load adds up by the mean length, while logarithms give the median.
-double mean_to_median(const route_samples& route)
+double mean_to_median(const answer_samples& samples)
 {
-    if (route.median_ratio.count <= 0) {
+    if (samples.median_ratio.count <= 0) {
         return 1;
     }
-    return std::clamp(route.median_ratio.mean, least_median_ratio, most_median_ratio);
+    return std::clamp(samples.median_ratio.mean, least_median_ratio, most_median_ratio);
 }
 
 double near_hint(const answer_query& query, double tokens)
@@ -190,15 +196,15 @@
 {
     const std::int64_t stated = stated_answer_tokens(query);
     const auto route = model.routes.find(query.route);
-    if (route == model.routes.end() || !is_enough(route->second.learned_error, now) ||
-        route->second.learned_error.mean > route->second.stated_error.mean) {
+    if (route == model.routes.end() || !is_better(route->second, now)) {
         return stated;
     }
-    const std::optional<double> median = log_median(model, route->second, query, now);
-    if (!median) {
+    const answer_samples* samples = finest_known(model, route->second, query, now);
+    if (samples == nullptr) {
         return stated;
     }
-    const double mean = near_hint(query, std::exp(*median) * mean_to_median(route->second));
+    const double mean =
+        near_hint(query, std::exp(log_median(*samples, query, now)) * mean_to_median(*samples));
     const auto tokens = std::max<std::int64_t>(1, std::llround(mean));
     return query.most > 0 ? std::min(tokens, query.most) : tokens;
 }
@@ -209,9 +215,9 @@
         return;
     }
     route_samples& route = route_of(model, query.route);
-    const std::optional<double> median = log_median(model, route, query, now);
-    if (median) {
-        add_error(route, query, *median, tokens, now);
+    const answer_samples* samples = finest_known(model, route, query, now);
+    if (samples != nullptr) {
+        add_error(route, query, log_median(*samples, query, now), tokens, now);
     }
     add_length(model, route, query, tokens, now);
 }
@@ -224,8 +230,8 @@
     if (route == model.routes.end()) {
         return;
     }
-    const std::optional<double> median = log_median(model, route->second, query, now);
-    if (median && log_of(tokens) > *median) {
+    const answer_samples* samples = finest_known(model, route->second, query, now);
+    if (samples != nullptr && log_of(tokens) > log_median(*samples, query, now)) {
         add_length(model, route->second, query, tokens, now);
     }
 }
@@ -236,7 +242,7 @@
     std::map<std::string, learned_answer> learned;
     for (const auto& [name, route] : model.routes) {
         if (is_enough(route.answers.length, now)) {
-            const double mean = std::exp(route.answers.length.mean) * mean_to_median(route);
+            const double mean = std::exp(route.answers.length.mean) * mean_to_median(route.answers);
             learned[name] = {std::llround(mean), std::llround(percent * std::expm1(route.learned_error.mean)),
                              std::llround(percent * std::expm1(route.stated_error.mean))};
         }
--- a/src/request/cost_model.hpp
+++ b/src/request/cost_model.hpp
@@ -38,6 +38,8 @@
     moving_statistics length;
     //! Logarithm of the length's ratio to the hint.
     moving_statistics ratio;
+    //! Ratio of the length to the median that was expected from these samples.
+    moving_statistics median_ratio;
 };
 
 //! What was observed of one route.
@@ -46,8 +48,6 @@
     //! Absolute error of the logarithm of the learned length, and of the stated one.
     moving_statistics learned_error;
     moving_statistics stated_error;
-    //! Ratio of the length to the learned median.
-    moving_statistics median_ratio;
     //! Response time of calls to plain services in milliseconds.
     moving_statistics response_ms;
 };
--- a/src/route/layer_path.cpp
+++ b/src/route/layer_path.cpp
@@ -22,7 +22,7 @@
 // Above this share of its entry slots, or the query's free share of its KV cache, an engine's cost rises, so
 // that requests spread to others before it preempts or refuses some. With a full KV cache it costs (1 +
 // full_memory_penalty) times as much.
-constexpr double free_entry_share = 0.5;
+constexpr double usual_free_share = 0.5;
 constexpr double full_memory_penalty = 8.0;
 // Cost of entry at an engine whose entry slots are all in use.
 constexpr double full_entry_penalty_ms = 40.0;
@@ -80,6 +80,14 @@
     return excess * excess;
 }
 
+// A larger free share makes no engine dearer than the usual one, also not one that is estimated to be
+// overfull: the estimate may be too high for all of them.
+double kv_cache_penalty(const path_query& query, double used)
+{
+    return std::min(utilisation_penalty(used, query.free_kv_cache_share),
+                    utilisation_penalty(used, usual_free_share));
+}
+
 // Time for one token of the answer over one layer, and the request's prefill by its weight.
 double new_request_time(const path_query& query, const accelerator_kind& kind,
                         const path_candidate& candidate)
@@ -88,8 +96,7 @@
     const double step = step_time_ms(*query.profile, kind, 1, running);
     return query.prefill_weight <= 0
                ? step
-               : step + query.prefill_weight *
-                            prefill_time_ms(*query.profile, kind, 1, query.size.prompt_tokens);
+               : step + query.prefill_weight * prefill_time_ms(*query.profile, kind, 1, query.prompt_tokens);
 }
 
 double layer_cost(const path_query& query, const path_candidate& candidate)
@@ -101,8 +108,7 @@
     const double time = query.moved_tokens > 0 ? prefill_time_ms(*query.profile, *kind, 1, query.moved_tokens)
                                                : new_request_time(query, *kind, candidate);
     const double cost = time * step_time_factor(candidate) * candidate.cost_factor;
-    return cost * (1 + full_memory_penalty * utilisation_penalty(kv_cache_use_with(query, candidate),
-                                                                 query.free_kv_cache_share));
+    return cost * (1 + full_memory_penalty * kv_cache_penalty(query, candidate.kv_cache_used));
 }
 
 // An engine that a path uses twice also holds all layers in between, so it runs these layers as well.
@@ -178,7 +184,7 @@
         }
         const double entry_ms = centre == this->query.entry ? same_centre_hop_ms : other_centre_entry_ms;
         return entry_ms +
-               full_entry_penalty_ms * utilisation_penalty(candidate.entry_slots_used, free_entry_share);
+               full_entry_penalty_ms * utilisation_penalty(candidate.entry_slots_used, usual_free_share);
     }
 
     // The cheapest path on which engine `to` takes over at the boundary.
@@ -340,16 +346,6 @@
     }
 }
 
-double kv_cache_use_with(const path_query& query, const path_candidate& candidate)
-{
-    const accelerator_kind* kind = find_kind(*query.profile, candidate.target->kind);
-    if (query.size.total_tokens <= 0 || kind == nullptr) {
-        return candidate.kv_cache_used;
-    }
-    const double tokens = kv_cache_tokens(*query.profile, *kind, candidate.target->layers.size());
-    return tokens > 0 ? candidate.kv_cache_used + query.size.total_tokens / tokens : 1;
-}
-
 std::vector<path_part> find_layer_path(const path_query& query, const std::vector<path_candidate>& candidates)
 {
     std::vector<path_part> path = path_search(query, candidates).run();
--- a/src/route/layer_path.hpp
+++ b/src/route/layer_path.hpp
@@ -40,13 +40,6 @@
     held_layers layers;
 };
 
-//! The length of a request in tokens; 0 if unknown.
-struct request_size {
-    double prompt_tokens = 0;
-    //! Prompt and answer together.
-    double total_tokens = 0;
-};
-
 //! The layers that a path must cover, and where it begins.
 struct path_query {
     const engine_profile* profile = nullptr;
@@ -59,8 +52,8 @@
     //! Tokens of a moved stream, for which each engine of the path must first repeat the prefill; 0 for a new
     //! request. If set, the time of this prefill is minimised instead of that of a decode step.
     double moved_tokens = 0;
-    //! The request's own size; its KV cache and prefill count on each engine if it is known.
-    request_size size;
+    //! Tokens of a new request's prompt, whose prefill counts with `prefill_weight`.
+    double prompt_tokens = 0;
     //! Share of an engine's KV cache up to which its cost does not rise.
     double free_kv_cache_share = 0.5;
     //! Weight of the prefill's time against the time of one decode step.
@@ -100,9 +93,6 @@
 //! Estimates beside how many requests one with an answer of this length would decode at each candidate.
 void estimate_meanwhile(std::vector<path_candidate>& candidates, double answer_tokens);
 
-//! Share of the candidate's KV cache in use once a request of the query's size has run all its layers.
-double kv_cache_use_with(const path_query& query, const path_candidate& candidate);
-
 //! Number of tokens whose KV cache over `held` layers fits into memory beside these layers.
 double kv_cache_tokens(const engine_profile& profile, const accelerator_kind& kind, std::int64_t held);
 
--- a/src/route/local_path.cpp
+++ b/src/route/local_path.cpp
@@ -29,7 +29,7 @@
     for (const path_part& part : path) {
         const path_candidate* candidate = candidate_of(part, candidates);
         const bool is_entry = query.previous == nullptr && &part == &path.front();
-        if (candidate == nullptr || kv_cache_use_with(query, *candidate) > max_utilisation ||
+        if (candidate == nullptr || candidate->kv_cache_used > max_utilisation ||
             (is_entry && candidate->entry_slots_used > max_utilisation)) {
             return false;
         }
--- a/src/route/path_outlook.hpp
+++ b/src/route/path_outlook.hpp
@@ -6,6 +6,13 @@
 
 namespace dandelionstep {
 
+//! The length of a request in tokens.
+struct request_size {
+    double prompt_tokens = 0;
+    //! Prompt and answer together.
+    double total_tokens = 0;
+};
+
 //! How a request is expected to fare on a path.
 struct path_outlook {
     //! Highest share in use of the KV cache of the path's engines, or of the first one's entry slots, with
