--- a/src/entry/context/entry_metrics.hpp
+++ b/src/entry/context/entry_metrics.hpp
@@ -60,6 +60,10 @@
     //! by reason.
     std::map<std::string, std::int64_t> probes;
     std::map<std::string, std::int64_t> probes_saved;
+    //! Learned lengths of answers in tokens, by route, and by how much these and the stated ones are off.
+    std::map<std::string, std::int64_t> answer_tokens;
+    std::map<std::string, std::int64_t> answer_error_percent;
+    std::map<std::string, std::int64_t> stated_error_percent;
     //! Values as of now, by name.
     std::map<std::string, std::int64_t> gauges;
 };
