--- a/src/entry/context/entry_context.cpp
+++ b/src/entry/context/entry_context.cpp
@@ -47,6 +47,11 @@
     return this->config && this->config->calls_for_load_control;
 }
 
+bool entry_context::queues_streams() const
+{
+    return this->settings.queues_streams && this->controls_load();
+}
+
 time_point config_known_at(const entry_context& context, time_point now)
 {
     return std::max(context.config_as_of, std::min(now, context.config_watched_until));
@@ -73,7 +78,7 @@
                               retry_sharers(context)};
     const auto [found, is_new] = context.retry_budgets.try_emplace(service, budget_at_start());
     retry_budget& budget = found->second;
-    const retry_rule rule = context.controls_load() ? retry_rule::window : retry_rule::balance;
+    const retry_rule rule = context.queues_streams() ? retry_rule::window : retry_rule::balance;
     if (is_new) {
         budget.rule = rule;
         budget.first_window_until = context.first_window_until;
--- a/src/entry/context/entry_context.hpp
+++ b/src/entry/context/entry_context.hpp
@@ -155,6 +155,8 @@
 
     //! Whether requests are scheduled by priority, cost and remaining work.
     [[nodiscard]] bool controls_load() const;
+    //! Whether new streams also wait for room, and retries are counted by windows.
+    [[nodiscard]] bool queues_streams() const;
 
     //! Uniform in [0, 1).
     double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
--- a/src/entry/context/entry_settings.hpp
+++ b/src/entry/context/entry_settings.hpp
@@ -51,6 +51,9 @@
     vm_capacity capacity;
     //! Set on the command line; not part of the settings file.
     load_control_mode load_control = load_control_mode::automatic;
+    //! Whether new streams also wait for room under load control, and retries are counted by windows. Set on
+    //! the command line.
+    bool queues_streams = false;
     //! Whether all daemons start for the first time: nobody reads the store yet.
     bool is_first_start = false;
     std::int64_t memory_mb = 128;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -8,6 +8,7 @@
 #include "entry/peers/peer_follower.hpp"
 #include "entry/peers/peer_port.hpp"
 #include "entry/peers/suspect_push.hpp"
+#include "entry/peers/use_push.hpp"
 #include "entry/placement/placer.hpp"
 #include "entry/registry/known_state.hpp"
 #include "entry/registry/store_watch.hpp"
@@ -46,7 +47,7 @@
           placement(this->context, this->store, this->process), claims(this->context, this->store),
           streams(this->context), gate(this->context),
           relay(this->context, this->streams, this->gate, this->store), peers(this->context, this->process),
-          follower(this->context, this->watch, this->rows), push(this->context),
+          follower(this->context, this->watch, this->rows), push(this->context), use_sharing(this->context),
           callers(this->loop, this->context.unread_bytes,
                   [this](const std::shared_ptr<caller_exchange>& caller) { this->relay.take(caller); }),
           stopping(this->context, this->callers), readiness(this->loop), metrics(this->loop),
@@ -82,6 +83,11 @@
             this->watch.write_suspects_soon();
             this->push.push_soon();
         };
+        this->use_sharing.readers = [this] {
+            return this->follower.is_reader() ? this->rows.readers_elsewhere() : std::vector<peer>();
+        };
+        this->use_sharing.uses = [this] { return this->peers.data_centre_uses(); };
+        this->use_sharing.start();
         this->push.readers = [this] {
             return this->follower.is_reader() ? this->rows.readers_elsewhere() : std::vector<peer>();
         };
@@ -234,6 +240,7 @@
         next.readiness = this->context.settings.readiness;
         next.peers = this->context.settings.peers;
         next.load_control = this->context.settings.load_control;
+        next.queues_streams = this->context.settings.queues_streams;
         this->context.settings = next;
         log_event("reloaded", {{"store", to_string(next.store)}});
     }
@@ -279,7 +286,7 @@
     {
         const auto followers = static_cast<std::int64_t>(this->peers.followers().size());
         if (this->follower.is_reader() && followers + 1 >= this->context.siblings) {
-            this->context.others = this->peers.followers_uses();
+            this->context.others = this->peers.others_uses();
             this->context.others_at = now;
         }
     }
@@ -299,6 +306,7 @@
     peer_port peers;
     peer_follower follower;
     suspect_push push;
+    use_push use_sharing;
     caller_port callers;
     stop_runner stopping;
     status_port readiness;
--- a/src/entry/peers/peer_messages.cpp
+++ b/src/entry/peers/peer_messages.cpp
@@ -140,6 +140,9 @@
     }
     if (question.uses) {
         message["uses"] = uses_json(*question.uses);
+        if (!question.uses_of.value.empty()) {
+            message["uses_of"] = question.uses_of.value;
+        }
     }
     if (!question.leaving.empty()) {
         message["leaving"] = leaving_json(question.leaving);
@@ -189,6 +192,7 @@
     question.wait = {integer_or(*parsed, "wait_ms", 0)};
     question.era = {std::max<std::int64_t>(0, integer_or(*parsed, "era", 0))};
     question.uses = parse_uses(*parsed);
+    question.uses_of = data_centre_id(string_or(*parsed, "uses_of", ""));
     question.leaving = parse_leaving(*parsed);
     question.suspects = parse_suspects(*parsed, "suspects");
     question.suspects_sequence = integer_or(*parsed, "suspects_sequence", -1);
--- a/src/entry/peers/peer_messages.hpp
+++ b/src/entry/peers/peer_messages.hpp
@@ -44,6 +44,9 @@
     milliseconds wait{0};
     //! What the asker's own requests take; told now and then, and answered with what all take.
     std::optional<engine_uses> uses;
+    //! With `only_tells`: `uses` are those of all daemons of this data centre, which the asker reads the
+    //! store for.
+    data_centre_id uses_of;
     //! Targets of which the asker knows by their own answers that they leave.
     leaving_marks leaving;
     //! Suspects that the asker tells, and the last change of suspects that it has of this process.
--- a/src/entry/peers/peer_port.cpp
+++ b/src/entry/peers/peer_port.cpp
@@ -99,9 +99,19 @@
     return std::nullopt;
 }
 
-const engine_uses& peer_port::followers_uses()
+engine_uses peer_port::others_uses()
 {
-    return total_use(this->shared, event_loop::now());
+    const time_point now = event_loop::now();
+    engine_uses sum = total_use(this->shared, now);
+    add_uses(sum, total_use(this->elsewhere, now));
+    return sum;
+}
+
+engine_uses peer_port::data_centre_uses()
+{
+    engine_uses sum = total_use(this->shared, event_loop::now());
+    add_uses(sum, own_uses(this->context));
+    return sum;
 }
 
 void peer_port::take(const std::shared_ptr<caller_exchange>& caller)
@@ -120,6 +130,11 @@
         note_leaving(this->context, {target, started}, "peer");
     }
     if (question->only_tells) {
+        const data_centre_id& from = question->uses_of;
+        if (question->uses && !from.value.empty() && from != this->context.settings.data_centre) {
+            // The reader of a data centre may change; its data centre's last report counts.
+            note_engine_uses(this->elsewhere, vm_id(from.value), *question->uses, event_loop::now());
+        }
         caller->answer(status_ok, {}, "");
         return;
     }
@@ -236,7 +251,13 @@
     std::optional<std::string_view> uses;
     if (question.uses) {
         uses = uses_text_of(
-            this->answers, this->shared, [this] { return own_uses(this->context); }, now);
+            this->answers, this->shared,
+            [this, now] {
+                engine_uses more = own_uses(this->context);
+                add_uses(more, total_use(this->elsewhere, now));
+                return more;
+            },
+            now);
     }
     const std::string registry = this->registry_part(question, answer);
     return to_text(answer, {registry, uses, packed_config});
--- a/src/entry/peers/peer_port.hpp
+++ b/src/entry/peers/peer_port.hpp
@@ -39,8 +39,10 @@
     [[nodiscard]] std::set<vm_id> followers() const;
     //! Followers that take over from this daemon when it fails, in this order.
     [[nodiscard]] std::vector<peer> successors() const;
-    //! What the requests of the followers take together.
-    const engine_uses& followers_uses();
+    //! What the requests of the followers, and of other data centres as far as they told, take together.
+    engine_uses others_uses();
+    //! What the requests of this data centre's daemons take.
+    engine_uses data_centre_uses();
 
 private:
     struct asker {
@@ -68,6 +70,8 @@
     std::optional<peer> announced;
     time_point announced_at{0};
     load_reports shared;
+    //! Reports of the readers of other data centres, by data centre.
+    load_reports elsewhere;
     shared_answers answers;
     waiting_questions questions;
 };
--- a/src/entry/request_relay.cpp
+++ b/src/entry/request_relay.cpp
@@ -5,6 +5,7 @@
 #include "entry/registry/known_state.hpp"
 #include "entry/requests/refusal.hpp"
 #include "entry/streams/stream_runner.hpp"
+#include "organisation/request_rank.hpp"
 
 #include <algorithm>
 
@@ -82,7 +83,9 @@
             return false;
         }
         request.organisation = owner->second.organisation;
-        request.priority = owner->second.priority.value_or(request.priority);
+        request.priority = this->context.controls_load()
+                               ? request_rank(owner->second.priority, request.route->priority)
+                               : owner->second.priority.value_or(request.priority);
         return true;
     }
 
--- a/src/entry/streams/stream_attempt.cpp
+++ b/src/entry/streams/stream_attempt.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_text.hpp"
 #include "entry/registry/target_notices.hpp"
 #include "entry/requests/expected_answer.hpp"
+#include "organisation/request_rank.hpp"
 #include "target/remaining_work.hpp"
 
 #include <algorithm>
@@ -46,7 +47,8 @@
     added.patience = request.deadline - event_loop::now();
     added.last_event = last_event;
     added.path = path;
-    added.urgency = std::clamp(request.priority, 0, least_urgent);
+    added.urgency = context.controls_load() ? engine_urgency(request.priority)
+                                            : std::clamp(request.priority, 0, least_urgent);
     const http_head& head = request.caller->head;
     const http_headers headers = context.dialect.forward_headers(head.headers, added);
     return {request_head(head.method, head.target, headers, request.caller->body.size()),
--- a/src/entry/streams/stream_gate.cpp
+++ b/src/entry/streams/stream_gate.cpp
@@ -259,7 +259,7 @@
 
 void stream_gate::poll()
 {
-    if (!this->context.controls_load()) {
+    if (!this->context.queues_streams()) {
         this->release_all();
     } else if (this->context.stop) {
         this->end_waits_for_stop();
--- a/src/entry/streams/stream_runner.cpp
+++ b/src/entry/streams/stream_runner.cpp
@@ -96,7 +96,7 @@
 
 bool stream_carrier::is_left_to_gate()
 {
-    if (this->is_admitted || !this->is_new() || !this->context.controls_load()) {
+    if (this->is_admitted || !this->is_new() || !this->context.queues_streams()) {
         return false;
     }
     if (this->gate_number != 0) {
--- a/src/request/stream_admission.cpp
+++ b/src/request/stream_admission.cpp
@@ -41,6 +41,9 @@
 // Urgent streams are sent after half of their objective only if at least this share of recent work is less
 // urgent and can yield; if all work is equally urgent, nothing is won by sending it into full engines.
 constexpr double least_yielding_share = 0.1;
+// They count as the most urgent if at most this share of recent work is more urgent: a few organisations that
+// rank first take little of the room.
+constexpr double most_overtaking_share = 0.25;
 
 // They are sent earlier if the first event is expected to take longer than the other half; by this factor
 // more than expected, as the engines are full.
@@ -156,7 +159,8 @@
 time_point due_time(const stream_admission& state, const admission_request& request)
 {
     const work_shares shares = shares_around(state, request.priority);
-    const bool is_most_urgent = shares.more_urgent <= 0 && shares.less_urgent >= least_yielding_share;
+    const bool is_most_urgent =
+        shares.more_urgent <= most_overtaking_share && shares.less_urgent >= least_yielding_share;
     if (!is_most_urgent) {
         return never;
     }
--- a/src/target/load_reports.cpp
+++ b/src/target/load_reports.cpp
@@ -1,6 +1,8 @@
 #include "target/load_reports.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace dandelionstep {
 namespace {
@@ -56,6 +58,22 @@
     }
 }
 
+engine_uses most_used(const engine_uses& uses, std::size_t most)
+{
+    std::vector<std::pair<double, const target_id*>> by_need;
+    by_need.reserve(uses.size());
+    for (const auto& [id, use] : uses) {
+        by_need.emplace_back(-use.token_layers, &id);
+    }
+    const std::size_t count = std::min(most, by_need.size());
+    std::ranges::nth_element(by_need, by_need.begin() + static_cast<std::ptrdiff_t>(count));
+    engine_uses kept;
+    for (std::size_t i = 0; i < count; ++i) {
+        kept.emplace(*by_need[i].second, uses.at(*by_need[i].second));
+    }
+    return kept;
+}
+
 engine_uses subtract(const engine_uses& sum, const engine_uses& part)
 {
     engine_uses remaining = sum;
--- a/src/target/load_reports.hpp
+++ b/src/target/load_reports.hpp
@@ -4,6 +4,7 @@
 #include "common/ids.hpp"
 #include "target/engine_use.hpp"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 
@@ -33,6 +34,9 @@
 //! Adds the use by more requests.
 void add_uses(engine_uses& sum, const engine_uses& added);
 
+//! The `most` engines of which the largest part is used, by KV cache that is needed.
+engine_uses most_used(const engine_uses& uses, std::size_t most);
+
 //! The sum without one part of it. Never less than zero, although the part may be newer than the sum.
 engine_uses subtract(const engine_uses& sum, const engine_uses& part);
 
--- a/tests/entry/context/entry_context_test.cpp
+++ b/tests/entry/context/entry_context_test.cpp
@@ -37,6 +37,7 @@
     CHECK(budget.rule == retry_rule::balance);
     CHECK(budget.both_until == time_point{0});
     daemon.context.settings.load_control = load_control_mode::on;
+    daemon.context.settings.queues_streams = true;
     budget_of(daemon.context, service_id("orders"));
     CHECK(budget.rule == retry_rule::window);
     CHECK(budget.both_until > event_loop::now() + daemon.context.settings.retry_window);
--- a/tests/process/entry_retry_budget_proof_test.cpp
+++ b/tests/process/entry_retry_budget_proof_test.cpp
@@ -24,6 +24,7 @@
 {
     entry_plan plan;
     plan.load_control = load_control;
+    plan.queues_streams = load_control == "on";
     plan.daemons = {"n", "n", "s", "s"};
     plan.retry_slack = slack;
     return plan;
--- a/tests/process/entry_stream_admission_test.cpp
+++ b/tests/process/entry_stream_admission_test.cpp
@@ -28,6 +28,7 @@
     entry_plan plan = usual_entry_plan();
     plan.replicas = {{"i-e1", "assistant", "small"}, {"i-e2", "assistant", "small"}, {"i-o1", "orders", ""}};
     plan.event_ms = 60;
+    plan.queues_streams = true;
     return plan;
 }
 
--- a/tests/support/entry_cluster.cpp
+++ b/tests/support/entry_cluster.cpp
@@ -211,12 +211,14 @@
     const bool is_first_start = !std::exchange(this->daemons[index].was_started, true);
     const std::string settings =
         this->folder.write(name + ".toml", this->settings_text(index, is_first_start));
+    std::vector<std::string> options{"--load-control", this->plan.load_control, settings};
+    if (this->plan.queues_streams) {
+        options.emplace_back("--queue-streams");
+    }
     this->processes.erase(name);
     this->processes.emplace(
         std::piecewise_construct, std::forward_as_tuple(name),
-        std::forward_as_tuple("dandelionstep-entryd",
-                              std::vector<std::string>{"--load-control", this->plan.load_control, settings},
-                              this->folder.path(name + ".log")));
+        std::forward_as_tuple("dandelionstep-entryd", options, this->folder.path(name + ".log")));
 }
 
 json entry_cluster::config_json() const
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -62,6 +62,8 @@
     bool streams_end_with_connection = false;
     //! The daemons' option --load-control.
     std::string load_control = "auto";
+    //! Whether they get the option --queue-streams.
+    bool queues_streams = false;
     //! Whether the store's answers tell its era.
     bool store_tells_era = true;
     //! Called with the address of the store and of each replica when it has started.
