--- a/tests/entry/registry/target_notices_test.cpp
+++ b/tests/entry/registry/target_notices_test.cpp
@@ -186,8 +186,8 @@
     CHECK(rests.empty());
 }
 
-// Engines tell seconds after a crash whom their requests wait for. The new process at that address was avoided for
-// it, up to 5.6 s after the crash.
+// Engines tell seconds after a crash whom their requests wait for. The new process at that address was
+// avoided for it, up to 5.6 s after the crash.
 TEST_CASE("what is found out late about an earlier process does not count against the one that runs now")
 {
     informed_daemon daemon;
