--- a/tests/entry/peers/peer_messages_test.cpp
+++ b/tests/entry/peers/peer_messages_test.cpp
@@ -40,6 +40,7 @@
     question.capacity = 48.5;
     question.era = {3};
     question.only_tells = true;
+    question.uses_of = data_centre_id("n");
     question.ended = {{target_id("e"), {70}, {80}}};
     question.left = vm_id("vm-2");
     question.reads_store = true;
@@ -69,6 +70,7 @@
     CHECK(read->capacity == 48.5);
     CHECK(read->era == question.era);
     CHECK(read->only_tells);
+    CHECK(read->uses_of == question.uses_of);
     REQUIRE(read->ended.size() == 1);
     CHECK(read->ended.front().started == question.ended.front().started);
     CHECK(read->left == question.left);
--- a/tests/target/load_reports_test.cpp
+++ b/tests/target/load_reports_test.cpp
@@ -70,3 +70,18 @@
     CHECK_FALSE(subtract(all, {{engine, {1, 0, 0, 0, std::nullopt}}}).at(engine).remaining);
     CHECK(scaled(all.at(engine), 2).remaining == 800);
 }
+
+// With more engines than a message may tell of, the full ones have to be among those that are told.
+TEST_CASE("the engines with the most KV cache in use are told first")
+{
+    engine_uses uses;
+    for (int i = 0; i < 10; ++i) {
+        uses[target_id("i-" + std::to_string(i))].token_layers = 100.0 * i;
+    }
+    const engine_uses told = most_used(uses, 3);
+    CHECK(told.size() == 3);
+    CHECK(told.contains(target_id("i-9")));
+    CHECK(told.contains(target_id("i-7")));
+    CHECK(most_used(uses, 20) == uses);
+    CHECK(most_used({}, 3).empty());
+}
