--- a/src/route/load_control.cpp
+++ b/src/route/load_control.cpp
@@ -1,25 +1,12 @@
 #include "route/load_control.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace dandelionstep {
 namespace {
 
-// Between accelerators that differ by less, a count of requests is a fair measure of load.
-constexpr double wide_speed_ratio = 8;
-
-bool has_uneven_speeds(const engine_profile& profile)
-{
-    if (profile.kinds.empty()) {
-        return false;
-    }
-    const auto by_step = [](const auto& entry) { return entry.second.step_factor; };
-    const auto [fastest, slowest] = std::ranges::minmax_element(profile.kinds, {}, by_step);
-    return fastest->second.step_factor > 0 &&
-           slowest->second.step_factor >= wide_speed_ratio * fastest->second.step_factor;
-}
-
 // The priorities of the streaming routes that lead to each service.
 std::map<service_id, std::set<int>> stream_priorities(const entry_config& config)
 {
@@ -62,8 +49,7 @@
             return false;
         }
         const auto found = priorities.find(service.id);
-        const bool compete = found != priorities.end() && found->second.size() > 1;
-        return compete || has_uneven_speeds(*service.engine);
+        return found != priorities.end() && found->second.size() > 1;
     });
 }
 
--- a/src/route/load_control.hpp
+++ b/src/route/load_control.hpp
@@ -18,8 +18,8 @@
 //! The mode with this name: auto, on or off; nullopt for any other name.
 std::optional<load_control_mode> parse_load_control_mode(std::string_view name);
 
-//! Whether the configuration calls for load control: requests of different priority compete for the engines
-//! of one service, or the accelerators of one service differ widely in speed.
+//! Whether the configuration calls for load control: streams of different priority compete for the engines of
+//! one service.
 bool needs_load_control(const entry_config& config);
 
 } // namespace dandelionstep
