Tests: one reader of a process's peak memory

Two process tests had the same function; both call tests/support/peak_memory.hpp now. No assertion changed.

--- a/tests/process/entry_endless_answers_proof_test.cpp
+++ b/tests/process/entry_endless_answers_proof_test.cpp
@@ -1,12 +1,12 @@
 #include "common/json.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
+#include "support/peak_memory.hpp"
 #include "support/scripted_cluster.hpp"
 
 #include <algorithm>
 #include <chrono>
 #include <doctest/doctest.h>
-#include <fstream>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -21,20 +21,6 @@
 constexpr std::int64_t deadline_ms = 2'000;
 constexpr std::int64_t most_memory_kb = 65'536;
 
-// The most memory that the process has held so far.
-std::int64_t peak_memory_kb(const child_process& process)
-{
-    std::ifstream file("/proc/" + std::to_string(process.id()) + "/status");
-    std::string word;
-    std::int64_t kilobytes = 0;
-    while (file >> word) {
-        if (word == "VmHWM:" && file >> kilobytes) {
-            return kilobytes;
-        }
-    }
-    return -1;
-}
-
 struct timed_answer {
     caller_answer answer;
     std::int64_t took_ms = 0;
--- a/tests/process/entry_many_bodies_proof_test.cpp
+++ b/tests/process/entry_many_bodies_proof_test.cpp
@@ -2,12 +2,12 @@
 #include "support/child_process.hpp"
 #include "support/cluster.hpp"
 #include "support/entry_cluster.hpp"
+#include "support/peak_memory.hpp"
 #include "support/scripted_cluster.hpp"
 #include "support/scripted_peer.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,20 +24,6 @@
 constexpr milliseconds longest_wait{20'000};
 constexpr std::int64_t kb_per_mb = 1'024;
 
-// The most memory that the process has held so far.
-std::int64_t peak_memory_kb(const child_process& process)
-{
-    std::ifstream file("/proc/" + std::to_string(process.id()) + "/status");
-    std::string word;
-    std::int64_t kilobytes = 0;
-    while (file >> word) {
-        if (word == "VmHWM:" && file >> kilobytes) {
-            return kilobytes;
-        }
-    }
-    return -1;
-}
-
 void allow_long_bodies(json& config)
 {
     config["Limits"]["MaxBodyBytes"] = max_body_bytes;
