--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -164,7 +164,7 @@
                                                 stdout=log, stderr=log)
 
     def start_tool(self, name, *arguments):
-        self.start(name, [sys.executable, str(TOOLS / arguments[0]), *arguments[1:]])
+        self.start(name, [sys.executable, "-B", str(TOOLS / arguments[0]), *arguments[1:]])
 
     def start_store(self):
         host = self.next_host()
