--- a/review/tools-2/replica.py
+++ b/review/tools-2/replica.py
@@ -187,7 +187,7 @@
         try:
             await asyncio.sleep(self.options.get("first_ms", 60) / 1000)
             channel["answering"] = True
-            self.record("run", id=attempt, first=first, pieces=pieces)
+            self.record("run", id=attempt, first=first, pieces=pieces, path=self.running[attempt])
             unframed = self.options.get("unframed")
             framing = ("Connection", "close") if unframed else ("Transfer-Encoding", "chunked")
             writer.write(http11.message(
