--- a/review/tools-2/replica.py
+++ b/review/tools-2/replica.py
@@ -7,12 +7,14 @@
   unframed: its streams have neither a length nor chunks and end with their connection
   run_ms: how long a plain replica works on a request
   refuse_paths: `repath` orders are refused with 409, as the new part has no room
+  crash_part: it ends as it begins to write an answer to a prompt with that part
   extra_orders, extra_ms: so many of its refusals of orders are sent once more, so long afterwards, at a
     point where the next response is expected
 """
 import asyncio
 import base64
 import json
+import os
 import sys
 import time
 
@@ -188,6 +190,10 @@
             await asyncio.sleep(self.options.get("first_ms", 60) / 1000)
             channel["answering"] = True
             self.record("run", id=attempt, first=first, pieces=pieces, path=self.running[attempt])
+            part = self.options.get("crash_part")
+            if part and part in head.get("Dandelionstep-Prompt-Prefix"):
+                self.record("crash", id=attempt)
+                os._exit(70)
             unframed = self.options.get("unframed")
             framing = ("Connection", "close") if unframed else ("Transfer-Encoding", "chunked")
             writer.write(http11.message(
--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -337,7 +337,7 @@
 
 def run_case(run, record):
     """Runs the case and tells its end as the exit status: 0 the rule held, 1 it was broken, 2 not run."""
-    world = World(record)
+    world = World(os.environ.get("RECORD", record))
     broken = None
     try:
         broken = asyncio.run(asyncio.wait_for(run(world), 110))
