--- a/review/tools-2/replica.py
+++ b/review/tools-2/replica.py
@@ -6,6 +6,7 @@
   event_ms, first_ms: between two events of a stream, and before the first
   unframed: its streams have neither a length nor chunks and end with their connection
   run_ms: how long a plain replica works on a request
+  rest_s: of a plain replica, the first request is turned away with 503 and so long a `Retry-After`
   refuse_paths: `repath` orders are refused with 409, as the new part has no room
   crash_part: it ends as it begins to write an answer to a prompt with that part
   extra_orders, extra_ms: so many of its refusals of orders are sent once more, so long afterwards, at a
@@ -31,6 +32,7 @@
         self.loading = False
         self.draining = False
         self.running = {}
+        self.rest_s = options.get("rest_s", 0)
         self.extras_left = options.get("extra_orders", 0)
         self.record_file = open(options["record"], "a", buffering=1, encoding="utf-8")
 
@@ -163,6 +165,12 @@
 
     async def run(self, head, body, writer):
         attempt = head.get("Dandelionstep-Attempt-Id")
+        if self.rest_s:
+            rest, self.rest_s = self.rest_s, 0
+            self.record("turned away", id=attempt, rest_s=rest)
+            writer.write(http11.response(503, [*self.headers(head, False), ("Dandelionstep-Not-Executed", "1"),
+                                               ("Retry-After", rest)]))
+            return
         self.record("run", id=attempt)
         await asyncio.sleep(self.options.get("run_ms", 20) / 1000)
         writer.write(http11.response(200, self.headers(head, True), b"done " + body))
