--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -337,6 +337,7 @@
 
 def run_case(run, record):
     """Runs the case and tells its end as the exit status: 0 the rule held, 1 it was broken, 2 not run."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     world = World(os.environ.get("RECORD", record))
     broken = None
     try:
