--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -151,10 +151,17 @@
         return f"{self.net}.{self.hosts}"
 
     @staticmethod
-    def free_port(host):
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            return probe.getsockname()[1]
+    def free_ports(host, count):
+        """Ports that are free at once, each with the seven behind it left to it."""
+        while True:
+            probes = [socket.socket() for _ in range(count)]
+            for probe in probes:
+                probe.bind((host, 0))
+            ports = [probe.getsockname()[1] for probe in probes]
+            for probe in probes:
+                probe.close()
+            if all(abs(a - b) > 7 for at, a in enumerate(ports) for b in ports[:at]):
+                return ports
 
     def start(self, name, command, **more):
         log = open(self.folder / f"{name}.log", "ab")
@@ -168,14 +175,14 @@
 
     def start_store(self):
         host = self.next_host()
-        self.store = f"{host}:{self.free_port(host)}"
+        self.store = f"{host}:{self.free_ports(host, 1)[0]}"
         self.start_tool("store", "store.py", self.store, str(HEARTBEAT_MS))
 
     def start_replica(self, name, **options):
         """The options of its first start hold for later ones too."""
         if name not in self.replicas:
             host = self.next_host()
-            self.replicas[name] = {"id": name, "address": f"{host}:{self.free_port(host)}", "store": self.store,
+            self.replicas[name] = {"id": name, "address": f"{host}:{self.free_ports(host, 1)[0]}", "store": self.store,
                                    "record": str(self.record_path), "heartbeat_ms": HEARTBEAT_MS, **options}
         self.start_tool(name, "replica.py", json.dumps(self.replicas[name]))
 
@@ -187,9 +194,9 @@
             raise CannotRun(f"{command[0]} has not been built")
         if name not in self.daemons:
             host = self.next_host()
-            self.daemons[name] = {"name": name, "address": host, "frontend": self.free_port(host),
-                                  "ready": self.free_port(host), "internal": self.free_port(host),
-                                  "first": True}
+            frontend, ready, internal = self.free_ports(host, 3)
+            self.daemons[name] = {"name": name, "address": host, "frontend": frontend, "ready": ready,
+                                  "internal": internal, "first": True}
         settings = self.folder / f"{name}.toml"
         settings.write_text(settings_text(self.daemons[name], zone, self.store), encoding="utf-8")
         self.daemons[name]["first"] = False
@@ -223,7 +230,8 @@
             except (OSError, http11.Ended, asyncio.TimeoutError):
                 pass
             await asyncio.sleep(0.05)
-        raise CannotRun(f"not so in {seconds} s: {what}")
+        ended = {name: process.poll() for name, process in self.processes.items() if process.poll() is not None}
+        raise CannotRun(f"not so in {seconds} s: {what}; processes that have ended: {ended}")
 
     async def listens(self, address):
         async def reached():
